--- /dev/null
+++ b/cli/spanrillcmd/fleet.go
@@ -0,0 +1,212 @@
+package spanrillcmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+
+	"spanrill"
+	"spanrill/daemon"
+	"spanrill/settings"
+	"spanrill/transport/httpcall"
+)
+
+// boxStatus is what one entry box answered.
+type boxStatus struct {
+	Box    string         `json:"box"`
+	Admin  string         `json:"admin_addr"`
+	Error  string         `json:"error,omitempty"`
+	Status *daemon.Status `json:"status,omitempty"`
+}
+
+const adminTimeout = 2 * time.Second
+
+// admin asks a daemon's admin address.
+func admin(ctx context.Context, addr, method, path string, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	client := httpcall.New()
+	defer client.Close()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod(method)
+	answer, err := client.Do(ctx, addr, req, httpcall.Fresh)
+	if err != nil {
+		return fmt.Errorf("ask daemon at %s: %w: %v", addr, spanrill.ErrUnavailable, err)
+	}
+	status := answer.Status()
+	body, err := answer.ReadAll(maxAdminAnswer)
+	if err != nil {
+		return fmt.Errorf("ask daemon at %s: %w", addr, err)
+	}
+	if status >= fasthttp.StatusBadRequest {
+		return errors.Errorf("daemon at %s answered %d: %s", addr, status, strings.TrimSpace(string(body)))
+	}
+	if v == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, v); err != nil {
+		return fmt.Errorf("decode answer of %s: %w", addr, err)
+	}
+	return nil
+}
+
+const maxAdminAnswer = 64 << 20
+
+// entryBoxes returns the live entry boxes of the box list.
+func entryBoxes(ctx context.Context, c *cli.Command) ([]spanrill.Box, error) {
+	platform, err := platformOf(c)
+	if err != nil {
+		return nil, err
+	}
+	boxes, err := platform.Boxes(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("find boxes: %w", err)
+	}
+	var entries []spanrill.Box
+	for _, b := range boxes {
+		if b.Role == spanrill.RoleEntry {
+			entries = append(entries, b)
+		}
+	}
+	return entries, nil
+}
+
+func fleetStatus(ctx context.Context, boxes []spanrill.Box) []boxStatus {
+	all := make([]boxStatus, 0, len(boxes))
+	for _, b := range boxes {
+		s := boxStatus{Box: b.Name, Admin: b.AdminAddr, Status: &daemon.Status{}}
+		if err := admin(ctx, b.AdminAddr, fasthttp.MethodGet, "/status", s.Status); err != nil {
+			s.Error, s.Status = err.Error(), nil
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "show the boxes, the revision in force on each, and the upstreams",
+		Description: "spanrill status\nspanrill --json status",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			boxes, err := entryBoxes(ctx, c)
+			if err != nil {
+				return err
+			}
+			all := fleetStatus(ctx, boxes)
+			if c.Bool(flagJSON) {
+				return printJSON(c, all)
+			}
+			showStatus(c, all)
+			return nil
+		},
+	}
+}
+
+func showStatus(c *cli.Command, all []boxStatus) {
+	printf(c, "%-16s %-14s %-8s %9s %9s  %s\n", "BOX", "ZONE", "READY", "REVISION", "IN FLIGHT", "")
+	var last *daemon.Status
+	for _, b := range all {
+		if b.Status == nil {
+			printf(c, "%-16s %s\n", b.Box, b.Error)
+			continue
+		}
+		s := b.Status
+		printf(c, "%-16s %-14s %-8v %9d %9d  %s\n", b.Box, s.Zone, s.Ready, s.Revision, s.InFlight, s.Why)
+		last = s
+	}
+	if last != nil {
+		showUpstreams(c, last)
+	}
+}
+
+func showUpstreams(c *cli.Command, s *daemon.Status) {
+	printf(c, "\n%-16s %-14s %-24s %8s %6s  %s\n", "UPSTREAM", "ZONE", "HOLDS", "LOAD", "SLOW", "")
+	for _, u := range s.Upstreams {
+		holds := u.Service
+		if holds == "" {
+			holds = fmt.Sprintf("%s %d-%d", u.Model, u.Layers.From, u.Layers.To)
+		}
+		printf(c, "%-16s %-14s %-24s %8.1f %6.1f  %s\n", u.Name, u.Zone, holds, u.Load, u.Slow, upstreamNote(u))
+	}
+}
+
+func upstreamNote(u daemon.UpstreamStatus) string {
+	switch {
+	case u.Leaving:
+		return "leaving"
+	case u.Ejected:
+		return "ejected"
+	}
+	return ""
+}
+
+// inForcePoll is how often boxes are asked for their revision.
+const inForcePoll = 100 * time.Millisecond
+
+// waitInForce returns once every live box has the revision in force.
+func waitInForce(ctx context.Context, c *cli.Command, revision uint64) error {
+	for {
+		boxes, err := entryBoxes(ctx, c)
+		if err != nil {
+			return cli.Exit(fmt.Sprintf("accepted, but the boxes cannot be listed: %v", err), exitNotEverywhere)
+		}
+		missing := behind(ctx, boxes, revision)
+		if len(missing) == 0 {
+			printf(c, "in force on %d boxes\n", len(boxes))
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return cli.Exit("accepted, but not in force on: "+strings.Join(missing, ", "), exitNotEverywhere)
+		case <-time.After(inForcePoll):
+		}
+	}
+}
+
+// behind returns the live boxes that do not have the revision in force.
+func behind(ctx context.Context, boxes []spanrill.Box, revision uint64) []string {
+	var missing []string
+	for _, s := range fleetStatus(ctx, boxes) {
+		switch {
+		case s.Status == nil:
+			missing = append(missing, s.Box+" (no answer)")
+		case s.Status.Revision < revision:
+			missing = append(missing, fmt.Sprintf("%s (revision %d)", s.Box, s.Status.Revision))
+		}
+	}
+	return missing
+}
+
+func settingsCommand() *cli.Command {
+	return &cli.Command{
+		Name: "settings", Usage: "settings of spanrilld",
+		Commands: []*cli.Command{
+			{
+				Name: "example", Usage: "print settings to start from",
+				Action: func(_ context.Context, c *cli.Command) error {
+					data, err := settings.Example().JSON()
+					if err != nil {
+						return err
+					}
+					printf(c, "%s", data)
+					return nil
+				},
+			},
+			{
+				Name: "schema", Usage: "print the JSON schema of settings",
+				Action: func(_ context.Context, c *cli.Command) error {
+					printf(c, "%s", settings.Schema().Raw())
+					return nil
+				},
+			},
+		},
+	}
+}
--- /dev/null
+++ b/cli/spanrilldcmd/main.go
@@ -0,0 +1,91 @@
+// Package spanrilldcmd is the command line of spanrilld.
+//
+// # Usage
+//
+//	os.Exit(spanrilldcmd.Main())
+package spanrilldcmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"spanrill/daemon"
+	"spanrill/settings"
+)
+
+// Exit codes of spanrilld.
+const (
+	exitFailed      = 1
+	exitBadSettings = 2
+)
+
+// Main runs spanrilld with the arguments of the process and returns its exit
+// code.
+func Main() int {
+	err := command().Run(context.Background(), os.Args)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	if coder, ok := err.(cli.ExitCoder); ok {
+		return coder.ExitCode()
+	}
+	return exitFailed
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "spanrilld",
+		Usage: "route inference pipelines and plain services",
+		Description: "spanrilld --settings spanrilld.json          run until SIGTERM, then drain\n" +
+			"spanrilld --settings spanrilld.json --check  check the settings and exit\n\n" +
+			"Exit codes: 0 stopped as planned or settings are right, 1 failed, 2 settings are wrong.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Usage: "read settings from `FILE`"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Action:         run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	s, err := settings.Load(c.String("settings"))
+	if err != nil {
+		return cli.Exit(err, exitBadSettings)
+	}
+	if c.Bool("check") {
+		fmt.Fprintln(c.Root().Writer, "settings are right")
+		return nil
+	}
+	log, err := newLogger(s.Log)
+	if err != nil {
+		return cli.Exit(err, exitBadSettings)
+	}
+	d, err := daemon.New(s, daemon.WithLogger(log))
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.Run(ctx)
+}
+
+func newLogger(l settings.Log) (*logrus.Logger, error) {
+	level, err := logrus.ParseLevel(l.Level)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	log := logrus.New()
+	log.SetLevel(level)
+	if l.Format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log, nil
+}
--- /dev/null
+++ b/cli/standincmd/main.go
@@ -0,0 +1,136 @@
+// Package standincmd is the command line of the stand-ins.
+//
+// # Usage
+//
+//	os.Exit(standincmd.Main())
+package standincmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"spanrill"
+	"spanrill/standin/engine"
+	"spanrill/standin/faultproxy"
+	"spanrill/standin/model"
+	"spanrill/standin/platform"
+	"spanrill/standin/service"
+)
+
+// Main runs a stand-in with the arguments of the process and returns its exit
+// code.
+func Main() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+func command() *cli.Command {
+	listen := &cli.StringFlag{Name: "listen", Required: true, Usage: "serve on `ADDR`"}
+	name := &cli.StringFlag{Name: "name", Required: true, Usage: "the box's `NAME`"}
+	return &cli.Command{
+		Name:  "spanrill-standin",
+		Usage: "small stand-ins for the systems around spanrill, for trials and tests",
+		Commands: []*cli.Command{
+			{
+				Name: "platform", Usage: "the object API and the box list",
+				Flags: []cli.Flag{
+					listen,
+					&cli.StringFlag{Name: "boxes", Usage: "read the first box list from `FILE`"},
+					&cli.DurationFlag{Name: "box-lag", Usage: "how late the box list shows changes"},
+				},
+				Action: runPlatform,
+			},
+			{
+				Name: "engine", Usage: "a model engine that holds a range of layers",
+				Flags: []cli.Flag{
+					listen, name,
+					&cli.StringFlag{Name: "model", Required: true, Usage: "the model's `NAME`"},
+					&cli.StringFlag{Name: "version", Value: "1", Usage: "the model's version"},
+					&cli.IntFlag{Name: "model-layers", Required: true, Usage: "layers of the whole model"},
+					&cli.IntFlag{Name: "from", Usage: "first layer held"},
+					&cli.IntFlag{Name: "to", Required: true, Usage: "layer behind the last one held"},
+					&cli.DurationFlag{Name: "step", Value: engine.DefaultSpeed.Step, Usage: "base time of a batch step"},
+					&cli.IntFlag{Name: "slots", Value: engine.DefaultSpeed.Slots, Usage: "streams in one batch step"},
+					&cli.StringFlag{Name: "kind", Value: engine.DefaultSpeed.Kind, Usage: "the accelerator's kind"},
+				},
+				Action: runEngine,
+			},
+			{
+				Name: "service", Usage: "a plain service that counts its runs",
+				Flags: []cli.Flag{listen, name}, Action: runService,
+			},
+			{
+				Name: "proxy", Usage: "a TCP proxy that injects faults",
+				Flags: []cli.Flag{
+					listen,
+					&cli.StringFlag{Name: "to", Required: true, Usage: "pass connections on to `ADDR`"},
+					&cli.StringFlag{Name: "control", Required: true, Usage: "take faults on `ADDR`"},
+				},
+				Action: runProxy,
+			},
+		},
+	}
+}
+
+// serve keeps a stand-in up until the process is told to stop.
+func serve(ctx context.Context, addr string, listen func(string) (string, error), stop func()) error {
+	in, err := listen(addr)
+	if err != nil {
+		return fmt.Errorf("start stand-in: %w", err)
+	}
+	fmt.Println("listening on", in)
+	<-ctx.Done()
+	stop()
+	return nil
+}
+
+func runPlatform(ctx context.Context, c *cli.Command) error {
+	p := platform.New(platform.WithBoxLag(c.Duration("box-lag")))
+	if file := c.String("boxes"); file != "" {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return fmt.Errorf("read box list: %w", err)
+		}
+		var boxes []spanrill.Box
+		if err := json.Unmarshal(data, &boxes); err != nil {
+			return fmt.Errorf("decode box list: %w", err)
+		}
+		p.SetBoxes(boxes)
+	}
+	return serve(ctx, c.String("listen"), p.Listen, p.Close)
+}
+
+func runEngine(ctx context.Context, c *cli.Command) error {
+	speed := engine.DefaultSpeed
+	speed.Kind, speed.Slots, speed.Step = c.String("kind"), c.Int("slots"), c.Duration("step")
+	spec := model.Spec{Name: c.String("model"), Version: c.String("version"), Layers: c.Int("model-layers")}
+	layers := spanrill.LayerRange{From: c.Int("from"), To: c.Int("to")}
+	e := engine.New(c.String("name"), engine.WithModel(spec, layers), engine.WithSpeed(speed),
+		engine.WithReportLag(200*time.Millisecond))
+	return serve(ctx, c.String("listen"), e.Listen, e.Close)
+}
+
+func runService(ctx context.Context, c *cli.Command) error {
+	s := service.New(c.String("name"))
+	return serve(ctx, c.String("listen"), s.Listen, s.Close)
+}
+
+func runProxy(ctx context.Context, c *cli.Command) error {
+	p := faultproxy.New(c.String("to"))
+	if _, err := p.Control(c.String("control")); err != nil {
+		return fmt.Errorf("start control: %w", err)
+	}
+	return serve(ctx, c.String("listen"), p.Listen, p.Close)
+}
--- /dev/null
+++ b/coordination/observe/observe.go
@@ -0,0 +1,207 @@
+// Package observe keeps the load table up to date: it reads the box list and
+// asks upstreams for their reports.
+//
+// Each upstream is asked by a few daemons only, which tell the others. Which
+// daemons those are follows from the names of the daemons alive.
+//
+// # Usage
+//
+//	o := observe.New(boxes, engines, services, table, clock, observe.WithShare(share))
+//	err := o.Run(ctx)
+package observe
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/events"
+	"spanrill/state/load"
+	"spanrill/task"
+)
+
+// Share says which upstreams this daemon observes, and who else is told.
+type Share interface {
+	// Mine reports whether this daemon observes the upstream.
+	Mine(upstream string) bool
+	// Tell passes reports on to the other daemons.
+	Tell(reports []spanrill.UpstreamStatus)
+}
+
+// alone is the share of a daemon without peers.
+type alone struct{}
+
+// Mine returns true.
+func (alone) Mine(string) bool { return true }
+
+// Tell does nothing.
+func (alone) Tell([]spanrill.UpstreamStatus) {}
+
+// Observer keeps the load table up to date.
+type Observer struct {
+	boxes    spanrill.BoxLister
+	engines  spanrill.Engines
+	services spanrill.Services
+	table    *load.Table
+	clock    spanrill.Clock
+	log      logrus.FieldLogger
+	share    Share
+	onBoxes  func([]spanrill.Box)
+	listGap  spanrill.Millis
+	askGap   spanrill.Millis
+	seen     chan struct{}
+	once     sync.Once
+	misses   sync.Map // upstream name to *int, reports missed in a row
+}
+
+// Option changes a default of New.
+type Option func(*Observer)
+
+// WithLogger sets where events go.
+func WithLogger(log logrus.FieldLogger) Option {
+	return func(o *Observer) { o.log = log }
+}
+
+// WithShare sets which upstreams this daemon observes.
+func WithShare(s Share) Option {
+	return func(o *Observer) { o.share = s }
+}
+
+// WithOnBoxes sets what is called with each box list.
+func WithOnBoxes(f func([]spanrill.Box)) Option {
+	return func(o *Observer) { o.onBoxes = f }
+}
+
+// WithGaps sets the pauses between two box lists and between two reports.
+func WithGaps(list, ask spanrill.Millis) Option {
+	return func(o *Observer) { o.listGap, o.askGap = list, ask }
+}
+
+const (
+	defaultListGap = spanrill.Second
+	defaultAskGap  = 500 * spanrill.Millis(1)
+	askTimeout     = 400 * spanrill.Millis(1)
+	askAtOnce      = 32
+)
+
+// New returns an observer that observes everything.
+func New(boxes spanrill.BoxLister, engines spanrill.Engines, services spanrill.Services, table *load.Table, clock spanrill.Clock, opts ...Option) *Observer {
+	o := &Observer{
+		boxes: boxes, engines: engines, services: services, table: table, clock: clock,
+		log: logrus.StandardLogger(), share: alone{}, onBoxes: func([]spanrill.Box) {},
+		listGap: defaultListGap, askGap: defaultAskGap, seen: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(o)
+	}
+	return o
+}
+
+// Seen returns a channel that is closed once a box list was read and its
+// upstreams were asked.
+func (o *Observer) Seen() <-chan struct{} { return o.seen }
+
+// Run observes until the context ends.
+func (o *Observer) Run(ctx context.Context) error {
+	var tasks task.Group
+	listed := make(chan struct{}, 1)
+	tasks.Start(ctx, "box list", func(ctx context.Context) error { return o.list(ctx, listed) })
+	tasks.Start(ctx, "reports", func(ctx context.Context) error { return o.reports(ctx, listed) })
+	return tasks.Wait()
+}
+
+func (o *Observer) list(ctx context.Context, listed chan<- struct{}) error {
+	for ctx.Err() == nil {
+		boxes, err := o.boxes.Boxes(ctx)
+		if err == nil {
+			o.table.SetBoxes(boxes)
+			o.onBoxes(boxes)
+			select {
+			case listed <- struct{}{}:
+			default:
+			}
+		}
+		o.pause(ctx, o.listGap)
+	}
+	return ctx.Err()
+}
+
+func (o *Observer) pause(ctx context.Context, d spanrill.Millis) {
+	select {
+	case <-ctx.Done():
+	case <-o.clock.After(d):
+	}
+}
+
+func (o *Observer) reports(ctx context.Context, listed <-chan struct{}) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-listed:
+	}
+	for ctx.Err() == nil {
+		o.share.Tell(o.askAll(ctx))
+		o.once.Do(func() { close(o.seen) })
+		o.pause(ctx, o.askGap)
+	}
+	return ctx.Err()
+}
+
+// askAll asks every upstream of this daemon's share, a few at a time.
+func (o *Observer) askAll(ctx context.Context) []spanrill.UpstreamStatus {
+	var mu sync.Mutex
+	var reports []spanrill.UpstreamStatus
+	var tasks task.Group
+	room := make(chan struct{}, askAtOnce)
+	for _, u := range o.table.Upstreams() {
+		if !o.share.Mine(u.Name()) && u.Report() != nil {
+			continue
+		}
+		room <- struct{}{}
+		tasks.Start(ctx, "report", func(ctx context.Context) error {
+			defer func() { <-room }()
+			if s, ok := o.ask(ctx, u); ok {
+				mu.Lock()
+				defer mu.Unlock()
+				reports = append(reports, s)
+			}
+			return nil
+		})
+	}
+	_ = tasks.Wait()
+	return reports
+}
+
+// maxMisses is how many reports in a row an upstream may miss before it is
+// ejected.
+const maxMisses = 2
+
+func (o *Observer) ask(ctx context.Context, u *load.Upstream) (spanrill.UpstreamStatus, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	status := o.engines.Status
+	if u.Service() != "" {
+		status = o.services.Status
+	}
+	s, err := status(ctx, u.Addr())
+	if err != nil {
+		o.missed(u, err)
+		return s, false
+	}
+	o.misses.Delete(u.Name())
+	s.Name = u.Name()
+	o.table.Report(u.Name(), s, s.AgeMillis)
+	return s, true
+}
+
+// missed ejects an upstream that does not answer.
+func (o *Observer) missed(u *load.Upstream, err error) {
+	v, _ := o.misses.LoadOrStore(u.Name(), new(int))
+	n := v.(*int)
+	*n++
+	if *n >= maxMisses && u.Fail(o.clock.Now()) {
+		events.UpstreamEjected.Log(o.log, logrus.Fields{"upstream": u.Name(), "cause": err})
+	}
+}
--- /dev/null
+++ b/coordination/pipeline/verify.go
@@ -0,0 +1,59 @@
+package pipeline
+
+import (
+	"github.com/pkg/errors"
+
+	"spanrill"
+)
+
+// Errors of a token check.
+var (
+	// ErrLayers means that the layers did not run once each and in order.
+	ErrLayers = errors.New("layers did not run exactly once and in order")
+	// ErrGap means that a token was left out.
+	ErrGap = errors.New("a token is missing")
+)
+
+// verifier checks the tokens of one attempt.
+type verifier struct {
+	layers int
+	chain  []spanrill.StageRef
+	next   int // index of the next token to deliver
+}
+
+// check reports whether the event's token is the next one and may be
+// delivered. A token that was seen before is dropped without an error.
+func (v *verifier) check(ev *spanrill.RunEvent) (deliver bool, err error) {
+	if ev.Index < v.next {
+		return false, nil
+	}
+	if ev.Index > v.next {
+		return false, errors.Wrapf(ErrGap, "expected index %d, got %d", v.next, ev.Index)
+	}
+	if err := v.cover(ev.Ran); err != nil {
+		return false, err
+	}
+	v.next++
+	return true, nil
+}
+
+// cover checks that the stages of the chain ran layers 0 to the last one.
+func (v *verifier) cover(ran []spanrill.RanRange) error {
+	if len(ran) != len(v.chain) {
+		return errors.Wrapf(ErrLayers, "%d stages ran, the chain has %d", len(ran), len(v.chain))
+	}
+	layer := 0
+	for i, r := range ran {
+		if r.Engine != v.chain[i].Engine {
+			return errors.Wrapf(ErrLayers, "stage %d ran on %s, the chain names %s", i, r.Engine, v.chain[i].Engine)
+		}
+		if r.Layers.From != layer || r.Layers.To <= layer {
+			return errors.Wrapf(ErrLayers, "stage %d ran layers %d to %d after layer %d", i, r.Layers.From, r.Layers.To, layer)
+		}
+		layer = r.Layers.To
+	}
+	if layer != v.layers {
+		return errors.Wrapf(ErrLayers, "layers up to %d ran, the model has %d", layer, v.layers)
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/routing/leastwork.go
@@ -0,0 +1,95 @@
+package routing
+
+import (
+	"spanrill/rng"
+	"spanrill/state/load"
+)
+
+// LeastWork picks, among a few random candidates, the one on which a request
+// is expected to wait and run the shortest. Random candidates keep daemons
+// that see the same report from choosing the same engine.
+type LeastWork struct {
+	rng     *rng.Source
+	samples int
+}
+
+// defaultSamples is how many candidates are compared.
+const defaultSamples = 4
+
+// NewLeastWork returns the default policy.
+func NewLeastWork(source *rng.Source) *LeastWork {
+	return &LeastWork{rng: source, samples: defaultSamples}
+}
+
+// Name returns "least-work".
+func (p *LeastWork) Name() string { return "least-work" }
+
+// Pick returns the best of a few usable candidates.
+func (p *LeastWork) Pick(candidates []*load.Upstream, q *Query, usable func(*load.Upstream) bool) *load.Upstream {
+	n := len(candidates)
+	if n == 0 {
+		return nil
+	}
+	var best *load.Upstream
+	var bestScore float64
+	consider := func(u *load.Upstream) {
+		if s := Score(u, q); best == nil || s < bestScore {
+			best, bestScore = u, s
+		}
+	}
+	for _, u := range q.Prefer {
+		if contains(candidates, u) && usable(u) {
+			consider(u)
+		}
+	}
+	start, found := p.rng.IntN(n), 0
+	for i := range n {
+		u := candidates[(start+i*stride(n))%n]
+		if !usable(u) {
+			continue
+		}
+		consider(u)
+		if found++; found == p.samples {
+			break
+		}
+	}
+	return best
+}
+
+func contains(candidates []*load.Upstream, u *load.Upstream) bool {
+	return len(candidates) > 0 && candidates[0].Layers().From == u.Layers().From
+}
+
+// stride returns a step that visits each of n places once and far apart.
+func stride(n int) int {
+	s := n*5/8 | 1
+	for gcd(s, n) != 1 {
+		s += 2
+	}
+	return s
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// zoneMicros is what crossing into another availability zone is taken to cost
+// before it was observed.
+const zoneMicros = 500
+
+// Score is the time in microseconds that a step is expected to take on an
+// upstream with one more request, link included.
+func Score(u *load.Upstream, q *Query) float64 {
+	work := (u.Load(q.Now) + 1) * u.MicrosPerToken() * u.Slow(q.Now) / u.Ramp(q.Now)
+	if q.preferred(u) {
+		work *= 1 - q.Saved
+	}
+	link := float64(u.LinkMicros())
+	if q.Last != nil && q.Last.Zone() != u.Zone() {
+		link = max(link, zoneMicros)
+	}
+	return work + link
+}
--- /dev/null
+++ b/coordination/routing/routing.go
@@ -0,0 +1,142 @@
+// Package routing chooses the engines that a request crosses.
+//
+// A chain is chosen stage by stage. At each layer at which a stage may start,
+// a Policy picks one engine among those that start there and from which the
+// model's end can be reached. Policies are small and replaceable; the default
+// is LeastWork, and the others are baselines to measure against.
+//
+// # Usage
+//
+//	router := routing.New(clock, routing.WithPolicy(routing.NewLeastWork(rng)))
+//	chain, ok := router.Choose(index, &routing.Query{Layers: 24}, chain[:0])
+package routing
+
+import (
+	"github.com/pkg/errors"
+
+	"spanrill"
+	"spanrill/rng"
+	"spanrill/state/load"
+)
+
+// Query is what a chain is chosen for.
+type Query struct {
+	Layers  int              // layers of the model
+	Exclude []*load.Upstream // upstreams that failed this request before
+	Prefer  []*load.Upstream // upstreams that hold the prompt's prefix
+	Saved   float64          // share of the work that a preferred chain saves
+	Now     spanrill.Millis  // set by the router
+	Last    *load.Upstream   // the stage before, set by the router
+}
+
+// excluded reports whether an upstream failed this request before.
+func (q *Query) excluded(u *load.Upstream) bool {
+	for _, x := range q.Exclude {
+		if x == u {
+			return true
+		}
+	}
+	return false
+}
+
+// preferred reports whether an upstream holds the prompt's prefix.
+func (q *Query) preferred(u *load.Upstream) bool {
+	for _, p := range q.Prefer {
+		if p == u {
+			return true
+		}
+	}
+	return false
+}
+
+// Policy picks one of several upstreams.
+type Policy interface {
+	// Name returns the name by which settings choose the policy.
+	Name() string
+	// Pick returns one of the candidates that usable accepts, or nil.
+	Pick(candidates []*load.Upstream, q *Query, usable func(*load.Upstream) bool) *load.Upstream
+}
+
+// Router chooses chains and single upstreams.
+type Router struct {
+	clock  spanrill.Clock
+	policy Policy
+}
+
+// Option changes a default of New.
+type Option func(*Router)
+
+// WithPolicy sets how an upstream is picked.
+func WithPolicy(p Policy) Option {
+	return func(r *Router) { r.policy = p }
+}
+
+// New returns a router.
+func New(clock spanrill.Clock, opts ...Option) *Router {
+	r := &Router{clock: clock, policy: NewLeastWork(rng.New(1))}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Policy returns the policy in use.
+func (r *Router) Policy() Policy { return r.policy }
+
+// NewPolicy returns the policy with that name.
+func NewPolicy(name string, source *rng.Source) (Policy, error) {
+	policies := []Policy{NewLeastWork(source), NewRandom(source), NewRoundRobin(), NewLeastInFlight()}
+	for _, p := range policies {
+		if p.Name() == name {
+			return p, nil
+		}
+	}
+	return nil, errors.Errorf("unknown routing policy %q: allowed are least-work, random, round-robin and least-in-flight", name)
+}
+
+// Choose appends the engines of a chain to dst and reports whether there is
+// one. It allocates nothing if dst has room.
+func (r *Router) Choose(index *load.ModelIndex, q *Query, dst []*load.Upstream) ([]*load.Upstream, bool) {
+	if index == nil {
+		return dst, false
+	}
+	q.Now = r.clock.Now()
+	q.Last = nil
+	ways := index.Ways(q.Layers)
+	for layer := 0; layer < q.Layers; {
+		u := r.pick(index.From(layer), q, ways)
+		if u == nil {
+			return dst, false
+		}
+		dst = append(dst, u)
+		q.Last = u
+		layer = u.Layers().To
+	}
+	return dst, true
+}
+
+// pick takes an upstream that is not ejected, or else one that is: a fleet in
+// which all engines of a stage were ejected is better served by trying one.
+func (r *Router) pick(candidates []*load.Upstream, q *Query, ways *load.Ways) *load.Upstream {
+	u := r.policy.Pick(candidates, q, func(u *load.Upstream) bool {
+		return ways.Open(u.Layers().To) && !u.Ejected(q.Now) && !q.excluded(u)
+	})
+	if u != nil {
+		return u
+	}
+	return r.policy.Pick(candidates, q, func(u *load.Upstream) bool {
+		return ways.Open(u.Layers().To) && !q.excluded(u)
+	})
+}
+
+// One picks a single upstream of a plain service, or nil.
+func (r *Router) One(candidates []*load.Upstream, q *Query) *load.Upstream {
+	q.Now = r.clock.Now()
+	u := r.policy.Pick(candidates, q, func(u *load.Upstream) bool {
+		return !u.Ejected(q.Now) && !q.excluded(u)
+	})
+	if u != nil {
+		return u
+	}
+	return r.policy.Pick(candidates, q, func(u *load.Upstream) bool { return !q.excluded(u) })
+}
--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
+
+	"spanrill"
+)
+
+// Status is what a daemon says of itself on its admin address.
+type Status struct {
+	Name      string           `json:"name"`
+	Zone      string           `json:"availability_zone"`
+	Ready     bool             `json:"ready"`
+	Why       string           `json:"why,omitempty"` // why it is not ready
+	Revision  uint64           `json:"revision"`
+	EditID    string           `json:"edit_id"`
+	InFlight  int64            `json:"in_flight"`
+	Policy    string           `json:"routing_policy"`
+	Upstreams []UpstreamStatus `json:"upstreams"`
+}
+
+// UpstreamStatus is what a daemon knows of one upstream.
+type UpstreamStatus struct {
+	Name     string              `json:"name"`
+	Addr     string              `json:"addr"`
+	Zone     string              `json:"availability_zone"`
+	Service  string              `json:"service,omitempty"`
+	Model    string              `json:"model,omitempty"`
+	Layers   spanrill.LayerRange `json:"layers"`
+	InFlight int64               `json:"in_flight"`
+	Load     float64             `json:"load"`
+	Slow     float64             `json:"slow"`
+	Leaving  bool                `json:"leaving"`
+	Ejected  bool                `json:"ejected"`
+}
+
+// adminRoutes serves operators.
+//
+//	GET  /healthz   the process runs
+//	GET  /readyz    the daemon should get requests
+//	GET  /metrics   counters
+//	GET  /status    a Status
+//	POST /drain     starts a planned stop
+func (d *Daemon) adminRoutes(drain func()) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		path := string(ctx.Path())
+		switch {
+		case path == "/healthz":
+			ctx.SetBodyString("ok\n")
+		case path == "/readyz":
+			d.serveReady(ctx)
+		case path == "/metrics":
+			ctx.SetContentType("text/plain; version=0.0.4")
+			d.meters.Write(ctx)
+		case path == "/status":
+			serveJSON(ctx, d.Status())
+		case path == "/drain" && ctx.IsPost():
+			drain()
+			ctx.SetStatusCode(fasthttp.StatusAccepted)
+		case d.settings.Pprof && len(path) > 12 && path[:13] == "/debug/pprof/":
+			pprofhandler.PprofHandler(ctx)
+		default:
+			ctx.Error("no such path", fasthttp.StatusNotFound)
+		}
+	}
+}
+
+func (d *Daemon) serveReady(ctx *fasthttp.RequestCtx) {
+	if err := d.ready(); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func serveJSON(ctx *fasthttp.RequestCtx, v any) {
+	ctx.SetContentType("application/json")
+	if err := json.NewEncoder(ctx).Encode(v); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	}
+}
+
+func (d *Daemon) serveAdmin(context.Context) error {
+	server := &fasthttp.Server{Handler: d.adminRoutes(func() {}), NoDefaultServerHeader: true}
+	if err := server.Serve(d.admin); err != nil {
+		return fmt.Errorf("serve operators: %w", err)
+	}
+	return nil
+}
+
+// Status returns what the daemon says of itself.
+func (d *Daemon) Status() Status {
+	s := Status{
+		Name: d.settings.Name, Zone: d.settings.Zone, Revision: d.follower.Revision(),
+		InFlight: d.api.InFlight(), Policy: d.router.Policy().Name(),
+	}
+	if head := d.follower.Head(); head != nil {
+		s.EditID = head.EditID
+	}
+	if err := d.ready(); err != nil {
+		s.Why = err.Error()
+	}
+	s.Ready = s.Why == ""
+	now := d.clock.Now()
+	for _, u := range d.table.Upstreams() {
+		us := UpstreamStatus{
+			Name: u.Name(), Addr: u.Addr(), Zone: u.Zone(), Service: u.Service(),
+			InFlight: u.InFlight(), Load: u.Load(now), Slow: u.Slow(now),
+			Leaving: u.Leaving(), Ejected: u.Ejected(now),
+		}
+		if r := u.Report(); r != nil {
+			us.Model, us.Layers = r.Model, r.Layers
+		}
+		s.Upstreams = append(s.Upstreams, us)
+	}
+	return s
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,263 @@
+// Package daemon puts the parts of a spanrill router together.
+//
+// # Usage
+//
+//	d, err := daemon.New(settings, daemon.WithLogger(log))
+//	if err != nil {
+//		return fmt.Errorf("build daemon: %w", err)
+//	}
+//	err = d.Run(ctx) // until the context ends, then drains
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/clock"
+	"spanrill/coordination/admission"
+	"spanrill/coordination/dispatch"
+	"spanrill/coordination/observe"
+	"spanrill/coordination/pipeline"
+	"spanrill/coordination/routing"
+	"spanrill/events"
+	"spanrill/meter"
+	"spanrill/protocol/callerapi"
+	"spanrill/protocol/engineapi"
+	"spanrill/protocol/objectapi"
+	"spanrill/protocol/serviceapi"
+	"spanrill/rng"
+	"spanrill/settings"
+	"spanrill/state/config"
+	"spanrill/state/load"
+	"spanrill/task"
+	"spanrill/transport/httpcall"
+)
+
+// Daemon is one spanrill router.
+type Daemon struct {
+	settings settings.Settings
+	clock    spanrill.Clock
+	log      *logrus.Entry
+	random   *rng.Source
+	meters   *meter.Meters
+
+	http     *httpcall.Client
+	platform *objectapi.Client
+	follower *config.Follower
+	table    *load.Table
+	router   *routing.Router
+	observer *observe.Observer
+	api      *callerapi.Server
+
+	callers  net.Listener
+	admin    net.Listener
+	draining atomic.Bool
+	done     chan struct{}
+}
+
+// Option changes a default of New.
+type Option func(*Daemon)
+
+// WithLogger sets where events go.
+func WithLogger(log *logrus.Logger) Option {
+	return func(d *Daemon) { d.log = logrus.NewEntry(log) }
+}
+
+// WithClock sets the daemon's clock.
+func WithClock(c spanrill.Clock) Option {
+	return func(d *Daemon) { d.clock = c }
+}
+
+// New returns a daemon that listens on its addresses but serves nothing yet.
+func New(s settings.Settings, opts ...Option) (*Daemon, error) {
+	d := &Daemon{
+		settings: s, clock: clock.NewSystem(), log: logrus.NewEntry(logrus.StandardLogger()),
+		meters: meter.New(), done: make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(d)
+	}
+	d.log = d.log.WithField("daemon", s.Name)
+	d.random = rng.New(seedOf(s))
+	if err := d.build(); err != nil {
+		return nil, fmt.Errorf("build %s: %w", s.Name, err)
+	}
+	if err := d.listen(); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return d, nil
+}
+
+func seedOf(s settings.Settings) uint64 {
+	if s.Seed != 0 {
+		return s.Seed
+	}
+	return uint64(time.Now().UnixNano())
+}
+
+func (d *Daemon) build() error {
+	policy, err := routing.NewPolicy(d.settings.RoutingPolicy, d.random)
+	if err != nil {
+		return fmt.Errorf("choose routing policy: %w", err)
+	}
+	d.http = httpcall.New()
+	d.platform = objectapi.New(d.settings.Platform, d.http)
+	d.table = load.NewTable(d.clock, load.WithLogger(d.log))
+	d.router = routing.New(d.clock, routing.WithPolicy(policy))
+	d.follower = config.NewFollower(d.platform, config.WithClock(d.clock), config.WithLogger(d.log),
+		config.WithJitter(d.jitter), config.WithOnChange(d.configChanged))
+	engines, services := engineapi.New(d.http), serviceapi.New(d.http)
+	d.observer = observe.New(d.platform, engines, services, d.table, d.clock, observe.WithLogger(d.log),
+		observe.WithGaps(d.settings.Observe.Boxes, d.settings.Observe.Status))
+	d.api = d.newAPI(engines, services)
+	return nil
+}
+
+func (d *Daemon) newAPI(engines spanrill.Engines, services spanrill.Services) *callerapi.Server {
+	waits, limits := d.settings.Waits, d.settings.Limits
+	runner := pipeline.New(engines, d.table, d.router, d.clock,
+		pipeline.WithLogger(d.log), pipeline.WithMeters(d.meters),
+		pipeline.WithWaits(waits.FirstToken, waits.Token))
+	dispatcher := dispatch.New(services, d.table, d.router, d.clock,
+		dispatch.WithLogger(d.log), dispatch.WithMeters(d.meters), dispatch.WithTimeout(waits.Service))
+	bounds := callerapi.DefaultLimits
+	bounds.BodyBytes, bounds.HeaderBytes, bounds.StreamTokens = limits.BodyBytes, limits.HeaderBytes, limits.StreamTokens
+	return callerapi.New(callerapi.Parts{
+		Config: d.follower.Current, Runner: runner, Services: dispatcher,
+		Admission: admission.Open{}, Claims: noClaims{}, Clock: d.clock, Meters: d.meters,
+		Log: d.log, Random: d.random, ResumeSecret: d.settings.FleetSecret,
+	}, bounds)
+}
+
+// noClaims runs each call without a claim.
+type noClaims struct{}
+
+// Do runs f.
+func (noClaims) Do(_ context.Context, _, _ string, _ *spanrill.ServiceRequest, f func() (*spanrill.ServiceAnswer, *spanrill.Refusal)) (*spanrill.ServiceAnswer, *spanrill.Refusal) {
+	return f()
+}
+
+// jitter spreads a pause over half of its length to one and a half.
+func (d *Daemon) jitter(m spanrill.Millis) spanrill.Millis {
+	return m/2 + spanrill.Millis(d.random.Float64()*float64(m))
+}
+
+func (d *Daemon) configChanged(s *config.Snapshot) {
+	d.table.SetSites(func(zone string) string {
+		if site := s.SiteOf(zone); site != nil {
+			return site.Name
+		}
+		return ""
+	})
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.callers, err = net.Listen("tcp", d.settings.Listen); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if d.admin, err = net.Listen("tcp", d.settings.AdminListen); err != nil {
+		_ = d.callers.Close()
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	return nil
+}
+
+// Addr returns the address that callers use.
+func (d *Daemon) Addr() string { return d.callers.Addr().String() }
+
+// AdminAddr returns the address that operators use.
+func (d *Daemon) AdminAddr() string { return d.admin.Addr().String() }
+
+// Meters returns the daemon's counters.
+func (d *Daemon) Meters() *meter.Meters { return d.meters }
+
+// Done returns a channel that is closed when the daemon has stopped.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
+// Run serves until the context ends, then drains and stops.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer close(d.done)
+	events.DaemonStarted.Log(d.log, logrus.Fields{"listen": d.Addr(), "admin": d.AdminAddr()})
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var tasks task.Group
+	failed := make(chan error, 1)
+	for name, part := range d.parts() {
+		tasks.Start(work, name, func(ctx context.Context) error {
+			return d.runPart(ctx, name, part, failed)
+		})
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+		d.drain()
+	case err = <-failed:
+	}
+	cancel()
+	d.close()
+	if stopped := tasks.Wait(); err == nil {
+		err = stopped
+	}
+	events.DaemonStopped.Log(d.log, nil)
+	return err
+}
+
+// parts are the long-running parts by name.
+func (d *Daemon) parts() map[string]func(context.Context) error {
+	return map[string]func(context.Context) error{
+		"configuration": d.follower.Run,
+		"observer":      d.observer.Run,
+		"callers":       func(ctx context.Context) error { return d.api.Serve(ctx, d.callers) },
+		"admin":         d.serveAdmin,
+		"readiness":     d.awaitReady,
+	}
+}
+
+func (d *Daemon) runPart(ctx context.Context, name string, part func(context.Context) error, failed chan<- error) error {
+	err := part(ctx)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	events.PartFailed.Log(d.log, logrus.Fields{"part": name, "error": err})
+	select {
+	case failed <- fmt.Errorf("part %s: %w", name, err):
+	default:
+	}
+	return err
+}
+
+func (d *Daemon) awaitReady(ctx context.Context) error {
+	for _, ready := range []<-chan struct{}{d.follower.Ready(), d.observer.Seen()} {
+		select {
+		case <-ready:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	events.DaemonReady.Log(d.log, logrus.Fields{"revision": d.follower.Revision()})
+	return nil
+}
+
+// ready returns why the daemon should get no requests, or nil.
+func (d *Daemon) ready() error {
+	if d.draining.Load() {
+		return errors.New("draining")
+	}
+	if d.follower.Current() == nil {
+		return errors.New("no configuration yet")
+	}
+	select {
+	case <-d.observer.Seen():
+		return nil
+	default:
+		return errors.New("no upstreams seen yet")
+	}
+}
--- /dev/null
+++ b/events/events.go
@@ -0,0 +1,120 @@
+// Package events lists every event that spanrill logs, each with a number
+// that never changes its meaning. docs/EVENTS.md is the catalogue for people,
+// and a test holds the two together.
+//
+// # Usage
+//
+//	events.ConfigInForce.Log(log, logrus.Fields{"revision": 7})
+package events
+
+import (
+	"github.com/sirupsen/logrus"
+)
+
+// Event is a numbered kind of log line.
+type Event struct {
+	number int
+	level  logrus.Level
+	text   string
+}
+
+// Number returns the event's number.
+func (e Event) Number() int { return e.number }
+
+// Level returns the level at which the event is logged.
+func (e Event) Level() logrus.Level { return e.level }
+
+// Text returns the message.
+func (e Event) Text() string { return e.text }
+
+// Log writes the event with its fields.
+func (e Event) Log(log logrus.FieldLogger, fields logrus.Fields) {
+	entry := log.WithField("event", e.number).WithFields(fields)
+	if leveled, ok := log.(interface{ IsLevelEnabled(logrus.Level) bool }); ok && !leveled.IsLevelEnabled(e.level) {
+		return
+	}
+	entry.Log(e.level, e.text)
+}
+
+var catalogue []Event
+
+func define(number int, level logrus.Level, text string) Event {
+	e := Event{number: number, level: level, text: text}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// All returns every event in the order of its number.
+func All() []Event { return append([]Event(nil), catalogue...) }
+
+// The process, 100 to 199.
+var (
+	DaemonStarted   = define(100, logrus.InfoLevel, "daemon started")
+	DaemonReady     = define(101, logrus.InfoLevel, "daemon ready")
+	DaemonDraining  = define(102, logrus.InfoLevel, "daemon draining")
+	DaemonStopped   = define(103, logrus.InfoLevel, "daemon stopped")
+	DaemonDrainLate = define(104, logrus.WarnLevel, "drain took longer than allowed")
+	PartFailed      = define(105, logrus.ErrorLevel, "part of the daemon failed")
+)
+
+// Configuration, 200 to 299.
+var (
+	ConfigInForce   = define(200, logrus.InfoLevel, "configuration in force")
+	ConfigRejected  = define(201, logrus.ErrorLevel, "configuration rejected")
+	ConfigOlder     = define(202, logrus.WarnLevel, "older configuration ignored")
+	ConfigDiverged  = define(203, logrus.ErrorLevel, "platform holds a configuration that lost accepted edits")
+	ConfigHealed    = define(204, logrus.WarnLevel, "accepted edits written back to the platform")
+	ConfigHealFails = define(205, logrus.ErrorLevel, "accepted edits could not be written back")
+	ConfigFromPeer  = define(206, logrus.InfoLevel, "configuration taken from a peer")
+)
+
+// The platform, 300 to 399.
+var (
+	PlatformLost  = define(300, logrus.WarnLevel, "platform does not answer")
+	PlatformFound = define(301, logrus.InfoLevel, "platform answers again")
+)
+
+// Membership and peers, 400 to 499.
+var (
+	PeerJoined    = define(400, logrus.InfoLevel, "peer joined")
+	PeerSuspect   = define(401, logrus.WarnLevel, "peer suspected")
+	PeerLost      = define(402, logrus.WarnLevel, "peer lost")
+	PeerReturned  = define(403, logrus.InfoLevel, "peer returned")
+	PeerLeft      = define(404, logrus.InfoLevel, "peer left")
+	PeerRefused   = define(410, logrus.WarnLevel, "peer refused")
+	FrameRefused  = define(411, logrus.WarnLevel, "frame refused")
+	PeerQueueFull = define(412, logrus.WarnLevel, "message to peer dropped because its queue is full")
+)
+
+// Upstreams, 500 to 599.
+var (
+	UpstreamFound    = define(500, logrus.InfoLevel, "upstream found")
+	UpstreamLeaving  = define(501, logrus.InfoLevel, "upstream leaving")
+	UpstreamGone     = define(502, logrus.InfoLevel, "upstream gone")
+	UpstreamEjected  = define(503, logrus.WarnLevel, "upstream ejected")
+	UpstreamReturned = define(504, logrus.InfoLevel, "upstream taken back")
+	UpstreamSlow     = define(505, logrus.WarnLevel, "upstream slow")
+)
+
+// Requests, 600 to 699.
+var (
+	RequestRefused  = define(600, logrus.DebugLevel, "request refused")
+	StreamResumed   = define(601, logrus.InfoLevel, "stream resumed on another chain")
+	StreamFailed    = define(602, logrus.WarnLevel, "stream ended with an error")
+	TokenRejected   = define(603, logrus.ErrorLevel, "token rejected")
+	CallUncertain   = define(604, logrus.WarnLevel, "outcome of a call unknown")
+	ClaimUnsettled  = define(605, logrus.WarnLevel, "claim could not be settled")
+	CallerLeft      = define(606, logrus.DebugLevel, "caller left")
+	RequestPanicked = define(607, logrus.ErrorLevel, "request handler panicked")
+)
+
+// Leases, orders and placement, 700 to 799.
+var (
+	LeaseTaken   = define(700, logrus.InfoLevel, "lease taken")
+	LeaseLost    = define(701, logrus.WarnLevel, "lease lost")
+	LeaseHanded  = define(702, logrus.InfoLevel, "lease handed back")
+	OrderGiven   = define(710, logrus.InfoLevel, "order given")
+	OrderRefused = define(711, logrus.WarnLevel, "order refused")
+	OrderFailed  = define(712, logrus.WarnLevel, "order failed")
+	OrderWaits   = define(713, logrus.InfoLevel, "order waits until earlier ones cannot arrive")
+)
--- /dev/null
+++ b/protocol/callerapi/wire.go
@@ -0,0 +1,115 @@
+package callerapi
+
+import (
+	"encoding/json"
+
+	"spanrill"
+)
+
+// Paths of the interface for inference clients.
+const (
+	PathChat        = "/v1/chat/completions"
+	PathCompletions = "/v1/completions"
+	PathModels      = "/v1/models"
+	PathServices    = "/services/"
+)
+
+// Headers of answers.
+const (
+	HeaderOutcome      = "Spanrill-Outcome"
+	HeaderRequestID    = "X-Request-Id"
+	HeaderRetryAfter   = "Retry-After"
+	HeaderRetryAfterMs = "Retry-After-Ms"
+	HeaderChain        = "Spanrill-Chain"
+	HeaderIdempotency  = "Idempotency-Key"
+	HeaderLastEventID  = "Last-Event-ID"
+)
+
+// inferenceBody holds the fields of a caller's body that spanrill reads. All
+// other fields reach the engines untouched.
+type inferenceBody struct {
+	Model               *string         `json:"model"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       *streamOptions  `json:"stream_options"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Seed                *int64          `json:"seed"`
+	N                   *int            `json:"n"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type errorBody struct {
+	Error errorObject `json:"error"`
+}
+
+// errorObject is the customary error of inference interfaces.
+type errorObject struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+	Outcome string  `json:"outcome"`
+}
+
+func errorOf(r *spanrill.Refusal) errorBody {
+	e := errorObject{
+		Message: r.Detail(), Type: r.Reason().Kind(), Code: r.Reason().Code(), Outcome: r.Outcome().String(),
+	}
+	if field := r.Field(); field != "" {
+		e.Param = &field
+	}
+	return errorBody{Error: e}
+}
+
+type usage struct {
+	PromptTokens     int          `json:"prompt_tokens"`
+	CompletionTokens int          `json:"completion_tokens"`
+	TotalTokens      int          `json:"total_tokens"`
+	PromptDetails    promptDetail `json:"prompt_tokens_details"`
+}
+
+type promptDetail struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// choice is one answer: Message or Delta for chats, Text for completions.
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	Logprobs     *string  `json:"logprobs"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// completion is a whole answer or one chunk of a stream.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelCard `json:"data"`
+}
+
+type modelCard struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
--- /dev/null
+++ b/protocol/engineapi/client.go
@@ -0,0 +1,161 @@
+// Package engineapi speaks to model engines over HTTP.
+//
+// A run is POST /v1/run with a spanrill.RunRequest. The answer is a stream of
+// JSON lines (application/x-ndjson), each a spanrill.RunEvent. A stage that
+// refuses before any work makes the first engine answer 409 with one event
+// that holds the refusal.
+//
+// # Usage
+//
+//	engines := engineapi.New(httpcall.New())
+//	stream, err := engines.Run(ctx, req)
+//	if err != nil {
+//		return fmt.Errorf("start run: %w", err)
+//	}
+//	defer stream.Close()
+package engineapi
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"spanrill"
+	"spanrill/transport/httpcall"
+)
+
+// Client implements spanrill.Engines.
+type Client struct {
+	http *httpcall.Client
+}
+
+// New returns a client.
+func New(http *httpcall.Client) *Client {
+	return &Client{http: http}
+}
+
+const (
+	maxReport = 64 << 10 // bytes of a status report or refusal
+	maxLine   = 64 << 10 // bytes of one event
+)
+
+// Run starts a run on the first stage of the chain.
+func (c *Client) Run(ctx context.Context, req *spanrill.RunRequest) (spanrill.RunStream, error) {
+	answer, err := c.post(ctx, req.Chain[0].Addr, "/v1/run", req)
+	if err != nil {
+		return nil, fmt.Errorf("start run: %w", err)
+	}
+	if answer.Status() == fasthttp.StatusOK {
+		return &runStream{answer: answer, lines: bufio.NewReaderSize(answer.Body(), maxLine)}, nil
+	}
+	return nil, refusalOf(answer)
+}
+
+// refusalOf reads the refusal from an answer that is no stream.
+func refusalOf(answer *httpcall.Answer) error {
+	status := answer.Status()
+	body, err := answer.ReadAll(maxReport)
+	if err != nil {
+		return fmt.Errorf("read refusal: %w", err)
+	}
+	var ev spanrill.RunEvent
+	if json.Unmarshal(body, &ev) != nil || ev.Error == nil || status != fasthttp.StatusConflict {
+		cause := errors.Errorf("engine answered status %d", status)
+		return &spanrill.CallError{Phase: spanrill.PhaseAnswer, Cause: cause}
+	}
+	return &spanrill.CallError{Phase: spanrill.PhaseRefused, Cause: ev.Error}
+}
+
+func (c *Client) post(ctx context.Context, addr, path string, v any) (*httpcall.Answer, error) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", path, err)
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(body)
+	return c.http.Do(ctx, addr, req, httpcall.Reused)
+}
+
+// Status asks an engine for its report.
+func (c *Client) Status(ctx context.Context, addr string) (spanrill.UpstreamStatus, error) {
+	return StatusAt(ctx, c.http, addr, "/v1/status")
+}
+
+// StatusAt reads the report that any upstream serves at path.
+func StatusAt(ctx context.Context, http *httpcall.Client, addr, path string) (spanrill.UpstreamStatus, error) {
+	var s spanrill.UpstreamStatus
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + addr + path)
+	answer, err := http.Do(ctx, addr, req, httpcall.Reused)
+	if err != nil {
+		return s, fmt.Errorf("read status: %w", err)
+	}
+	status := answer.Status()
+	body, err := answer.ReadAll(maxReport)
+	if err != nil {
+		return s, fmt.Errorf("read status: %w", err)
+	}
+	if status != fasthttp.StatusOK {
+		return s, errors.Errorf("read status of %s: status %d", addr, status)
+	}
+	if err := json.Unmarshal(body, &s); err != nil {
+		return s, fmt.Errorf("decode status of %s: %w", addr, err)
+	}
+	return s, nil
+}
+
+// Order gives an engine an order.
+func (c *Client) Order(ctx context.Context, addr string, o spanrill.Order) error {
+	answer, err := c.post(ctx, addr, "/v1/orders", o)
+	if err != nil {
+		return fmt.Errorf("give order: %w", err)
+	}
+	if answer.Status() == fasthttp.StatusOK {
+		_, err := answer.ReadAll(maxReport)
+		return err
+	}
+	return refusalOf(answer)
+}
+
+// runStream reads the events of one run.
+type runStream struct {
+	answer *httpcall.Answer
+	lines  *bufio.Reader
+}
+
+// Next returns the next event.
+func (s *runStream) Next(wait spanrill.Millis) (spanrill.RunEvent, error) {
+	var ev spanrill.RunEvent
+	s.answer.SetReadWait(wait)
+	line, err := s.lines.ReadSlice('\n')
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return ev, fmt.Errorf("read event: %w", spanrill.ErrStalled)
+	}
+	if errors.Is(err, io.EOF) {
+		return ev, io.EOF
+	}
+	if err != nil {
+		return ev, fmt.Errorf("read event: %w", err)
+	}
+	if err := json.Unmarshal(line, &ev); err != nil {
+		return ev, fmt.Errorf("decode event: %w", err)
+	}
+	return ev, nil
+}
+
+// Close ends the stream.
+func (s *runStream) Close() error {
+	s.answer.Close()
+	return nil
+}
--- /dev/null
+++ b/protocol/objectapi/client.go
@@ -0,0 +1,169 @@
+// Package objectapi speaks to the platform's object API and box list over
+// HTTP.
+//
+// An object is read with GET /objects/{key}. Its version is the ETag (RFC
+// 9110). Conditional updates use If-Match, and If-None-Match: * to create. A
+// watch is a GET with If-None-Match and Prefer: wait=N (RFC 7240), which the
+// platform answers when the version changes or after N seconds.
+//
+// No call is repeated here. A write whose answer was lost returns
+// spanrill.ErrUncertain, and the caller settles it by reading.
+//
+// # Usage
+//
+//	store := objectapi.New("10.0.0.1:7000", httpcall.New())
+//	obj, err := store.Get(ctx, "config/head")
+package objectapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"spanrill"
+	"spanrill/transport/httpcall"
+)
+
+// MaxValue is the largest value that the platform holds, in bytes.
+const MaxValue = 1 << 20
+
+// Client is an ObjectStore and a BoxLister.
+type Client struct {
+	addr    string
+	http    *httpcall.Client
+	timeout spanrill.Millis
+}
+
+// Option changes a default of New.
+type Option func(*Client)
+
+// WithTimeout bounds each call. A watch may take this long beyond its wait.
+func WithTimeout(d spanrill.Millis) Option {
+	return func(c *Client) { c.timeout = d }
+}
+
+const defaultTimeout = 2 * spanrill.Second
+
+// New returns a client of the platform at addr.
+func New(addr string, http *httpcall.Client, opts ...Option) *Client {
+	c := &Client{addr: addr, http: http, timeout: defaultTimeout}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Get returns the object.
+func (c *Client) Get(ctx context.Context, key string) (spanrill.Object, error) {
+	return c.read(ctx, key, "", 0)
+}
+
+// Watch returns the object once its version differs from known, or after wait.
+func (c *Client) Watch(ctx context.Context, key string, known spanrill.Version, wait spanrill.Millis) (spanrill.Object, error) {
+	return c.read(ctx, key, known, wait)
+}
+
+func (c *Client) read(ctx context.Context, key string, known spanrill.Version, wait spanrill.Millis) (spanrill.Object, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + c.addr + "/objects/" + key)
+	if known != "" {
+		req.Header.Set("If-None-Match", string(known))
+	}
+	if wait > 0 {
+		req.Header.Set("Prefer", "wait="+strconv.Itoa(int(wait/spanrill.Second)))
+	}
+	body, answer, err := c.do(ctx, req, wait)
+	if err != nil {
+		return spanrill.Object{}, fmt.Errorf("read object %s: %w: %v", key, spanrill.ErrUnavailable, err)
+	}
+	switch answer.Status() {
+	case fasthttp.StatusOK:
+		return spanrill.Object{Value: body, Version: etag(answer)}, nil
+	case fasthttp.StatusNotModified:
+		return spanrill.Object{Version: known}, nil
+	case fasthttp.StatusNotFound:
+		return spanrill.Object{}, fmt.Errorf("read object %s: %w", key, spanrill.ErrNotFound)
+	}
+	return spanrill.Object{}, fmt.Errorf("read object %s: status %d: %w", key, answer.Status(), spanrill.ErrUnavailable)
+}
+
+// Put writes the object if its version is expect.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect spanrill.Version) (spanrill.Version, error) {
+	if len(value) > MaxValue {
+		return "", errors.Errorf("write object %s: %d bytes, at most %d are allowed", key, len(value), MaxValue)
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + c.addr + "/objects/" + key)
+	req.Header.SetMethod(fasthttp.MethodPut)
+	req.SetBodyRaw(value)
+	if expect == "" {
+		req.Header.Set("If-None-Match", "*")
+	} else {
+		req.Header.Set("If-Match", string(expect))
+	}
+	_, answer, err := c.do(ctx, req, 0)
+	if err != nil {
+		return "", fmt.Errorf("write object %s: %w: %v", key, writeError(err), err)
+	}
+	switch answer.Status() {
+	case fasthttp.StatusOK:
+		return etag(answer), nil
+	case fasthttp.StatusPreconditionFailed:
+		return "", fmt.Errorf("write object %s: %w", key, spanrill.ErrConflict)
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return "", fmt.Errorf("write object %s: status %d: %w", key, answer.Status(), spanrill.ErrUnavailable)
+	}
+	return "", fmt.Errorf("write object %s: status %d: %w", key, answer.Status(), spanrill.ErrUncertain)
+}
+
+// writeError says what a failed call means for the write.
+func writeError(err error) error {
+	var call *spanrill.CallError
+	if errors.As(err, &call) && call.Outcome() == spanrill.OutcomeNotRun {
+		return spanrill.ErrUnavailable
+	}
+	return spanrill.ErrUncertain
+}
+
+func (c *Client) do(ctx context.Context, req *fasthttp.Request, wait spanrill.Millis) ([]byte, *httpcall.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, (c.timeout + wait).Duration())
+	defer cancel()
+	answer, err := c.http.Do(ctx, c.addr, req, httpcall.Reused)
+	if err != nil {
+		return nil, nil, fmt.Errorf("call platform: %w", err)
+	}
+	body, err := answer.ReadAll(2 * MaxValue)
+	if err != nil {
+		return nil, nil, fmt.Errorf("read answer of platform: %w", err)
+	}
+	return body, answer, nil
+}
+
+func etag(a *httpcall.Answer) spanrill.Version {
+	return spanrill.Version(a.Header().Peek("ETag"))
+}
+
+// Boxes returns the platform's box list.
+func (c *Client) Boxes(ctx context.Context) ([]spanrill.Box, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + c.addr + "/boxes")
+	body, answer, err := c.do(ctx, req, 0)
+	if err != nil {
+		return nil, fmt.Errorf("read box list: %w", err)
+	}
+	if answer.Status() != fasthttp.StatusOK {
+		return nil, fmt.Errorf("read box list: status %d: %w", answer.Status(), spanrill.ErrUnavailable)
+	}
+	var boxes []spanrill.Box
+	if err := json.Unmarshal(body, &boxes); err != nil {
+		return nil, fmt.Errorf("decode box list: %w", err)
+	}
+	return boxes, nil
+}
--- /dev/null
+++ b/rng/rng.go
@@ -0,0 +1,51 @@
+// Package rng is a random source that many goroutines share without a lock,
+// and that repeats its sequence for the same seed and the same order of calls.
+//
+// # Usage
+//
+//	r := rng.New(42)
+//	i := r.IntN(len(candidates))
+package rng
+
+import (
+	"math/bits"
+	"sync/atomic"
+)
+
+// Source is a SplitMix64 generator whose state is one atomic counter
+// (Steele, Lea and Flood, "Fast splittable pseudorandom number generators",
+// 2014).
+type Source struct {
+	state atomic.Uint64
+}
+
+const golden = 0x9e3779b97f4a7c15
+
+// New returns a source with that seed.
+func New(seed uint64) *Source {
+	s := &Source{}
+	s.state.Store(seed)
+	return s
+}
+
+// Uint64 returns the next 64 random bits.
+func (s *Source) Uint64() uint64 {
+	z := s.state.Add(golden)
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
+// IntN returns a number from 0 to n-1. It panics if n is not positive.
+func (s *Source) IntN(n int) int {
+	if n <= 0 {
+		panic("rng: IntN needs a positive number")
+	}
+	hi, _ := bits.Mul64(s.Uint64(), uint64(n))
+	return int(hi)
+}
+
+// Float64 returns a number from 0 up to but not including 1.
+func (s *Source) Float64() float64 {
+	return float64(s.Uint64()>>11) / (1 << 53)
+}
--- /dev/null
+++ b/service.go
@@ -0,0 +1,34 @@
+package spanrill
+
+import "context"
+
+// Header is one header of a request or an answer.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// ServiceRequest is a call of a plain service.
+type ServiceRequest struct {
+	Method     string
+	Path       string // path and query
+	Headers    []Header
+	Body       []byte
+	Repeatable bool // whether the template says that it may run twice
+}
+
+// ServiceAnswer is the whole answer of a plain service.
+type ServiceAnswer struct {
+	Status  int
+	Headers []Header
+	Body    []byte
+}
+
+// Services calls plain services.
+type Services interface {
+	// Call makes one attempt. The error is a *CallError that tells how far the
+	// attempt got.
+	Call(ctx context.Context, addr string, req *ServiceRequest) (*ServiceAnswer, error)
+	// Status asks one upstream for its report.
+	Status(ctx context.Context, addr string) (UpstreamStatus, error)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,137 @@
+// Package settings reads the settings of a spanrilld process.
+//
+// Settings are one JSON object. They are checked whole when the process
+// starts: every mistake is reported at once, with its field, its place and
+// what is allowed there. The schema in settings.json is the reference.
+//
+// # Usage
+//
+//	s, err := settings.Load("spanrilld.json")
+//	if err != nil {
+//		return fmt.Errorf("load settings: %w", err)
+//	}
+package settings
+
+import (
+	_ "embed" // the schema is embedded
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"spanrill"
+	"spanrill/checked"
+)
+
+//go:embed settings.json
+var schemaJSON []byte
+
+var schema = checked.MustCompile("settings", schemaJSON)
+
+// Schema returns the JSON schema of settings.
+func Schema() *checked.Schema { return schema }
+
+// Settings are the settings of one process.
+type Settings struct {
+	Name          string  `json:"name"`
+	Zone          string  `json:"availability_zone"`
+	Listen        string  `json:"listen"`
+	AdminListen   string  `json:"admin_listen"`
+	PeerListen    string  `json:"peer_listen"`
+	Platform      string  `json:"platform"`
+	FleetSecret   string  `json:"fleet_secret"`
+	RoutingPolicy string  `json:"routing_policy"`
+	Seed          uint64  `json:"seed"`
+	Limits        Limits  `json:"limits"`
+	Waits         Waits   `json:"waits"`
+	Drain         Drain   `json:"drain"`
+	Observe       Observe `json:"observe"`
+	Log           Log     `json:"log"`
+	Pprof         bool    `json:"pprof"`
+}
+
+// Limits bounds what callers may send and receive.
+type Limits struct {
+	BodyBytes    int             `json:"body_bytes"`
+	HeaderBytes  int             `json:"header_bytes"`
+	StreamTokens int             `json:"stream_tokens"`
+	Queue        int             `json:"queue"`
+	QueueWait    spanrill.Millis `json:"queue_wait_ms"`
+}
+
+// Waits says how long upstreams may take.
+type Waits struct {
+	FirstToken spanrill.Millis `json:"first_token_ms"`
+	Token      spanrill.Millis `json:"token_ms"`
+	Service    spanrill.Millis `json:"service_ms"`
+}
+
+// Drain says how a planned stop goes.
+type Drain struct {
+	Notice spanrill.Millis `json:"notice_ms"`
+	Finish spanrill.Millis `json:"finish_ms"`
+}
+
+// Observe says how upstreams are observed.
+type Observe struct {
+	Boxes     spanrill.Millis `json:"boxes_ms"`
+	Status    spanrill.Millis `json:"status_ms"`
+	Observers int             `json:"observers"`
+}
+
+// Log says where and how much is logged.
+type Log struct {
+	Level  string `json:"level"`
+	Format string `json:"format"`
+}
+
+// Default returns settings in which all optional fields have their value.
+func Default() Settings {
+	return Settings{
+		RoutingPolicy: "least-work",
+		Limits: Limits{
+			BodyBytes: 4 << 20, HeaderBytes: 16 << 10, StreamTokens: 32768,
+			Queue: 1024, QueueWait: 2 * spanrill.Second,
+		},
+		Waits:   Waits{FirstToken: 5 * spanrill.Second, Token: 2 * spanrill.Second, Service: 10 * spanrill.Second},
+		Drain:   Drain{Notice: 3 * spanrill.Second, Finish: 5 * spanrill.Minute},
+		Observe: Observe{Boxes: spanrill.Second, Status: 500, Observers: 2},
+		Log:     Log{Level: "info", Format: "json"},
+	}
+}
+
+// Example returns settings that pass the check, for people to start from.
+func Example() Settings {
+	s := Default()
+	s.Name, s.Zone = "entry-1", "hall-un"
+	s.Listen, s.AdminListen, s.PeerListen = "10.0.0.1:8080", "10.0.0.1:8081", "10.0.0.1:8082"
+	s.Platform = "10.0.9.1:7000"
+	s.FleetSecret = "replace-this-secret"
+	return s
+}
+
+// Parse checks and decodes settings. File names them in errors.
+func Parse(file string, data []byte) (Settings, error) {
+	s := Default()
+	if err := schema.Decode(file, data, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// Load reads settings from a file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// JSON returns the settings as indented JSON.
+func (s Settings) JSON() ([]byte, error) {
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode settings: %w", err)
+	}
+	return append(data, '\n'), nil
+}
--- /dev/null
+++ b/standin/engine/prompt.go
@@ -0,0 +1,70 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// promptOf renders a caller's body as the words that the model sees.
+func promptOf(path string, body []byte) (string, error) {
+	if strings.HasSuffix(path, "/chat/completions") {
+		return chatPrompt(body)
+	}
+	var b struct {
+		Prompt json.RawMessage `json:"prompt"`
+	}
+	if err := json.Unmarshal(body, &b); err != nil {
+		return "", fmt.Errorf("decode body: %w", err)
+	}
+	var text string
+	if err := json.Unmarshal(b.Prompt, &text); err == nil {
+		return text, nil
+	}
+	var list []string
+	if err := json.Unmarshal(b.Prompt, &list); err != nil || len(list) != 1 {
+		return "", errors.New("prompt must be a string")
+	}
+	return list[0], nil
+}
+
+func chatPrompt(body []byte) (string, error) {
+	var b struct {
+		Messages []struct {
+			Role    string          `json:"role"`
+			Content json.RawMessage `json:"content"`
+		} `json:"messages"`
+	}
+	if err := json.Unmarshal(body, &b); err != nil {
+		return "", fmt.Errorf("decode body: %w", err)
+	}
+	var out strings.Builder
+	for _, m := range b.Messages {
+		text, err := contentText(m.Content)
+		if err != nil {
+			return "", err
+		}
+		out.WriteString("<" + m.Role + "> " + text + " ")
+	}
+	return out.String(), nil
+}
+
+// contentText reads a message's content: a string, or a list of text parts.
+func contentText(raw json.RawMessage) (string, error) {
+	var text string
+	if err := json.Unmarshal(raw, &text); err == nil {
+		return text, nil
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", errors.New("content must be a string or a list of text parts")
+	}
+	for _, p := range parts {
+		text += p.Text + " "
+	}
+	return text, nil
+}
--- /dev/null
+++ b/state/config/build.go
@@ -0,0 +1,187 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"spanrill/checked"
+)
+
+// Documents are the documents of a whole configuration, in canonical JSON.
+type Documents map[Name]json.RawMessage
+
+// names returns the names of a kind in order.
+func (d Documents) names(k Kind) []Name {
+	var names []Name
+	for n := range d {
+		if n.Kind == k {
+			names = append(names, n)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i].Name < names[j].Name })
+	return names
+}
+
+// Build checks that the documents fit together and returns them as a snapshot.
+// The error is checked.Problems when a document is at fault.
+func Build(revision uint64, editID string, docs Documents) (*Snapshot, error) {
+	b := builder{docs: docs, snapshot: newSnapshot(revision, editID, docs)}
+	for _, k := range Kinds {
+		for _, n := range docs.names(k) {
+			b.add(n)
+		}
+	}
+	if len(b.problems) > 0 {
+		return nil, b.problems
+	}
+	return b.snapshot, nil
+}
+
+type builder struct {
+	docs     Documents
+	snapshot *Snapshot
+	problems checked.Problems
+}
+
+func (b *builder) fault(n Name, field, format string, args ...any) {
+	b.problems = append(b.problems, checked.Problem{
+		File: n.String(), Field: field, Line: 1, Column: 1, Text: fmt.Sprintf(format, args...),
+	})
+}
+
+func (b *builder) add(n Name) {
+	doc := newDocument(n.Kind)
+	if err := schemas[n.Kind].Decode(n.String(), b.docs[n], doc); err != nil {
+		b.decodeFault(n, err)
+		return
+	}
+	switch d := doc.(type) {
+	case *Model:
+		b.snapshot.models[d.Name] = d
+	case *Site:
+		b.snapshot.sites[d.Name] = d
+	case *Template:
+		b.addTemplate(n, d)
+	case *Account:
+		b.addAccount(n, d)
+	}
+}
+
+func (b *builder) decodeFault(n Name, err error) {
+	var ps checked.Problems
+	if errors.As(err, &ps) {
+		b.problems = append(b.problems, ps...)
+		return
+	}
+	b.fault(n, "/", "%v", err)
+}
+
+// addTemplate checks a template with the defaults of its parameters.
+func (b *builder) addTemplate(n Name, t *Template) {
+	b.snapshot.templates[t.Name] = t
+	for name, p := range t.Parameters {
+		if err := p.check(p.Default); err != nil {
+			b.fault(n, "/parameters/"+name+"/default", "%v", err)
+		}
+	}
+	b.resolve(n, t, &Account{})
+}
+
+func (b *builder) addAccount(n Name, a *Account) {
+	t := b.snapshot.templates[a.Template]
+	if t == nil {
+		b.fault(n, "/template", "there is no template %q; there are: %s", a.Template, sortedKeys(b.snapshot.templates))
+		return
+	}
+	for name, value := range a.Parameters {
+		b.checkParameter(n, t, name, value)
+	}
+	grant := b.resolve(n, t, a)
+	b.snapshot.accounts[a.Name] = grant
+	for i, h := range a.KeyHashes {
+		b.addKey(n, i, h, grant)
+	}
+}
+
+func (b *builder) checkParameter(n Name, t *Template, name string, value json.RawMessage) {
+	p, ok := t.Parameters[name]
+	if !ok {
+		b.fault(n, "/parameters/"+name, "template %q has no such parameter; it has: %s", t.Name, sortedKeys(t.Parameters))
+		return
+	}
+	if err := p.check(value); err != nil {
+		b.fault(n, "/parameters/"+name, "%v", err)
+	}
+}
+
+func (b *builder) addKey(n Name, i int, hash string, grant *Grant) {
+	var key KeyHash
+	if _, err := hex.Decode(key[:], []byte(hash)); err != nil {
+		b.fault(n, fmt.Sprintf("/key_hashes/%d", i), "%v", err)
+		return
+	}
+	if other := b.snapshot.byKey[key]; other != nil {
+		b.fault(n, fmt.Sprintf("/key_hashes/%d", i), "account %q has the same key", other.account)
+		return
+	}
+	b.snapshot.byKey[key] = grant
+}
+
+// check reports whether a value fits the parameter.
+func (p Parameter) check(value json.RawMessage) error {
+	if p.Type == "string" {
+		return p.checkString(value)
+	}
+	var n int
+	if err := json.Unmarshal(value, &n); err != nil {
+		return errors.Errorf("%s is no integer", value)
+	}
+	if p.Minimum != nil && n < *p.Minimum || p.Maximum != nil && n > *p.Maximum {
+		return errors.Errorf("%d is out of range; allowed: %s to %s", n, bound(p.Minimum), bound(p.Maximum))
+	}
+	return nil
+}
+
+func (p Parameter) checkString(value json.RawMessage) error {
+	var s string
+	if err := json.Unmarshal(value, &s); err != nil {
+		return errors.Errorf("%s is no string", value)
+	}
+	if len(p.Allowed) == 0 {
+		return nil
+	}
+	for _, a := range p.Allowed {
+		if a == s {
+			return nil
+		}
+	}
+	return errors.Errorf("%q is not allowed; allowed: %s", s, strings.Join(p.Allowed, ", "))
+}
+
+func bound(n *int) string {
+	if n == nil {
+		return "any"
+	}
+	return fmt.Sprint(*n)
+}
+
+func sortedKeys[V any](m map[string]V) string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	if len(keys) == 0 {
+		return "none"
+	}
+	return strings.Join(keys, ", ")
+}
+
+// HashKey returns the hash under which an account stores a bearer key.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
--- /dev/null
+++ b/state/load/table.go
@@ -0,0 +1,184 @@
+// Package load holds what a daemon knows of its upstreams.
+//
+// A Table is fed by the box list, by reports of upstreams and by requests. Its
+// View is an immutable index that the request path reads without a lock; only
+// a change of membership or of what an engine holds makes a new one. Figures
+// that change with each request are atomics inside an Upstream.
+//
+// # Usage
+//
+//	table := load.NewTable(clock)
+//	table.SetBoxes(boxes)
+//	table.Report("e1", status, age)
+//	index := table.View().Model(key)
+package load
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/events"
+)
+
+// Table is what a daemon knows of its upstreams.
+type Table struct {
+	clock spanrill.Clock
+	log   logrus.FieldLogger
+	view  atomic.Pointer[View]
+
+	mu        sync.Mutex
+	upstreams map[string]*Upstream
+	boxes     map[string]spanrill.Box
+	siteOf    func(zone string) string
+}
+
+// Option changes a default of NewTable.
+type Option func(*Table)
+
+// WithLogger sets where events go.
+func WithLogger(log logrus.FieldLogger) Option {
+	return func(t *Table) { t.log = log }
+}
+
+// NewTable returns a table without upstreams.
+func NewTable(clock spanrill.Clock, opts ...Option) *Table {
+	t := &Table{
+		clock: clock, log: logrus.StandardLogger(),
+		upstreams: map[string]*Upstream{}, boxes: map[string]spanrill.Box{},
+		siteOf: func(string) string { return "" },
+	}
+	for _, o := range opts {
+		o(t)
+	}
+	t.view.Store(&View{})
+	return t
+}
+
+// View returns the index of the upstreams that may get new work.
+func (t *Table) View() *View { return t.view.Load() }
+
+// SetSites sets which site each availability zone belongs to.
+func (t *Table) SetSites(siteOf func(zone string) string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.siteOf = siteOf
+	t.rebuild()
+}
+
+// SetBoxes takes a box list. Upstreams that it lacks are forgotten.
+func (t *Table) SetBoxes(boxes []spanrill.Box) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]spanrill.Box, len(boxes))
+	for _, b := range boxes {
+		if b.Role == spanrill.RoleEntry {
+			continue
+		}
+		listed[b.Name] = b
+		t.setBox(b)
+	}
+	for name := range t.upstreams {
+		if _, ok := listed[name]; !ok {
+			events.UpstreamGone.Log(t.log, logrus.Fields{"upstream": name})
+			delete(t.upstreams, name)
+		}
+	}
+	t.boxes = listed
+	t.rebuild()
+}
+
+func (t *Table) setBox(b spanrill.Box) {
+	u := t.upstreams[b.Name]
+	if u == nil || u.addr != b.Addr {
+		events.UpstreamFound.Log(t.log, logrus.Fields{"upstream": b.Name, "addr": b.Addr})
+		t.upstreams[b.Name] = newUpstream(b)
+		return
+	}
+	if b.State == spanrill.BoxLeaving && t.boxes[b.Name].State != spanrill.BoxLeaving {
+		events.UpstreamLeaving.Log(t.log, logrus.Fields{"upstream": b.Name, "source": "box list"})
+	}
+}
+
+// Upstreams returns all upstreams, also those that get no new work.
+func (t *Table) Upstreams() []*Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]*Upstream, 0, len(t.upstreams))
+	for _, u := range t.upstreams {
+		all = append(all, u)
+	}
+	return all
+}
+
+// Upstream returns the upstream of that name, or nil.
+func (t *Table) Upstream(name string) *Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.upstreams[name]
+}
+
+// Report takes an upstream's report, which was made age ago.
+func (t *Table) Report(name string, s spanrill.UpstreamStatus, age spanrill.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[name]
+	now := t.clock.Now()
+	if u == nil || now-age < spanrill.Millis(u.reportedAt.Load()) {
+		return
+	}
+	old := u.reported.Load()
+	u.others.Store(max(0, int64(s.Running)-u.inFlight.Load()))
+	u.reportedAt.Store(int64(now - age))
+	u.reported.Store(&s)
+	t.setLeaving(u, s.Leaving, "report")
+	if old == nil || structure(old) != structure(&s) {
+		t.rebuild()
+	}
+}
+
+// structure is the part of a report that the view depends on.
+func structure(s *spanrill.UpstreamStatus) spanrill.UpstreamStatus {
+	return spanrill.UpstreamStatus{
+		Leaving: s.Leaving, Model: s.Model, Version: s.Version, Layers: s.Layers,
+		Generation: s.Generation, Loading: s.Loading, Slots: s.Slots,
+		StepMicros: s.StepMicros, TokenNanos: s.TokenNanos,
+	}
+}
+
+// Refused notes that an upstream refused work because it is leaving.
+func (t *Table) Refused(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if u := t.upstreams[name]; u != nil && !u.leaving.Load() {
+		t.setLeaving(u, true, "refusal")
+		t.rebuild()
+	}
+}
+
+// setLeaving notes an upstream's own word. The caller holds the lock.
+func (t *Table) setLeaving(u *Upstream, leaving bool, source string) {
+	if u.leaving.Swap(leaving) == leaving || !leaving {
+		return
+	}
+	events.UpstreamLeaving.Log(t.log, logrus.Fields{"upstream": u.name, "source": source})
+}
+
+// rebuild makes a new view. The caller holds the lock.
+func (t *Table) rebuild() {
+	t.view.Store(newView(t.usable(), t.siteOf))
+}
+
+// usable returns the upstreams that may get new work. The caller holds the lock.
+func (t *Table) usable() []*Upstream {
+	var usable []*Upstream
+	for name, u := range t.upstreams {
+		if u.leaving.Load() || t.boxes[name].State == spanrill.BoxLeaving {
+			continue
+		}
+		usable = append(usable, u)
+	}
+	return usable
+}
--- /dev/null
+++ b/transport/httpcall/client.go
@@ -0,0 +1,166 @@
+// Package httpcall makes single HTTP calls and says how far each one got.
+//
+// A call is attempted once. There is no retry of any kind in this package, so
+// that the layers above decide alone. A failed call returns a
+// *spanrill.CallError, whose phase and count of written bytes tell whether the
+// upstream can have seen the request.
+//
+// Requests and answers are encoded by fasthttp. The package does not use
+// fasthttp's clients, because those hide how many bytes were written, and
+// because they cannot be told to stop reading a stream.
+//
+// # Usage
+//
+//	c := httpcall.New(httpcall.WithDialTimeout(500 * spanrill.Millis(1)))
+//	answer, err := c.Do(ctx, "10.0.0.7:8000", req, httpcall.Fresh)
+//	if err != nil {
+//		return fmt.Errorf("post reading: %w", err)
+//	}
+//	defer answer.Close()
+package httpcall
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"spanrill"
+	"spanrill/pool"
+)
+
+// Reuse says whether a call may use a connection that was used before.
+type Reuse bool
+
+const (
+	// Reused takes an idle connection that was just proved open, or a new one.
+	Reused Reuse = true
+	// Fresh always makes a new connection. A call that may not be repeated
+	// uses it, since an old connection can close under the request.
+	Fresh Reuse = false
+)
+
+// Client makes calls and keeps idle connections.
+type Client struct {
+	dialTimeout spanrill.Millis
+	idle        *pool.Pool[string, *conn]
+	dialer      net.Dialer
+}
+
+// Option changes a default of New.
+type Option func(*Client)
+
+// WithDialTimeout bounds how long a connection may take to be made.
+func WithDialTimeout(d spanrill.Millis) Option {
+	return func(c *Client) { c.dialTimeout = d }
+}
+
+const defaultDialTimeout spanrill.Millis = 1000
+
+// New returns a client with no connections.
+func New(opts ...Option) *Client {
+	c := &Client{dialTimeout: defaultDialTimeout}
+	for _, o := range opts {
+		o(c)
+	}
+	c.idle = pool.New(pool.WithDiscard[string, *conn](func(cn *conn) { _ = cn.Close() }))
+	c.dialer.Timeout = c.dialTimeout.Duration()
+	return c
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.idle.Close() }
+
+// Do sends req to addr and returns as soon as the headers of the answer are
+// there. The context ends the call and, later, the reading of its body.
+func (c *Client) Do(ctx context.Context, addr string, req *fasthttp.Request, reuse Reuse) (*Answer, error) {
+	cn, err := c.connect(ctx, addr, reuse)
+	if err != nil {
+		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("connect to %s: %w", addr, err)}
+	}
+	stop := context.AfterFunc(ctx, cn.interrupt)
+	a := &Answer{client: c, addr: addr, conn: cn, stop: stop}
+	if err := cn.send(req); err != nil {
+		a.drop()
+		return nil, &spanrill.CallError{Phase: spanrill.PhaseSend, Written: cn.written, Cause: fmt.Errorf("send to %s: %w", addr, err)}
+	}
+	if err := a.readHeader(); err != nil {
+		a.drop()
+		return nil, &spanrill.CallError{Phase: spanrill.PhaseAnswer, Written: cn.written, Cause: fmt.Errorf("answer of %s: %w", addr, err)}
+	}
+	return a, nil
+}
+
+func (c *Client) connect(ctx context.Context, addr string, reuse Reuse) (*conn, error) {
+	for reuse == Reused {
+		cn, ok := c.idle.Get(addr)
+		if !ok {
+			break
+		}
+		if cn.proveOpen() {
+			cn.written = 0
+			return cn, nil
+		}
+		_ = cn.Close()
+	}
+	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	return newConn(nc), nil
+}
+
+// conn is a connection that counts what was written.
+type conn struct {
+	net.Conn
+	r           *bufio.Reader
+	w           *bufio.Writer
+	written     int
+	interrupted atomic.Bool
+}
+
+func newConn(nc net.Conn) *conn {
+	cn := &conn{Conn: nc}
+	cn.r = bufio.NewReader(nc)
+	cn.w = bufio.NewWriter(cn)
+	return cn
+}
+
+// Write counts the bytes that the operating system took.
+func (cn *conn) Write(b []byte) (int, error) {
+	n, err := cn.Conn.Write(b)
+	cn.written += n
+	return n, err
+}
+
+func (cn *conn) send(req *fasthttp.Request) error {
+	if err := req.Write(cn.w); err != nil {
+		return fmt.Errorf("write request: %w", err)
+	}
+	if err := cn.w.Flush(); err != nil {
+		return fmt.Errorf("flush request: %w", err)
+	}
+	return nil
+}
+
+// past is a deadline that has been reached.
+var past = time.Unix(1, 0)
+
+// interrupt makes reads and writes that wait return at once, and all later
+// ones too.
+func (cn *conn) interrupt() {
+	cn.interrupted.Store(true)
+	_ = cn.SetDeadline(past)
+}
+
+// setReadWait bounds the next reads, unless the connection was interrupted.
+func (cn *conn) setReadWait(d spanrill.Millis) {
+	_ = cn.SetReadDeadline(time.Now().Add(d.Duration()))
+	if cn.interrupted.Load() {
+		_ = cn.SetReadDeadline(past)
+	}
+}
--- /dev/null
+++ b/transport/httpcall/prove.go
@@ -0,0 +1,54 @@
+package httpcall
+
+import (
+	"net"
+	"syscall"
+)
+
+// proveOpen reports whether an idle connection is open and silent.
+func (cn *conn) proveOpen() bool {
+	return cn.r.Buffered() == 0 && PeerOpen(cn.Conn) == PeerSilent
+}
+
+// PeerState is what a look at a connection's receive side shows.
+type PeerState uint8
+
+// What PeerOpen can find.
+const (
+	// PeerSilent means that the peer is there and has sent nothing.
+	PeerSilent PeerState = iota
+	// PeerSent means that unread bytes are waiting.
+	PeerSent
+	// PeerGone means that the peer has closed the connection.
+	PeerGone
+)
+
+// PeerOpen looks at a connection without reading from it and without waiting.
+func PeerOpen(c net.Conn) PeerState {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return PeerSilent
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return PeerGone
+	}
+	state := PeerGone
+	err = raw.Control(func(fd uintptr) { state = peek(int(fd)) })
+	if err != nil {
+		return PeerGone
+	}
+	return state
+}
+
+func peek(fd int) PeerState {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case err == syscall.EAGAIN || err == syscall.EINTR:
+		return PeerSilent
+	case err != nil || n == 0:
+		return PeerGone
+	}
+	return PeerSent
+}
--- /dev/null
+++ b/upstream.go
@@ -0,0 +1,209 @@
+package spanrill
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// Role is what a box of the platform's box list does.
+type Role string
+
+// The roles of boxes.
+const (
+	RoleEntry   Role = "entry"
+	RoleEngine  Role = "engine"
+	RoleService Role = "service"
+)
+
+// BoxState is what the box list says of a box.
+type BoxState string
+
+// The states of boxes.
+const (
+	BoxLive    BoxState = "live"
+	BoxLeaving BoxState = "leaving"
+)
+
+// Box is one entry of the platform's box list. The list lags behind the truth.
+type Box struct {
+	Name      string   `json:"name"`
+	Role      Role     `json:"role"`
+	Zone      string   `json:"availability_zone"`
+	Addr      string   `json:"addr"`                 // host:port of the main interface
+	PeerAddr  string   `json:"peer_addr,omitempty"`  // entry boxes: host:port for peers
+	AdminAddr string   `json:"admin_addr,omitempty"` // entry boxes: host:port for operators
+	Service   string   `json:"service,omitempty"`    // service boxes: the service's name
+	State     BoxState `json:"state"`
+}
+
+// BoxLister reads the platform's box list.
+type BoxLister interface {
+	// Boxes returns the list as the platform shows it now.
+	Boxes(ctx context.Context) ([]Box, error)
+}
+
+// LayerRange is the half-open range of layers From..To.
+type LayerRange struct {
+	From int `json:"from"`
+	To   int `json:"to"`
+}
+
+// Len returns the number of layers.
+func (r LayerRange) Len() int { return r.To - r.From }
+
+// UpstreamStatus is what an upstream reports of itself. Load lags.
+type UpstreamStatus struct {
+	Name       string     `json:"name"`
+	Leaving    bool       `json:"leaving"`
+	Running    int        `json:"running"`
+	Waiting    int        `json:"waiting"`
+	Slots      int        `json:"slots"`
+	Kind       string     `json:"kind,omitempty"`    // engines: accelerator
+	Model      string     `json:"model,omitempty"`   // engines: model held
+	Version    string     `json:"version,omitempty"` // engines: model version
+	Layers     LayerRange `json:"layers"`            // engines: layers held
+	Generation uint64     `json:"generation"`        // rises with each start and load
+	Loading    bool       `json:"loading,omitempty"`
+	StepMicros int        `json:"step_micros,omitempty"`   // base time of one batch step
+	TokenNanos int        `json:"token_nanos,omitempty"`   // added time of a position and layer
+	CacheSeq   uint64     `json:"cache_seq,omitempty"`     // newest cache event
+	AgeMillis  Millis     `json:"age_millis,omitempty"`    // age of the load figures
+	MemLayers  int        `json:"memory_layers,omitempty"` // layers that fit
+}
+
+// StageRef is one stage of a chain: an engine and the layers it is to run.
+type StageRef struct {
+	Engine     string     `json:"engine"`
+	Addr       string     `json:"addr"`
+	Layers     LayerRange `json:"layers"`
+	Generation uint64     `json:"generation"`
+}
+
+// RunRequest asks a chain to generate tokens.
+type RunRequest struct {
+	ID        string     `json:"id"`       // unique for each attempt
+	Path      string     `json:"path"`     // the caller's path, which decides the shape of Body
+	Body      []byte     `json:"body"`     // the caller's body, untouched
+	Model     string     `json:"model"`    //
+	Version   string     `json:"version"`  //
+	LayerNum  int        `json:"layers"`   // layers of the whole model
+	Seed      uint64     `json:"seed"`     // the same for each attempt
+	Priority  int        `json:"priority"` // 0 is lowest
+	MaxTokens int        `json:"max_tokens"`
+	Generated []uint32   `json:"generated"` // tokens already verified, to continue after
+	Chain     []StageRef `json:"chain"`
+}
+
+// RanRange is the proof that a stage ran its layers for one token.
+type RanRange struct {
+	Engine string     `json:"engine"`
+	Layers LayerRange `json:"layers"`
+	Micros int64      `json:"micros"` // time inside the stage, queueing included
+	Link   int64      `json:"link"`   // time in microseconds on the link into the stage
+}
+
+// Finish says why a generation ended.
+type Finish string
+
+// The ends of a generation.
+const (
+	FinishNone   Finish = ""
+	FinishStop   Finish = "stop"
+	FinishLength Finish = "length"
+)
+
+// RunEvent is one message of a chain: a token, or the end.
+type RunEvent struct {
+	Index        int        `json:"index"`
+	Token        uint32     `json:"token"`
+	Text         string     `json:"text"`
+	Ran          []RanRange `json:"ran,omitempty"`
+	PromptTokens int        `json:"prompt_tokens,omitempty"`
+	CachedTokens int        `json:"cached_tokens,omitempty"`
+	Finish       Finish     `json:"finish,omitempty"`
+	Error        *RunError  `json:"error,omitempty"`
+}
+
+// RunError is an error that an engine reports about a chain.
+type RunError struct {
+	Code   string `json:"code"`
+	Engine string `json:"engine"` // the stage at fault
+	Detail string `json:"detail"`
+}
+
+// Codes of RunError.
+const (
+	CodeLeaving    = "leaving"
+	CodeMismatch   = "mismatch" // range, model, version or generation differ
+	CodeBusy       = "busy"
+	CodeBadRequest = "bad_request"
+	CodeStageLost  = "stage_lost"
+	CodeFenced     = "fenced"
+)
+
+// Error returns the code, the stage and the detail.
+func (e *RunError) Error() string {
+	return e.Code + " at " + e.Engine + ": " + e.Detail
+}
+
+// ErrStalled means that an upstream sent nothing for too long.
+var ErrStalled = errors.New("upstream stalled")
+
+// RunStream is the answer of a chain while it arrives.
+type RunStream interface {
+	// Next returns the next event, or ErrStalled if none came within wait. The
+	// error io.EOF means that the stream was closed, which is whole only if an
+	// event with a Finish came before.
+	Next(wait Millis) (RunEvent, error)
+	// Close ends the stream. The engine cancels what still runs.
+	Close() error
+}
+
+// Engines calls model engines.
+type Engines interface {
+	// Run starts a generation on the first stage of the request's chain.
+	Run(ctx context.Context, req *RunRequest) (RunStream, error)
+	// Status asks one engine for its report.
+	Status(ctx context.Context, addr string) (UpstreamStatus, error)
+	// Order gives an engine an order.
+	Order(ctx context.Context, addr string, o Order) error
+}
+
+// OrderKind is what an order asks for.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	// OrderLoad asks an engine to hold a range of layers of a model.
+	OrderLoad OrderKind = "load"
+)
+
+// Order tells an engine which state to reach. Giving it twice is harmless.
+type Order struct {
+	Kind     OrderKind  `json:"kind"`
+	Duty     string     `json:"duty"` // the lease under which it is given
+	Term     uint64     `json:"term"` // the fence: an engine refuses a lower one
+	Model    string     `json:"model"`
+	Version  string     `json:"version"`
+	Layers   LayerRange `json:"layers"`
+	LayerNum int        `json:"layer_num"`
+}
+
+// CallError is the failure of one call to an upstream.
+type CallError struct {
+	Phase   Phase
+	Written int
+	Cause   error
+}
+
+// Error returns the phase and the cause.
+func (e *CallError) Error() string {
+	return "upstream call failed at " + e.Phase.String() + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// Outcome returns what the failure says about the request.
+func (e *CallError) Outcome() Outcome { return OutcomeOf(e.Phase, e.Written) }
