Let daemons find each other, share limits and claim keys together

Cause: daemons knew nothing of each other, limits and idempotency keys held for one daemon at most. Change: authenticated frames over gnet with msgpack, gossip membership, reports of upstreams observed by a few daemons and passed on, configuration taken from peers, admission with account limits shared by demand and a fair queue, claims gathered by one daemon a slot and written by conditional update. Ruled out: a full mesh of heartbeats (350 x 349 messages a second); random choice of gossiped members alone, which at 350 daemons took a live one as dead within 60 rounds (TestLargeFleetStaysWhole failed with 349 of 350); a suspected member is now asked and refutes, and the test passes. Shown by: go test -race on e2e, peernet, frame, membership green. Not shown yet: claims, admission and peers under faults.

--- a/coordination/observe/observe.go
+++ b/coordination/observe/observe.go
@@ -26,8 +26,8 @@
 type Share interface {
 	// Mine reports whether this daemon observes the upstream.
 	Mine(upstream string) bool
-	// Tell passes reports on to the other daemons.
-	Tell(reports []spanrill.UpstreamStatus)
+	// TellReports passes reports on to the other daemons.
+	TellReports(reports []spanrill.UpstreamStatus)
 }
 
 // alone is the share of a daemon without peers.
@@ -36,8 +36,8 @@
 // Mine returns true.
 func (alone) Mine(string) bool { return true }
 
-// Tell does nothing.
-func (alone) Tell([]spanrill.UpstreamStatus) {}
+// TellReports does nothing.
+func (alone) TellReports([]spanrill.UpstreamStatus) {}
 
 // Observer keeps the load table up to date.
 type Observer struct {
@@ -49,6 +49,7 @@
 	log      logrus.FieldLogger
 	share    Share
 	onBoxes  func([]spanrill.Box)
+	fallback spanrill.BoxLister
 	listGap  spanrill.Millis
 	askGap   spanrill.Millis
 	seen     chan struct{}
@@ -74,6 +75,12 @@
 	return func(o *Observer) { o.onBoxes = f }
 }
 
+// WithFallback sets where the first box list comes from while the platform
+// does not give one.
+func WithFallback(b spanrill.BoxLister) Option {
+	return func(o *Observer) { o.fallback = b }
+}
+
 // WithGaps sets the pauses between two box lists and between two reports.
 func WithGaps(list, ask spanrill.Millis) Option {
 	return func(o *Observer) { o.listGap, o.askGap = list, ask }
@@ -113,9 +120,14 @@
 }
 
 func (o *Observer) list(ctx context.Context, listed chan<- struct{}) error {
+	first := true
 	for ctx.Err() == nil {
 		boxes, err := o.boxes.Boxes(ctx)
+		if err != nil && first && o.fallback != nil {
+			boxes, err = o.fallback.Boxes(ctx)
+		}
 		if err == nil {
+			first = false
 			o.table.SetBoxes(boxes)
 			o.onBoxes(boxes)
 			select {
@@ -142,7 +154,7 @@
 	case <-listed:
 	}
 	for ctx.Err() == nil {
-		o.share.Tell(o.askAll(ctx))
+		o.share.TellReports(o.askAll(ctx))
 		o.once.Do(func() { close(o.seen) })
 		o.pause(ctx, o.askGap)
 	}
@@ -156,7 +168,7 @@
 	var tasks task.Group
 	room := make(chan struct{}, askAtOnce)
 	for _, u := range o.table.Upstreams() {
-		if !o.share.Mine(u.Name()) && u.Report() != nil {
+		if !o.share.Mine(u.Name()) && u.ReportAge(o.clock.Now()) < lateReport {
 			continue
 		}
 		room <- struct{}{}
@@ -174,6 +186,10 @@
 	return reports
 }
 
+// lateReport is how old a report may get before a daemon asks an upstream that
+// others should have asked.
+const lateReport = 3 * spanrill.Second
+
 // maxMisses is how many reports in a row an upstream may miss before it is
 // ejected.
 const maxMisses = 2
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -21,6 +21,9 @@
 	EditID    string           `json:"edit_id"`
 	InFlight  int64            `json:"in_flight"`
 	Policy    string           `json:"routing_policy"`
+	Running   int              `json:"running"`
+	Waiting   int              `json:"waiting"`
+	Peers     []string         `json:"peers"` // daemons alive, this one included
 	Upstreams []UpstreamStatus `json:"upstreams"`
 }
 
@@ -46,27 +49,25 @@
 //	GET  /metrics   counters
 //	GET  /status    a Status
 //	POST /drain     starts a planned stop
-func (d *Daemon) adminRoutes(drain func()) fasthttp.RequestHandler {
-	return func(ctx *fasthttp.RequestCtx) {
-		path := string(ctx.Path())
-		switch {
-		case path == "/healthz":
-			ctx.SetBodyString("ok\n")
-		case path == "/readyz":
-			d.serveReady(ctx)
-		case path == "/metrics":
-			ctx.SetContentType("text/plain; version=0.0.4")
-			d.meters.Write(ctx)
-		case path == "/status":
-			serveJSON(ctx, d.Status())
-		case path == "/drain" && ctx.IsPost():
-			drain()
-			ctx.SetStatusCode(fasthttp.StatusAccepted)
-		case d.settings.Pprof && len(path) > 12 && path[:13] == "/debug/pprof/":
-			pprofhandler.PprofHandler(ctx)
-		default:
-			ctx.Error("no such path", fasthttp.StatusNotFound)
-		}
+func (d *Daemon) adminRoutes(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == "/healthz":
+		ctx.SetBodyString("ok\n")
+	case path == "/readyz":
+		d.serveReady(ctx)
+	case path == "/metrics":
+		ctx.SetContentType("text/plain; version=0.0.4")
+		d.meters.Write(ctx)
+	case path == "/status":
+		serveJSON(ctx, d.Status())
+	case path == "/drain" && ctx.IsPost():
+		d.Stop()
+		ctx.SetStatusCode(fasthttp.StatusAccepted)
+	case d.settings.Pprof && len(path) > 12 && path[:13] == "/debug/pprof/":
+		pprofhandler.PprofHandler(ctx)
+	default:
+		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
 }
 
@@ -86,7 +87,7 @@
 }
 
 func (d *Daemon) serveAdmin(context.Context) error {
-	server := &fasthttp.Server{Handler: d.adminRoutes(func() {}), NoDefaultServerHeader: true}
+	server := &fasthttp.Server{Handler: d.adminRoutes, NoDefaultServerHeader: true}
 	if err := server.Serve(d.admin); err != nil {
 		return fmt.Errorf("serve operators: %w", err)
 	}
@@ -106,6 +107,10 @@
 		s.Why = err.Error()
 	}
 	s.Ready = s.Why == ""
+	s.Running, s.Waiting = d.gate.Depth()
+	for _, m := range d.peers.list.Live() {
+		s.Peers = append(s.Peers, m.Name)
+	}
 	now := d.clock.Now()
 	for _, u := range d.table.Upstreams() {
 		us := UpstreamStatus{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"spanrill"
 	"spanrill/clock"
 	"spanrill/coordination/admission"
+	"spanrill/coordination/claim"
 	"spanrill/coordination/dispatch"
 	"spanrill/coordination/observe"
 	"spanrill/coordination/pipeline"
@@ -54,12 +56,20 @@
 	table    *load.Table
 	router   *routing.Router
 	observer *observe.Observer
+	gate     *admission.Gate
+	keeper   *claim.Keeper
 	api      *callerapi.Server
+	peers    *peers
 
 	callers  net.Listener
 	admin    net.Listener
 	draining atomic.Bool
+	stop     chan struct{} // closed when an operator asks for a planned stop
+	stopOnce sync.Once
 	done     chan struct{}
+
+	work   context.Context // ends when the daemon has drained
+	cancel context.CancelFunc
 }
 
 // Option changes a default of New.
@@ -79,8 +89,9 @@
 func New(s settings.Settings, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, clock: clock.NewSystem(), log: logrus.NewEntry(logrus.StandardLogger()),
-		meters: meter.New(), done: make(chan struct{}),
+		meters: meter.New(), stop: make(chan struct{}), done: make(chan struct{}),
 	}
+	d.work, d.cancel = context.WithCancel(context.Background())
 	for _, o := range opts {
 		o(d)
 	}
@@ -111,11 +122,19 @@
 	d.platform = objectapi.New(d.settings.Platform, d.http)
 	d.table = load.NewTable(d.clock, load.WithLogger(d.log))
 	d.router = routing.New(d.clock, routing.WithPolicy(policy))
+	if d.peers, err = newPeers(d); err != nil {
+		return fmt.Errorf("build peers: %w", err)
+	}
 	d.follower = config.NewFollower(d.platform, config.WithClock(d.clock), config.WithLogger(d.log),
-		config.WithJitter(d.jitter), config.WithOnChange(d.configChanged))
+		config.WithJitter(d.jitter), config.WithOnChange(d.configChanged), config.WithWatches(d.peers.watches))
 	engines, services := engineapi.New(d.http), serviceapi.New(d.http)
 	d.observer = observe.New(d.platform, engines, services, d.table, d.clock, observe.WithLogger(d.log),
+		observe.WithShare(d.peers), observe.WithOnBoxes(d.peers.setBoxes), observe.WithFallback(d.peers),
 		observe.WithGaps(d.settings.Observe.Boxes, d.settings.Observe.Status))
+	d.gate = admission.New(d.clock, d.table, admission.WithMeters(d.meters),
+		admission.WithQueue(d.settings.Limits.Queue, d.settings.Limits.QueueWait))
+	d.keeper = claim.NewKeeper(d.work, d.platform, d.clock)
+	d.peers.claims = claim.New(d.keeper, d.peers, d.peers, d.clock, d.random, claim.WithLogger(d.log))
 	d.api = d.newAPI(engines, services)
 	return nil
 }
@@ -131,19 +150,11 @@
 	bounds.BodyBytes, bounds.HeaderBytes, bounds.StreamTokens = limits.BodyBytes, limits.HeaderBytes, limits.StreamTokens
 	return callerapi.New(callerapi.Parts{
 		Config: d.follower.Current, Runner: runner, Services: dispatcher,
-		Admission: admission.Open{}, Claims: noClaims{}, Clock: d.clock, Meters: d.meters,
+		Admission: d.gate, Claims: d.peers.claims, Clock: d.clock, Meters: d.meters,
 		Log: d.log, Random: d.random, ResumeSecret: d.settings.FleetSecret,
 	}, bounds)
 }
 
-// noClaims runs each call without a claim.
-type noClaims struct{}
-
-// Do runs f.
-func (noClaims) Do(_ context.Context, _, _ string, _ *spanrill.ServiceRequest, f func() (*spanrill.ServiceAnswer, *spanrill.Refusal)) (*spanrill.ServiceAnswer, *spanrill.Refusal) {
-	return f()
-}
-
 // jitter spreads a pause over half of its length to one and a half.
 func (d *Daemon) jitter(m spanrill.Millis) spanrill.Millis {
 	return m/2 + spanrill.Millis(d.random.Float64()*float64(m))
@@ -156,6 +167,7 @@
 		}
 		return ""
 	})
+	d.peers.list.Nudge()
 }
 
 func (d *Daemon) listen() error {
@@ -179,6 +191,9 @@
 // Meters returns the daemon's counters.
 func (d *Daemon) Meters() *meter.Meters { return d.meters }
 
+// Stop asks for a planned stop.
+func (d *Daemon) Stop() { d.stopOnce.Do(func() { close(d.stop) }) }
+
 // Done returns a channel that is closed when the daemon has stopped.
 func (d *Daemon) Done() <-chan struct{} { return d.done }
 
@@ -186,12 +201,11 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	defer close(d.done)
 	events.DaemonStarted.Log(d.log, logrus.Fields{"listen": d.Addr(), "admin": d.AdminAddr()})
-	work, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	defer d.cancel()
 	var tasks task.Group
 	failed := make(chan error, 1)
 	for name, part := range d.parts() {
-		tasks.Start(work, name, func(ctx context.Context) error {
+		tasks.Start(d.work, name, func(ctx context.Context) error {
 			return d.runPart(ctx, name, part, failed)
 		})
 	}
@@ -199,11 +213,15 @@
 	select {
 	case <-ctx.Done():
 		d.drain()
+	case <-d.stop:
+		d.drain()
 	case err = <-failed:
 	}
-	cancel()
+	d.cancel()
 	d.close()
-	if stopped := tasks.Wait(); err == nil {
+	stopped := tasks.Wait()
+	_ = d.keeper.Wait()
+	if err == nil {
 		err = stopped
 	}
 	events.DaemonStopped.Log(d.log, nil)
@@ -218,6 +236,7 @@
 		"callers":       func(ctx context.Context) error { return d.api.Serve(ctx, d.callers) },
 		"admin":         d.serveAdmin,
 		"readiness":     d.awaitReady,
+		"peers":         d.peers.run,
 	}
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -20,6 +20,7 @@
 		return
 	}
 	events.DaemonDraining.Log(d.log, logrus.Fields{"in_flight": d.api.InFlight()})
+	d.peers.list.Leave(d.work)
 	<-d.clock.After(d.settings.Drain.Notice)
 	d.api.Drain()
 	limit := d.clock.Now() + d.settings.Drain.Finish
--- /dev/null
+++ b/daemon/peerhandler.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"encoding/json"
+
+	"github.com/sirupsen/logrus"
+
+	"spanrill/events"
+	"spanrill/protocol/peermsg"
+	"spanrill/transport/peernet"
+)
+
+// handle takes a message of a peer. A message that cannot be decoded is
+// refused; its sender goes on.
+func (p *peers) handle(from string, kind peernet.Kind, payload []byte) []byte {
+	reply, err := p.dispatch(from, kind, payload)
+	if err != nil {
+		p.daemon.meters.FramesRefused.Inc()
+		events.FrameRefused.Log(p.daemon.log, logrus.Fields{"peer": from, "kind": kind, "error": err})
+		return nil
+	}
+	if reply == nil {
+		return nil
+	}
+	answer, err := peermsg.Encode(reply)
+	if err != nil {
+		return nil
+	}
+	return answer
+}
+
+func (p *peers) dispatch(from string, kind peernet.Kind, payload []byte) (reply any, err error) {
+	switch kind {
+	case peermsg.KindGossip:
+		var m peermsg.Gossip
+		if err = peermsg.Decode(payload, &m); err == nil && len(m.Members) > 0 {
+			p.list.Take(&m)
+		}
+	case peermsg.KindReports:
+		var m peermsg.Reports
+		if err = peermsg.Decode(payload, &m); err == nil {
+			p.takeReports(&m)
+		}
+	case peermsg.KindDemand:
+		var m peermsg.Demand
+		if err = peermsg.Decode(payload, &m); err == nil {
+			p.takeDemand(from, &m)
+		}
+	case peermsg.KindSettle:
+		var m peermsg.Settle
+		if err = peermsg.Decode(payload, &m); err == nil {
+			p.claims.ServeSettle(&m)
+		}
+	default:
+		return p.answer(kind, payload)
+	}
+	return nil, err
+}
+
+// answer answers a request.
+func (p *peers) answer(kind peernet.Kind, payload []byte) (any, error) {
+	switch kind {
+	case peermsg.KindHead:
+		return p.headReply(), nil
+	case peermsg.KindPart:
+		var m peermsg.Part
+		if err := peermsg.Decode(payload, &m); err != nil {
+			return nil, err
+		}
+		value, err := p.daemon.follower.Part(p.daemon.work, m.Hash)
+		if err != nil {
+			value = nil
+		}
+		return &peermsg.Part{Hash: m.Hash, Value: value}, nil
+	case peermsg.KindClaim:
+		var m peermsg.Claim
+		if err := peermsg.Decode(payload, &m); err != nil {
+			return nil, err
+		}
+		return p.claims.Serve(p.daemon.work, &m), nil
+	case peermsg.KindBoxes:
+		reply := &peermsg.Boxes{}
+		if value := p.boxes.Load(); value != nil {
+			reply.Value = *value
+		}
+		return reply, nil
+	}
+	return nil, errUnknownKind
+}
+
+func (p *peers) headReply() *peermsg.Head {
+	reply := &peermsg.Head{}
+	if head := p.daemon.follower.Head(); head != nil {
+		if value, err := json.Marshal(head); err == nil {
+			reply.Value = value
+		}
+	}
+	return reply
+}
+
+func (p *peers) takeReports(m *peermsg.Reports) {
+	for _, r := range m.Reports {
+		p.daemon.table.Report(r.Name, r.Status(), r.Age)
+	}
+}
+
+func (p *peers) takeDemand(from string, m *peermsg.Demand) {
+	accounts := make(map[string]float64, len(m.Accounts))
+	for _, a := range m.Accounts {
+		accounts[a.Account] = float64(a.PerMille) / 1000
+	}
+	p.daemon.gate.Told(from, accounts)
+}
--- a/events/events.go
+++ b/events/events.go
@@ -29,11 +29,10 @@
 
 // Log writes the event with its fields.
 func (e Event) Log(log logrus.FieldLogger, fields logrus.Fields) {
-	entry := log.WithField("event", e.number).WithFields(fields)
-	if leveled, ok := log.(interface{ IsLevelEnabled(logrus.Level) bool }); ok && !leveled.IsLevelEnabled(e.level) {
-		return
+	entry := log.WithField("event", e.number)
+	if entry.Logger.IsLevelEnabled(e.level) {
+		entry.WithFields(fields).Log(e.level, e.text)
 	}
-	entry.Log(e.level, e.text)
 }
 
 var catalogue []Event
--- /dev/null
+++ b/protocol/peermsg/messages.go
@@ -0,0 +1,172 @@
+// Package peermsg lists the messages between daemons and their codec.
+//
+// Messages are msgpack arrays: fields are known by their order, and new fields
+// are added at the end.
+//
+// # Usage
+//
+//	payload, err := peermsg.Encode(&peermsg.Gossip{Members: members})
+//	var g peermsg.Gossip
+//	err = peermsg.Decode(payload, &g)
+package peermsg
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"spanrill"
+	"spanrill/transport/peernet"
+)
+
+// The kinds of messages.
+const (
+	KindGossip  peernet.Kind = 1 // Gossip, no reply
+	KindReports peernet.Kind = 2 // Reports, no reply
+	KindDemand  peernet.Kind = 3 // Demand, no reply
+	KindHead    peernet.Kind = 4 // no payload, reply Head
+	KindPart    peernet.Kind = 5 // Part, reply Part
+	KindClaim   peernet.Kind = 6 // Claim, reply Claimed
+	KindSettle  peernet.Kind = 7 // Settle, no reply
+	KindBoxes   peernet.Kind = 8 // no payload, reply Boxes
+)
+
+// Member is what daemons tell one another about one of them.
+type Member struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Name        string
+	Zone        string
+	PeerAddr    string
+	AdminAddr   string
+	Incarnation uint64 // rises with each start of the daemon
+	Beat        uint64 // rises while the daemon runs
+	Revision    uint64 // configuration in force
+	Leaving     bool
+}
+
+// Gossip tells what a daemon knows of some members.
+type Gossip struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Members  []Member
+}
+
+// Reports passes on the reports of upstreams.
+type Reports struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Reports  []Report
+}
+
+// Report is one upstream's report, without what its reader knows.
+type Report struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Name       string
+	Leaving    bool
+	Loading    bool
+	Running    int
+	Waiting    int
+	Slots      int
+	Model      string
+	Version    string
+	From       int
+	To         int
+	Generation uint64
+	StepMicros int
+	TokenNanos int
+	MemLayers  int
+	Age        spanrill.Millis
+}
+
+// NewReport returns the report in the form that is sent.
+func NewReport(s spanrill.UpstreamStatus) Report {
+	return Report{
+		Name: s.Name, Leaving: s.Leaving, Loading: s.Loading, Running: s.Running, Waiting: s.Waiting,
+		Slots: s.Slots, Model: s.Model, Version: s.Version, From: s.Layers.From, To: s.Layers.To,
+		Generation: s.Generation, StepMicros: s.StepMicros, TokenNanos: s.TokenNanos,
+		MemLayers: s.MemLayers, Age: s.AgeMillis,
+	}
+}
+
+// Status returns the report in the form that the load table takes.
+func (r Report) Status() spanrill.UpstreamStatus {
+	return spanrill.UpstreamStatus{
+		Name: r.Name, Leaving: r.Leaving, Loading: r.Loading, Running: r.Running, Waiting: r.Waiting,
+		Slots: r.Slots, Model: r.Model, Version: r.Version,
+		Layers:     spanrill.LayerRange{From: r.From, To: r.To},
+		Generation: r.Generation, StepMicros: r.StepMicros, TokenNanos: r.TokenNanos,
+		MemLayers: r.MemLayers, AgeMillis: r.Age,
+	}
+}
+
+// Demand tells how much the accounts asked of one daemon in the last second.
+type Demand struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Accounts []AccountDemand
+}
+
+// AccountDemand is the demand of one client account.
+type AccountDemand struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Account  string
+	PerMille uint32 // requests a second, in thousandths
+}
+
+// Head carries a head of the configuration as the platform stores it. It is
+// empty if the daemon has none.
+type Head struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Value    []byte
+}
+
+// Part asks for a part of the configuration by its hash, or carries it.
+type Part struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Hash     string
+	Value    []byte
+}
+
+// Claim asks the owner of a slot to claim an idempotency key.
+type Claim struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Slot     int
+	Record   []byte // a claim record in JSON
+}
+
+// Claimed answers a Claim. Record is a claim record in JSON.
+type Claimed struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Granted  bool
+	Failed   string // why there is no answer, or ""
+	Record   []byte
+}
+
+// Settle tells the owner of a slot how a claimed call ended.
+type Settle struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Slot     int
+	Record   []byte // a claim record in JSON
+}
+
+// Boxes carries the last box list that a daemon has read, as the platform gave
+// it. It is empty if the daemon has none.
+type Boxes struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Value    []byte
+}
+
+// Encode returns a message as it is sent.
+func Encode(v any) ([]byte, error) {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode message: %w", err)
+	}
+	return data, nil
+}
+
+// Decode reads a message.
+func Decode(data []byte, v any) error {
+	if err := msgpack.NewDecoder(bytes.NewReader(data)).Decode(v); err != nil {
+		return fmt.Errorf("decode message: %w", err)
+	}
+	return nil
+}
--- a/refusal.go
+++ b/refusal.go
@@ -40,6 +40,7 @@
 	ReasonUpstreamTimeout  // the upstream gave no answer in time
 	ReasonRetryBudget      // a retry was due and the budget was spent
 	ReasonClaimOutstanding // an earlier request with this key has no outcome yet
+	ReasonClaimsFull       // the slot of the key holds as many records as fit
 	ReasonInternal         // a fault of this daemon
 	reasonCount
 )
@@ -88,6 +89,7 @@
 	ReasonUpstreamTimeout:  {"upstream_timeout", 504, kindServer},
 	ReasonRetryBudget:      {"retry_budget_spent", 503, kindUnavailable},
 	ReasonClaimOutstanding: {"outcome_pending", 409, kindUnavailable},
+	ReasonClaimsFull:       {"claims_full", 503, kindUnavailable},
 	ReasonInternal:         {"internal_error", 500, kindServer},
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,21 +32,22 @@
 
 // Settings are the settings of one process.
 type Settings struct {
-	Name          string  `json:"name"`
-	Zone          string  `json:"availability_zone"`
-	Listen        string  `json:"listen"`
-	AdminListen   string  `json:"admin_listen"`
-	PeerListen    string  `json:"peer_listen"`
-	Platform      string  `json:"platform"`
-	FleetSecret   string  `json:"fleet_secret"`
-	RoutingPolicy string  `json:"routing_policy"`
-	Seed          uint64  `json:"seed"`
-	Limits        Limits  `json:"limits"`
-	Waits         Waits   `json:"waits"`
-	Drain         Drain   `json:"drain"`
-	Observe       Observe `json:"observe"`
-	Log           Log     `json:"log"`
-	Pprof         bool    `json:"pprof"`
+	Name          string   `json:"name"`
+	Zone          string   `json:"availability_zone"`
+	Listen        string   `json:"listen"`
+	AdminListen   string   `json:"admin_listen"`
+	PeerListen    string   `json:"peer_listen"`
+	Platform      string   `json:"platform"`
+	FleetSecret   string   `json:"fleet_secret"`
+	Peers         []string `json:"peers"`
+	RoutingPolicy string   `json:"routing_policy"`
+	Seed          uint64   `json:"seed"`
+	Limits        Limits   `json:"limits"`
+	Waits         Waits    `json:"waits"`
+	Drain         Drain    `json:"drain"`
+	Observe       Observe  `json:"observe"`
+	Log           Log      `json:"log"`
+	Pprof         bool     `json:"pprof"`
 }
 
 // Limits bounds what callers may send and receive.
@@ -87,6 +88,7 @@
 // Default returns settings in which all optional fields have their value.
 func Default() Settings {
 	return Settings{
+		Peers:         []string{},
 		RoutingPolicy: "least-work",
 		Limits: Limits{
 			BodyBytes: 4 << 20, HeaderBytes: 16 << 10, StreamTokens: 32768,
--- a/state/load/upstream.go
+++ b/state/load/upstream.go
@@ -54,6 +54,14 @@
 // Report returns the last report, or nil before the first one.
 func (u *Upstream) Report() *spanrill.UpstreamStatus { return u.reported.Load() }
 
+// ReportAge returns how old the last report is.
+func (u *Upstream) ReportAge(now spanrill.Millis) spanrill.Millis {
+	if u.reported.Load() == nil {
+		return math.MaxInt64
+	}
+	return now - spanrill.Millis(u.reportedAt.Load())
+}
+
 // Layers returns the layers that the upstream reported to hold.
 func (u *Upstream) Layers() spanrill.LayerRange { return u.reported.Load().Layers }
 
--- a/state/load/view.go
+++ b/state/load/view.go
@@ -127,3 +127,21 @@
 	x.ways.Store(w)
 	return w
 }
+
+// Stages returns how many stages a chain of the model has at least.
+func (x *ModelIndex) Stages(layers int) int {
+	n := 0
+	for layer := 0; layer < layers; n++ {
+		furthest := layer
+		for _, u := range x.From(layer) {
+			if to := u.Layers().To; to <= layers {
+				furthest = max(furthest, to)
+			}
+		}
+		if furthest == layer {
+			return max(1, n)
+		}
+		layer = furthest
+	}
+	return n
+}
--- a/task/task.go
+++ b/task/task.go
@@ -52,31 +52,41 @@
 	return t.err
 }
 
-// Group owns several tasks. Its zero value is ready to use.
+// Group owns several tasks. Its zero value is ready to use. It forgets a task
+// when it has ended, so that a long-lived owner can start any number.
 type Group struct {
-	mu    sync.Mutex
-	tasks []*Task
+	running sync.WaitGroup
+	mu      sync.Mutex
+	first   error
 }
 
 // Start runs f in a goroutine that belongs to the group.
 func (g *Group) Start(ctx context.Context, name string, f func(context.Context) error) *Task {
-	t := Start(ctx, name, f)
+	g.running.Add(1)
+	t := &Task{name: name, done: make(chan struct{})}
+	go func() {
+		defer g.running.Done()
+		t.run(ctx, f)
+		g.note(t.err)
+	}()
+	return t
+}
+
+func (g *Group) note(err error) {
+	if err == nil {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.tasks = append(g.tasks, t)
-	return t
+	if g.first == nil {
+		g.first = err
+	}
 }
 
 // Wait returns when all tasks have ended, with the first error.
 func (g *Group) Wait() error {
+	g.running.Wait()
 	g.mu.Lock()
-	tasks := g.tasks
-	g.mu.Unlock()
-	var first error
-	for _, t := range tasks {
-		if err := t.Err(); err != nil && first == nil {
-			first = err
-		}
-	}
-	return first
+	defer g.mu.Unlock()
+	return g.first
 }
--- /dev/null
+++ b/transport/peernet/peernet_test.go
@@ -0,0 +1,114 @@
+package peernet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"spanrill/meter"
+	"spanrill/transport/frame"
+)
+
+const testKind Kind = 9
+
+// start runs a net on a free port and returns it with its address.
+func start(t *testing.T, name, secret string, h Handler) (*Net, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	_ = ln.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n, err := New(addr, name, secret, h, WithLogger(log), WithMeters(meter.New()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	<-n.Listening()
+	return n, addr
+}
+
+func echo(from string, kind Kind, payload []byte) []byte {
+	return fmt.Appendf(nil, "%s %d %s", from, kind, payload)
+}
+
+func TestAskIsAnswered(t *testing.T) {
+	_, addr := start(t, "b", "secret-of-the-fleet", echo)
+	a, _ := start(t, "a", "secret-of-the-fleet", echo)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for i := range 200 {
+		reply, err := a.Ask(ctx, addr, testKind, fmt.Appendf(nil, "%d", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := fmt.Sprintf("a 9 %d", i); string(reply) != want {
+			t.Fatalf("got %q, want %q", reply, want)
+		}
+	}
+}
+
+func TestOtherSecretIsRefused(t *testing.T) {
+	b, addr := start(t, "b", "secret-of-the-fleet", echo)
+	a, _ := start(t, "a", "some-other-secret", echo)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if reply, err := a.Ask(ctx, addr, testKind, nil); err == nil {
+		t.Fatalf("got the reply %q", reply)
+	}
+	if a.meters.FramesRefused.Get()+b.meters.FramesRefused.Get() == 0 {
+		t.Fatal("nothing was counted")
+	}
+}
+
+// A peer that sends garbage is cut off, and others are served as before.
+func TestBadBytesEndOnlyTheirConnection(t *testing.T) {
+	hello := frame.NewWriter(frame.DeriveKey([]byte("secret-of-the-fleet"), []byte("hello"))).Append(nil, 0, 0, []byte("x"))
+	oversized := append([]byte(nil), hello...)
+	oversized[20] = 0xff
+	version := append([]byte(nil), hello...)
+	version[2] = 77
+	b, addr := start(t, "b", "secret-of-the-fleet", echo)
+	a, _ := start(t, "a", "secret-of-the-fleet", echo)
+	for i, bytes := range [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), oversized, version, hello} {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write(bytes); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.Copy(io.Discard, c); err != nil && isTimeout(err) {
+			t.Fatalf("connection %d was not ended", i)
+		}
+		_ = c.Close()
+	}
+	if got := b.meters.FramesRefused.Get(); got != 4 {
+		t.Fatalf("%d frames were counted as refused, want 4", got)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, err := a.Ask(ctx, addr, testKind, nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func isTimeout(err error) bool {
+	ne, ok := err.(net.Error)
+	return ok && ne.Timeout()
+}
