--- a/coordination/pipeline/generation.go
+++ b/coordination/pipeline/generation.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -14,6 +15,7 @@
 	"spanrill/events"
 	"spanrill/meter"
 	"spanrill/state/load"
+	"spanrill/task"
 )
 
 // generation is one request on its way over one or more chains.
@@ -25,6 +27,7 @@
 	result    *Result
 	generated []uint32         // tokens delivered
 	failed    []*load.Upstream // upstreams that failed this request
+	suspects  []*load.Upstream // upstreams of which one stalled, nobody knows which
 	started   spanrill.Millis
 	worked    bool // whether any engine may have worked for the request
 }
@@ -40,6 +43,7 @@
 	cause  error
 	reason meter.Retry
 	at     *load.Upstream // the stage at fault
+	chain  []*load.Upstream
 }
 
 func (g *generation) run() (*Result, *spanrill.Refusal) {
@@ -65,7 +69,7 @@
 const maxStages = 8
 
 func (g *generation) choose() ([]*load.Upstream, bool) {
-	q := &routing.Query{Layers: g.req.Layers, Exclude: g.failed}
+	q := &routing.Query{Layers: g.req.Layers, Exclude: g.failed, Avoid: g.suspects}
 	q.Prefer, q.Saved = g.runner.affinity.Lookup(g.req.Body)
 	index := g.runner.table.View().Model(g.req.Key)
 	return g.runner.router.Choose(index, q, make([]*load.Upstream, 0, maxStages))
@@ -96,6 +100,10 @@
 
 // blame keeps the stage at fault out of further attempts.
 func (g *generation) blame(f *fault) {
+	if f.reason == meter.RetryStalled {
+		g.blameStalled(f)
+		return
+	}
 	if f.at == nil {
 		return
 	}
@@ -108,8 +116,44 @@
 	if f.reason == meter.RetryRefused {
 		return
 	}
-	if f.at.Fail(g.runner.clock.Now()) {
-		events.UpstreamEjected.Log(g.runner.log, logrus.Fields{"upstream": f.at.Name(), "cause": f.cause})
+	g.eject(f.at, f.cause)
+}
+
+func (g *generation) eject(u *load.Upstream, cause error) {
+	if u.Fail(g.runner.clock.Now()) {
+		events.UpstreamEjected.Log(g.runner.log, logrus.Fields{"upstream": u.Name(), "cause": cause})
+	}
+}
+
+// probeLimit bounds how long a stage of a stalled chain may take to answer.
+const probeLimit = 250 * spanrill.Millis(1)
+
+// blameStalled asks the stages of a stalled chain for their reports. One that
+// does not answer is at fault. If all answer, it may be a link between them,
+// and the next chain avoids them all where it can.
+func (g *generation) blameStalled(f *fault) {
+	var tasks task.Group
+	silent := make([]bool, len(f.chain))
+	ctx, cancel := context.WithTimeout(g.ctx, probeLimit.Duration())
+	defer cancel()
+	for i, u := range f.chain {
+		tasks.Start(ctx, "probe", func(ctx context.Context) error {
+			_, err := g.runner.engines.Status(ctx, u.Addr())
+			silent[i] = err != nil
+			return nil
+		})
+	}
+	_ = tasks.Wait()
+	found := false
+	for i, u := range f.chain {
+		if silent[i] {
+			found = true
+			g.failed = append(g.failed, u)
+			g.eject(u, f.cause)
+		}
+	}
+	if !found {
+		g.suspects = append(g.suspects, f.chain...)
 	}
 }
 
@@ -130,7 +174,13 @@
 	ctx, cancel := context.WithCancel(g.ctx)
 	defer cancel()
 	run := g.runRequest(chain)
+	stalled := time.AfterFunc(g.runner.firstWait.Duration(), cancel)
 	stream, err := g.runner.engines.Run(ctx, run)
+	inTime := stalled.Stop()
+	if err != nil && !inTime {
+		g.worked = true
+		return &fault{cause: spanrill.ErrStalled, reason: meter.RetryStalled, chain: chain}
+	}
 	if err != nil {
 		return g.startFault(chain, err)
 	}
@@ -280,7 +330,7 @@
 	case errors.Is(err, io.EOF):
 		return &fault{cause: errCut, reason: meter.RetryCut, at: chain[0]}
 	case errors.Is(err, spanrill.ErrStalled):
-		return &fault{cause: err, reason: meter.RetryStalled, at: chain[0]}
+		return &fault{cause: err, reason: meter.RetryStalled, chain: chain}
 	}
 	return &fault{cause: fmt.Errorf("read stream: %w", err), reason: meter.RetryStageLost, at: chain[0]}
 }
--- a/coordination/routing/leastwork.go
+++ b/coordination/routing/leastwork.go
@@ -38,13 +38,13 @@
 		}
 	}
 	for _, u := range q.Prefer {
-		if contains(candidates, u) && usable(u) {
+		if listed(candidates, u) && usable(u) {
 			consider(u)
 		}
 	}
-	start, found := p.rng.IntN(n), 0
+	start, step, found := p.rng.IntN(n), stride(n), 0
 	for i := range n {
-		u := candidates[(start+i*stride(n))%n]
+		u := candidates[(start+i*step)%n]
 		if !usable(u) {
 			continue
 		}
@@ -56,8 +56,19 @@
 	return best
 }
 
-func contains(candidates []*load.Upstream, u *load.Upstream) bool {
-	return len(candidates) > 0 && candidates[0].Layers().From == u.Layers().From
+// listed reports whether an upstream is among the candidates, which are in the
+// order of their names.
+func listed(candidates []*load.Upstream, u *load.Upstream) bool {
+	low, high := 0, len(candidates)
+	for low < high {
+		middle := (low + high) / 2
+		if candidates[middle].Name() < u.Name() {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low < len(candidates) && candidates[low] == u
 }
 
 // stride returns a step that visits each of n places once and far apart.
@@ -84,7 +95,7 @@
 // upstream with one more request, link included.
 func Score(u *load.Upstream, q *Query) float64 {
 	work := (u.Load(q.Now) + 1) * u.MicrosPerToken() * u.Slow(q.Now) / u.Ramp(q.Now)
-	if q.preferred(u) {
+	if has(q.Prefer, u) {
 		work *= 1 - q.Saved
 	}
 	link := float64(u.LinkMicros())
--- a/coordination/routing/routing.go
+++ b/coordination/routing/routing.go
@@ -23,15 +23,16 @@
 type Query struct {
 	Layers  int              // layers of the model
 	Exclude []*load.Upstream // upstreams that failed this request before
+	Avoid   []*load.Upstream // upstreams to leave out where there are others
 	Prefer  []*load.Upstream // upstreams that hold the prompt's prefix
 	Saved   float64          // share of the work that a preferred chain saves
 	Now     spanrill.Millis  // set by the router
 	Last    *load.Upstream   // the stage before, set by the router
 }
 
-// excluded reports whether an upstream failed this request before.
-func (q *Query) excluded(u *load.Upstream) bool {
-	for _, x := range q.Exclude {
+// has reports whether an upstream is in a list.
+func has(list []*load.Upstream, u *load.Upstream) bool {
+	for _, x := range list {
 		if x == u {
 			return true
 		}
@@ -39,16 +40,6 @@
 	return false
 }
 
-// preferred reports whether an upstream holds the prompt's prefix.
-func (q *Query) preferred(u *load.Upstream) bool {
-	for _, p := range q.Prefer {
-		if p == u {
-			return true
-		}
-	}
-	return false
-}
-
 // Policy picks one of several upstreams.
 type Policy interface {
 	// Name returns the name by which settings choose the policy.
@@ -119,24 +110,26 @@
 // which all engines of a stage were ejected is better served by trying one.
 func (r *Router) pick(candidates []*load.Upstream, q *Query, ways *load.Ways) *load.Upstream {
 	u := r.policy.Pick(candidates, q, func(u *load.Upstream) bool {
-		return ways.Open(u.Layers().To) && !u.Ejected(q.Now) && !q.excluded(u)
+		return ways.Open(u.Layers().To) && q.first(u)
 	})
 	if u != nil {
 		return u
 	}
 	return r.policy.Pick(candidates, q, func(u *load.Upstream) bool {
-		return ways.Open(u.Layers().To) && !q.excluded(u)
+		return ways.Open(u.Layers().To) && !has(q.Exclude, u)
 	})
 }
 
+// first reports whether an upstream is of the first choice.
+func (q *Query) first(u *load.Upstream) bool {
+	return !u.Ejected(q.Now) && !has(q.Exclude, u) && !has(q.Avoid, u)
+}
+
 // One picks a single upstream of a plain service, or nil.
 func (r *Router) One(candidates []*load.Upstream, q *Query) *load.Upstream {
 	q.Now = r.clock.Now()
-	u := r.policy.Pick(candidates, q, func(u *load.Upstream) bool {
-		return !u.Ejected(q.Now) && !q.excluded(u)
-	})
-	if u != nil {
+	if u := r.policy.Pick(candidates, q, q.first); u != nil {
 		return u
 	}
-	return r.policy.Pick(candidates, q, func(u *load.Upstream) bool { return !q.excluded(u) })
+	return r.policy.Pick(candidates, q, func(u *load.Upstream) bool { return !has(q.Exclude, u) })
 }
