--- /dev/null
+++ b/coordination/claim/claim_test.go
@@ -0,0 +1,179 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"spanrill"
+	"spanrill/clock"
+	"spanrill/protocol/objectapi"
+	"spanrill/rng"
+	"spanrill/standin/platform"
+	"spanrill/state/record"
+	"spanrill/transport/httpcall"
+)
+
+// alone is a daemon that owns all slots and has no peers.
+type alone struct{}
+
+func (alone) Owner(int) string { return "" }
+
+func (alone) Ask(context.Context, string, uint8, any, any) error { return errors.New("no peers") }
+
+func (alone) Tell(string, uint8, any) error { return errors.New("no peers") }
+
+func startPlatform(t *testing.T) (*platform.Platform, spanrill.ObjectStore) {
+	t.Helper()
+	p := platform.New(platform.WithRates(10000, 10000))
+	addr, err := p.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p, objectapi.New(addr, httpcall.New(), objectapi.WithTimeout(300))
+}
+
+// newClaims returns the claims of a daemon that believes that it owns all
+// slots.
+func newClaims(t *testing.T, store spanrill.ObjectStore, seed uint64) *Claims {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	k := NewKeeper(ctx, store, clock.NewSystem(), WithGap(5))
+	t.Cleanup(func() { cancel(); _ = k.Wait() })
+	return New(k, alone{}, alone{}, clock.NewSystem(), rng.New(seed))
+}
+
+// counter counts how often each key ran.
+type counter struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (c *counter) run(key string) func() (*spanrill.ServiceAnswer, *spanrill.Refusal) {
+	return func() (*spanrill.ServiceAnswer, *spanrill.Refusal) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.runs[key]++
+		return &spanrill.ServiceAnswer{Status: 200, Body: []byte(key)}, nil
+	}
+}
+
+func do(c *Claims, key string, run func() (*spanrill.ServiceAnswer, *spanrill.Refusal)) (*spanrill.ServiceAnswer, *spanrill.Refusal) {
+	req := &spanrill.ServiceRequest{Method: "POST", Path: "/readings", Body: []byte(key)}
+	return c.Do(context.Background(), "account", key, req, run)
+}
+
+// Daemons that are parted each believe that they own a slot. The conditional
+// update alone decides.
+func TestPartedOwnersGrantAKeyOnce(t *testing.T) {
+	_, store := startPlatform(t)
+	var parted []*Claims
+	for i := range 4 {
+		parted = append(parted, newClaims(t, store, uint64(i)+1))
+	}
+	count := &counter{runs: map[string]int{}}
+	var wg sync.WaitGroup
+	for i := range 60 {
+		key := fmt.Sprintf("key-%d", i)
+		for _, c := range parted {
+			wg.Go(func() {
+				answer, refusal := do(c, key, count.run(key))
+				if refusal != nil && refusal.Outcome() == spanrill.OutcomeNotRun {
+					t.Errorf("%s: %v", key, refusal)
+				}
+				if answer != nil && string(answer.Body) != key {
+					t.Errorf("%s got the answer of %s", key, answer.Body)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	for key, n := range count.runs {
+		if n != 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+	if len(count.runs) != 60 {
+		t.Errorf("%d keys ran, want 60", len(count.runs))
+	}
+}
+
+// Writes whose answers are lost, writes that are lost, and a platform that
+// fails every third call.
+func TestKeysRunAtMostOnceOnABadPlatform(t *testing.T) {
+	p, store := startPlatform(t)
+	daemons := []*Claims{newClaims(t, store, 1), newClaims(t, store, 2)}
+	count := &counter{runs: map[string]int{}}
+	for i := range 60 {
+		key := fmt.Sprintf("key-%d", i)
+		p.SetFaults(platform.Faults{LoseAnswers: i % 3, LoseRequests: i % 2, FailEvery: 3})
+		for _, c := range daemons {
+			before := count.runs[key]
+			_, refusal := do(c, key, count.run(key))
+			if refusal != nil && refusal.Outcome() == spanrill.OutcomeNotRun && count.runs[key] != before {
+				t.Errorf("%s was told not-run and ran", key)
+			}
+		}
+	}
+	for key, n := range count.runs {
+		if n != 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+}
+
+// A key whose call did not run can be used again.
+func TestKeyOfACallThatDidNotRunIsFree(t *testing.T) {
+	_, store := startPlatform(t)
+	c := newClaims(t, store, 1)
+	refused := func() (*spanrill.ServiceAnswer, *spanrill.Refusal) {
+		return nil, spanrill.NewRefusal(spanrill.ReasonNoUpstream, "none")
+	}
+	if _, refusal := do(c, "k", refused); refusal.Outcome() != spanrill.OutcomeNotRun {
+		t.Fatalf("the outcome is %v", refusal.Outcome())
+	}
+	count := &counter{runs: map[string]int{}}
+	limit := time.Now().Add(5 * time.Second)
+	for time.Now().Before(limit) && count.runs["k"] == 0 {
+		_, _ = do(c, "k", count.run("k"))
+	}
+	if count.runs["k"] != 1 {
+		t.Fatalf("ran %d times", count.runs["k"])
+	}
+}
+
+// Claims that come together cost one write.
+func TestClaimsAreWrittenTogether(t *testing.T) {
+	p, store := startPlatform(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	k := NewKeeper(ctx, store, clock.NewSystem(), WithGap(200))
+	t.Cleanup(func() { cancel(); _ = k.Wait() })
+	var wg sync.WaitGroup
+	for i := range 500 {
+		wg.Go(func() {
+			r := record.Record{Key: fmt.Sprint(i), Attempt: fmt.Sprint(i)}
+			if granted, _, err := k.Claim(ctx, 0, r); err != nil || !granted {
+				t.Errorf("claim %d: %v, %v", i, granted, err)
+			}
+		})
+	}
+	wg.Wait()
+	if w := p.Calls().Writes; w > 10 {
+		t.Fatalf("500 claims cost %d writes", w)
+	}
+}
+
+func TestRecordsExpire(t *testing.T) {
+	s := record.NewSlot()
+	s.Put(record.Record{Key: "old", At: 0})
+	s.Put(record.Record{Key: "new", At: record.Lifetime})
+	s.Expire(record.Lifetime + 1)
+	if _, ok := s.Find("old"); ok || s.Len() != 1 {
+		t.Fatalf("%d records are left", s.Len())
+	}
+}
--- a/e2e/whole_test.go
+++ b/e2e/whole_test.go
@@ -116,7 +116,7 @@
 		{"tokens reordered", "e1a", engine.Faults{SwapTokens: true}},
 		{"a token dropped", "e1a", engine.Faults{DropToken: 5}},
 		{"a layer short by its own word", "e2a", engine.Faults{MisreportRange: true}},
-		{"stream ends early", "e1a", engine.Faults{EndEarly: true}},
+		{"stream ends early", "e1a", engine.Faults{EndEarly: 6}},
 		{"stream stalls", "e1a", engine.Faults{StallAtToken: 7}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -130,6 +130,17 @@
 	}
 }
 
+// A token whose layers are not proved is not delivered, even if its text is
+// right: with no other chain the answer ends with an error.
+func TestUnprovedLayersAreNotDelivered(t *testing.T) {
+	f := newFleet(t, shape{daemons: 1, perStage: 1})
+	f.engines["e2a"].SetFaults(engine.Faults{MisreportRange: true})
+	text, whole, a := f.ask("d1", chat{prompt: "hive", seed: 1, tokens: 8})
+	if whole || text != "" || a.outcome != "unknown" {
+		t.Fatalf("got %q, outcome %q, status %d", text, a.outcome, a.status)
+	}
+}
+
 // The stand-in can tell: a layer that is left out changes the text.
 func TestStandInTellsASkippedLayer(t *testing.T) {
 	f := newFleet(t, shape{daemons: 1, perStage: 1})
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -44,7 +44,7 @@
 	DropToken      int            `json:"drop_token"`       // the token with this index is not sent
 	SkipLayer      bool           `json:"skip_layer"`       // the last layer held is left out
 	MisreportRange bool           `json:"misreport_range"`  // the proof names one layer too few
-	EndEarly       bool           `json:"end_early"`        // the stream closes with no end event
+	EndEarly       int            `json:"end_early"`        // the stream closes at this token with no end event
 	LinkMicros     map[string]int `json:"link_micros"`      // delay before each call to a next stage
 	DieAtToken     int            `json:"die_at_token"`     // the listener stops at this token, once
 	StallAtToken   int            `json:"stall_at_token"`   // nothing more is sent from this token on
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -181,9 +181,6 @@
 }
 
 func (s *sender) end(ev spanrill.RunEvent) {
-	if s.faults.EndEarly {
-		return
-	}
 	if s.held != nil {
 		s.event(*s.held)
 	}
@@ -195,6 +192,9 @@
 		go e.Close()
 		return false
 	}
+	if s.faults.EndEarly > 0 && ev.Index == s.faults.EndEarly {
+		return false
+	}
 	if s.faults.StallAtToken > 0 && ev.Index >= s.faults.StallAtToken {
 		<-e.stopped
 		return false
