--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -23,8 +23,6 @@
 package engine
 
 import (
-	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -32,6 +30,7 @@
 
 	"spanrill"
 	"spanrill/standin/model"
+	"spanrill/standin/web"
 )
 
 // Faults says how the engine misbehaves. The zero value is a healthy engine.
@@ -83,7 +82,7 @@
 
 	batch   *batcher
 	client  *fasthttp.Client
-	server  *fasthttp.Server
+	server  *web.Server
 	stopped chan struct{}
 	once    sync.Once
 }
@@ -150,6 +149,7 @@
 		o(e)
 	}
 	e.batch = newBatcher(e)
+	e.server = web.New(e.handle)
 	return e
 }
 
@@ -158,23 +158,25 @@
 
 // Listen serves on addr and returns the address in use.
 func (e *Engine) Listen(addr string) (string, error) {
-	ln, err := net.Listen("tcp", addr)
+	in, err := e.server.Listen(addr)
 	if err != nil {
-		return "", fmt.Errorf("listen on %s: %w", addr, err)
+		return "", err
 	}
-	e.server = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, MaxRequestBodySize: 64 << 20}
-	go func() { _ = e.server.Serve(ln) }()
 	go e.batch.loop()
 	go e.report()
-	return ln.Addr().String(), nil
+	return in, nil
 }
 
 // Close stops the engine and lets open requests end.
 func (e *Engine) Close() {
 	e.once.Do(func() { close(e.stopped) })
-	if e.server != nil {
-		_ = e.server.Shutdown()
-	}
+	e.server.Close()
+}
+
+// Kill ends the engine as a crash does.
+func (e *Engine) Kill() {
+	e.once.Do(func() { close(e.stopped) })
+	e.server.Kill()
 }
 
 // SetFaults replaces the faults.
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -8,6 +8,7 @@
 
 	"spanrill"
 	"spanrill/standin/model"
+	"spanrill/standin/web"
 )
 
 // prefillChunk is the number of positions in one prefill step.
@@ -44,7 +45,7 @@
 // refuseRun says that nothing ran.
 func (e *Engine) refuseRun(ctx *fasthttp.RequestCtx, refusal *spanrill.RunError) {
 	ctx.SetStatusCode(fasthttp.StatusConflict)
-	writeJSON(ctx, spanrill.RunEvent{Error: refusal})
+	web.WriteJSON(ctx, spanrill.RunEvent{Error: refusal})
 }
 
 func (e *Engine) newGeneration(req *spanrill.RunRequest) (*generation, *spanrill.RunError) {
@@ -189,7 +190,7 @@
 
 func (s *sender) token(ev spanrill.RunEvent, e *Engine) bool {
 	if f := s.faults; f.DieAtToken > 0 && ev.Index == f.DieAtToken {
-		go e.Close()
+		go e.Kill()
 		return false
 	}
 	if s.faults.EndEarly > 0 && ev.Index == s.faults.EndEarly {
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -10,6 +10,7 @@
 
 	"spanrill"
 	"spanrill/standin/model"
+	"spanrill/standin/web"
 )
 
 func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
@@ -20,22 +21,20 @@
 	case path == "/v1/stage":
 		e.serveStage(ctx)
 	case path == "/v1/status":
-		writeJSON(ctx, e.status())
+		web.WriteJSON(ctx, e.status())
 	case path == "/v1/cache-events":
 		e.serveCacheEvents(ctx)
 	case path == "/v1/orders" && ctx.IsPost():
 		e.serveOrder(ctx)
 	case path == "/v1/orders":
-		writeJSON(ctx, e.Orders())
+		web.WriteJSON(ctx, e.Orders())
 	case strings.HasPrefix(path, "/v1/kv/"):
 		e.serveKV(ctx, path[len("/v1/kv/"):])
 	case path == "/faults":
 		var f Faults
-		if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-			return
+		if web.ReadJSON(ctx, &f) {
+			e.SetFaults(f)
 		}
-		e.SetFaults(f)
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
@@ -43,11 +42,9 @@
 
 func (e *Engine) serveStage(ctx *fasthttp.RequestCtx) {
 	op := &stageOp{}
-	if err := json.Unmarshal(ctx.PostBody(), op); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
+	if web.ReadJSON(ctx, op) {
+		web.WriteJSON(ctx, e.stage(op))
 	}
-	writeJSON(ctx, e.stage(op))
 }
 
 func (e *Engine) serveCacheEvents(ctx *fasthttp.RequestCtx) {
@@ -60,7 +57,7 @@
 			fresh = append(fresh, ev)
 		}
 	}
-	writeJSON(ctx, fresh)
+	web.WriteJSON(ctx, fresh)
 }
 
 // kvState is a stream's KV as it is exported and imported.
@@ -79,7 +76,7 @@
 		return
 	}
 	if !ctx.IsPost() {
-		writeJSON(ctx, kvState{Layers: s.layers, Pos: s.pos, KV: s.kv})
+		web.WriteJSON(ctx, kvState{Layers: s.layers, Pos: s.pos, KV: s.kv})
 		return
 	}
 	var in kvState
@@ -156,10 +153,3 @@
 		}
 	})
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	ctx.SetContentType("application/json")
-	if err := json.NewEncoder(ctx).Encode(v); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-	}
-}
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -10,7 +10,6 @@
 package faultproxy
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"sync"
@@ -18,6 +17,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"spanrill/standin/web"
 )
 
 // Faults says how the proxy misbehaves. The zero value passes all bytes on.
@@ -60,20 +61,13 @@
 
 // Control takes Faults as JSON with POST on addr.
 func (p *Proxy) Control(addr string) (string, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return "", fmt.Errorf("listen on %s: %w", addr, err)
-	}
-	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+	server := web.New(func(ctx *fasthttp.RequestCtx) {
 		var f Faults
-		if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-			return
+		if web.ReadJSON(ctx, &f) {
+			p.Set(f)
 		}
-		p.Set(f)
-	}}
-	go func() { _ = server.Serve(ln) }()
-	return ln.Addr().String(), nil
+	})
+	return server.Listen(addr)
 }
 
 // Set replaces the faults.
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -20,9 +20,7 @@
 package platform
 
 import (
-	"encoding/json"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +30,7 @@
 	"golang.org/x/time/rate"
 
 	"spanrill"
+	"spanrill/standin/web"
 )
 
 // MaxValue is the largest value the store takes, in bytes.
@@ -77,7 +76,7 @@
 	boxLag  time.Duration
 	writes  *rate.Limiter
 	reads   *rate.Limiter
-	server  *fasthttp.Server
+	server  *web.Server
 	stopped chan struct{}
 }
 
@@ -106,6 +105,7 @@
 // New returns a platform with no objects.
 func New(opts ...Option) *Platform {
 	p := &Platform{objects: map[string]*object{}, stopped: make(chan struct{})}
+	p.server = web.New(p.handle)
 	WithRates(defaultWrites, defaultReads)(p)
 	for _, o := range opts {
 		o(p)
@@ -115,21 +115,13 @@
 
 // Listen serves on addr and returns the address in use.
 func (p *Platform) Listen(addr string) (string, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return "", fmt.Errorf("listen on %s: %w", addr, err)
-	}
-	p.server = &fasthttp.Server{Handler: p.handle, MaxRequestBodySize: 4 * MaxValue, NoDefaultServerHeader: true}
-	go func() { _ = p.server.Serve(ln) }()
-	return ln.Addr().String(), nil
+	return p.server.Listen(addr)
 }
 
 // Close stops serving.
 func (p *Platform) Close() {
 	close(p.stopped)
-	if p.server != nil {
-		_ = p.server.Shutdown()
-	}
+	p.server.Close()
 }
 
 // SetBoxes replaces the box list. It shows after the lag.
@@ -180,15 +172,15 @@
 	path := string(ctx.Path())
 	switch {
 	case path == "/calls":
-		writeJSON(ctx, p.Calls())
+		web.WriteJSON(ctx, p.Calls())
 	case path == "/faults" && ctx.IsPost():
 		var f Faults
-		if readJSON(ctx, &f) {
+		if web.ReadJSON(ctx, &f) {
 			p.SetFaults(f)
 		}
 	case path == "/boxes" && ctx.IsPost():
 		var b []spanrill.Box
-		if readJSON(ctx, &b) {
+		if web.ReadJSON(ctx, &b) {
 			p.SetBoxes(b)
 		}
 	case strings.HasPrefix(path, "/restore/"):
@@ -217,7 +209,7 @@
 	if boxes == nil {
 		boxes = []spanrill.Box{}
 	}
-	writeJSON(ctx, boxes)
+	web.WriteJSON(ctx, boxes)
 }
 
 // failing applies the faults that hold for every call.
@@ -234,18 +226,3 @@
 	}
 	return f.Down || f.FailEvery > 0 && seq%int64(f.FailEvery) == 0
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	ctx.SetContentType("application/json")
-	if err := json.NewEncoder(ctx).Encode(v); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-	}
-}
-
-func readJSON(ctx *fasthttp.RequestCtx, v any) bool {
-	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return false
-	}
-	return true
-}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -15,14 +15,13 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"spanrill"
+	"spanrill/standin/web"
 )
 
 // Faults says how the service misbehaves.
@@ -40,30 +39,24 @@
 	runs   map[string]int
 	faults Faults
 	active int
-	server *fasthttp.Server
+	server *web.Server
 }
 
 // New returns a service that is healthy and has run nothing.
 func New(name string) *Service {
-	return &Service{name: name, runs: map[string]int{}}
+	s := &Service{name: name, runs: map[string]int{}}
+	s.server = web.New(s.handle)
+	return s
 }
 
 // Listen serves on addr and returns the address in use.
 func (s *Service) Listen(addr string) (string, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return "", fmt.Errorf("listen on %s: %w", addr, err)
-	}
-	s.server = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true}
-	go func() { _ = s.server.Serve(ln) }()
-	return ln.Addr().String(), nil
+	return s.server.Listen(addr)
 }
 
 // Close stops serving.
 func (s *Service) Close() {
-	if s.server != nil {
-		_ = s.server.Shutdown()
-	}
+	s.server.Close()
 }
 
 // SetFaults replaces the faults.
@@ -89,14 +82,12 @@
 	case "/status":
 		s.status(ctx)
 	case "/runs":
-		writeJSON(ctx, s.Runs())
+		web.WriteJSON(ctx, s.Runs())
 	case "/faults":
 		var f Faults
-		if err := json.Unmarshal(ctx.PostBody(), &f); err != nil {
-			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-			return
+		if web.ReadJSON(ctx, &f) {
+			s.SetFaults(f)
 		}
-		s.SetFaults(f)
 	default:
 		s.run(ctx)
 	}
@@ -105,7 +96,7 @@
 func (s *Service) status(ctx *fasthttp.RequestCtx) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(ctx, spanrill.UpstreamStatus{
+	web.WriteJSON(ctx, spanrill.UpstreamStatus{
 		Name: s.name, Leaving: s.faults.Leaving, Running: s.active, Slots: serviceSlots,
 	})
 }
@@ -131,7 +122,7 @@
 		ctx.Error("service fault", f.FailStatus)
 		return
 	}
-	writeJSON(ctx, map[string]string{"id": body.ID, "path": string(ctx.Path()), "served_by": s.name})
+	web.WriteJSON(ctx, map[string]string{"id": body.ID, "path": string(ctx.Path()), "served_by": s.name})
 }
 
 func (s *Service) begin(id string) (lose bool, f Faults) {
@@ -151,10 +142,3 @@
 	defer s.mu.Unlock()
 	s.active--
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	ctx.SetContentType("application/json")
-	if err := json.NewEncoder(ctx).Encode(v); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-	}
-}
--- a/state/config/resolve.go
+++ b/state/config/resolve.go
@@ -78,7 +78,6 @@
 	m := b.snapshot.models[use.Model]
 	if m == nil {
 		b.fault(n, field+"/model", "there is no model %q; there are: %s", use.Model, sortedKeys(b.snapshot.models))
-		return
 	}
 	priority := b.integer(n, field+"/priority", r, use.Priority)
 	maxTokens := b.integer(n, field+"/max_tokens", r, use.MaxTokens)
