--- a/cli/spanrillcmd/fleet.go
+++ b/cli/spanrillcmd/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"strings"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"spanrill"
+	"spanrill/coordination/routing"
 	"spanrill/daemon"
 	"spanrill/settings"
 	"spanrill/transport/httpcall"
@@ -185,6 +187,63 @@
 	return missing
 }
 
+// adminFlag names one daemon's admin address.
+func adminFlag() cli.Flag {
+	return &cli.StringFlag{Name: "admin", Required: true, Usage: "the daemon's admin `ADDR`"}
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "show why a request of an account would go where",
+		Description: "spanrill explain --admin 10.0.0.1:8081 --account rucher --model apiary-advice",
+		Flags: []cli.Flag{
+			adminFlag(),
+			&cli.StringFlag{Name: "account", Required: true, Usage: "the client account's `NAME`"},
+			&cli.StringFlag{Name: "model", Required: true, Usage: "the model's `NAME`"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			query := url.Values{"account": {c.String("account")}, "model": {c.String("model")}}
+			var e routing.Explanation
+			if err := admin(ctx, c.String("admin"), fasthttp.MethodGet, "/explain?"+query.Encode(), &e); err != nil {
+				return err
+			}
+			if c.Bool(flagJSON) {
+				return printJSON(c, e)
+			}
+			showExplanation(c, e)
+			return nil
+		},
+	}
+}
+
+func showExplanation(c *cli.Command, e routing.Explanation) {
+	printf(c, "policy %s, chain %s\n", e.Policy, strings.Join(e.Chain, ","))
+	for i, stage := range e.Stages {
+		printf(c, "\nstage %d\n%-16s %-14s %-9s %8s %10s %6s %8s %10s  %s\n", i+1,
+			"ENGINE", "ZONE", "LAYERS", "LOAD", "US/TOKEN", "SLOW", "LINK US", "SCORE", "")
+		for _, k := range stage {
+			layers := fmt.Sprintf("%d-%d", k.From, k.To)
+			printf(c, "%-16s %-14s %-9s %8.1f %10.1f %6.1f %8d %10.1f  %s\n",
+				k.Engine, k.Zone, layers, k.Load, k.Micros, k.Slow, k.Link, k.Score, k.Why)
+		}
+	}
+}
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "drain", Usage: "start the planned stop of one daemon",
+		Description: "spanrill drain --admin 10.0.0.1:8081",
+		Flags:       []cli.Flag{adminFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := admin(ctx, c.String("admin"), fasthttp.MethodPost, "/drain", nil); err != nil {
+				return err
+			}
+			printf(c, "draining\n")
+			return nil
+		},
+	}
+}
+
 func settingsCommand() *cli.Command {
 	return &cli.Command{
 		Name: "settings", Usage: "settings of spanrilld",
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -9,6 +9,9 @@
 	"github.com/valyala/fasthttp/pprofhandler"
 
 	"spanrill"
+	"spanrill/coordination/routing"
+	"spanrill/protocol/callerapi"
+	"spanrill/state/load"
 )
 
 // Status is what a daemon says of itself on its admin address.
@@ -48,6 +51,8 @@
 //	GET  /readyz    the daemon should get requests
 //	GET  /metrics   counters
 //	GET  /status    a Status
+//	GET  /requests  the generations that ended last
+//	GET  /explain   why a request of an account would go where
 //	POST /drain     starts a planned stop
 func (d *Daemon) adminRoutes(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
@@ -61,6 +66,10 @@
 		d.meters.Write(ctx)
 	case path == "/status":
 		serveJSON(ctx, d.Status())
+	case path == "/requests":
+		serveJSON(ctx, d.Recent())
+	case path == "/explain":
+		d.serveExplain(ctx)
 	case path == "/drain" && ctx.IsPost():
 		d.Stop()
 		ctx.SetStatusCode(fasthttp.StatusAccepted)
@@ -94,6 +103,36 @@
 	return nil
 }
 
+// Recent returns the generations that ended last, newest first.
+func (d *Daemon) Recent() []callerapi.Finished { return d.api.Recent() }
+
+// serveExplain answers for the query arguments account and model.
+func (d *Daemon) serveExplain(ctx *fasthttp.RequestCtx) {
+	account, model := string(ctx.QueryArgs().Peek("account")), string(ctx.QueryArgs().Peek("model"))
+	snapshot := d.follower.Current()
+	if snapshot == nil {
+		ctx.Error("no configuration yet", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	grant := snapshot.Account(account)
+	if grant == nil {
+		ctx.Error("no client account "+account, fasthttp.StatusNotFound)
+		return
+	}
+	use := grant.Model(model)
+	if use == nil {
+		ctx.Error("client account "+account+" has no model "+model, fasthttp.StatusNotFound)
+		return
+	}
+	m := use.Model()
+	index := d.table.View().Model(load.ModelKey{Model: m.Name, Version: m.Version, Site: use.Site().Name})
+	if index == nil {
+		ctx.Error("no engine holds model "+model, fasthttp.StatusNotFound)
+		return
+	}
+	serveJSON(ctx, d.router.Explain(index, &routing.Query{Layers: m.Layers}))
+}
+
 // Status returns what the daemon says of itself.
 func (d *Daemon) Status() Status {
 	s := Status{
--- a/protocol/callerapi/inference.go
+++ b/protocol/callerapi/inference.go
@@ -153,6 +153,7 @@
 	result, refusal := in.server.Runner.Run(ctx, in.request, answer)
 	cancel()
 	<-watch.Done()
+	in.finished(result, refusal)
 	if refusal != nil {
 		in.release(0)
 		in.refuse(refusal)
--- a/protocol/callerapi/server.go
+++ b/protocol/callerapi/server.go
@@ -33,6 +33,7 @@
 	"spanrill/coordination/pipeline"
 	"spanrill/events"
 	"spanrill/meter"
+	"spanrill/ring"
 	"spanrill/rng"
 	"spanrill/state/config"
 	"spanrill/task"
@@ -91,11 +92,12 @@
 	draining atomic.Bool
 	inFlight atomic.Int64
 	streams  task.Group
+	recent   *ring.Ring[Finished]
 }
 
 // New returns a server.
 func New(parts Parts, limits Limits) *Server {
-	s := &Server{Parts: parts, limits: limits, ctx: context.Background()}
+	s := &Server{Parts: parts, limits: limits, ctx: context.Background(), recent: ring.New[Finished](recentKept)}
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		ErrorHandler:          s.transportError,
--- a/protocol/callerapi/stream.go
+++ b/protocol/callerapi/stream.go
@@ -43,6 +43,7 @@
 	in.server.streams.Start(ctx, "stream", func(ctx context.Context) error {
 		defer close(sink.done)
 		sink.result, sink.failed = in.server.Runner.Run(ctx, in.request, sink)
+		in.finished(sink.result, sink.failed)
 		return nil
 	})
 	first, ok := sink.next()
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,146 @@
+package settings
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"spanrill/checked"
+)
+
+func TestExampleIsRight(t *testing.T) {
+	data, err := Example().JSON()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Parse("example.json", data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(s, Example()) {
+		t.Fatalf("read back as %+v", s)
+	}
+}
+
+const tenMistakes = `{
+  "name": "entry 1",
+  "availability_zone": "",
+  "listen": "localhost:8080",
+  "admin_listen": 8081,
+  "platform": "10.0.9.1:7000",
+  "fleet_secret": "short",
+  "routing_policy": "best",
+  "limits": {"body_bytes": 1, "queue": -1},
+  "drain": {"notice": 5},
+  "log": {"level": "loud"}
+}`
+
+// Every mistake is reported at once, each with its field, its line and what is
+// allowed.
+func TestTenMistakesAreReportedAtOnce(t *testing.T) {
+	_, err := Parse("bad.json", []byte(tenMistakes))
+	var problems checked.Problems
+	if !errors.As(err, &problems) {
+		t.Fatalf("got %v", err)
+	}
+	want := []struct {
+		field string
+		line  int
+		text  string
+	}{
+		{"/", 1, "peer_listen"},
+		{"/name", 2, "letters, digits"},
+		{"/availability_zone", 3, ""},
+		{"/listen", 4, "an IP number and a port"},
+		{"/admin_listen", 5, "an IP number and a port"},
+		{"/fleet_secret", 7, "16 to 256 characters"},
+		{"/routing_policy", 8, "round-robin"},
+		{"/limits/body_bytes", 9, "1024"},
+		{"/limits/queue", 9, "0 to 1000000"},
+		{"/drain/notice", 10, "notice_ms"},
+		{"/log/level", 11, "debug, info"},
+	}
+	for _, w := range want {
+		if !reported(problems, w.field, w.line, w.text) {
+			t.Errorf("no problem at %s in line %d naming %q in:\n%v", w.field, w.line, w.text, err)
+		}
+	}
+	if len(problems) != len(want) {
+		t.Errorf("%d problems, want %d:\n%v", len(problems), len(want), err)
+	}
+}
+
+func reported(ps checked.Problems, field string, line int, text string) bool {
+	for _, p := range ps {
+		if p.Field == field && p.Line == line && strings.Contains(p.Text, text) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestBrokenJSONNamesThePlace(t *testing.T) {
+	_, err := Parse("bad.json", []byte("{\n  \"name\": \"x\",\n  oops\n}"))
+	if err == nil || !strings.HasPrefix(err.Error(), "bad.json:3:") {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// The schema is the reference of settings, so that it must know each field of
+// the structure and no other.
+func TestSchemaAndStructureAgree(t *testing.T) {
+	var schema map[string]any
+	if err := json.Unmarshal(schemaJSON, &schema); err != nil {
+		t.Fatal(err)
+	}
+	compare(t, "", schema, reflect.TypeFor[Settings]())
+}
+
+func compare(t *testing.T, path string, schema map[string]any, s reflect.Type) {
+	t.Helper()
+	properties, _ := schema["properties"].(map[string]any)
+	for i := range s.NumField() {
+		name := s.Field(i).Tag.Get("json")
+		inner, ok := properties[name].(map[string]any)
+		if !ok {
+			t.Errorf("the schema lacks %s/%s", path, name)
+			continue
+		}
+		delete(properties, name)
+		if s.Field(i).Type.Kind() == reflect.Struct {
+			compare(t, path+"/"+name, inner, s.Field(i).Type)
+		}
+	}
+	for name := range properties {
+		t.Errorf("the structure lacks %s/%s", path, name)
+	}
+}
+
+// FuzzParse feeds the parser anything. It must not panic, and what it accepts
+// must read back as itself.
+func FuzzParse(f *testing.F) {
+	example, err := Example().JSON()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(example)
+	f.Add([]byte(tenMistakes))
+	f.Add([]byte("{"))
+	f.Add([]byte("null"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("fuzz.json", data)
+		if err != nil {
+			return
+		}
+		again, err := s.JSON()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse("again.json", again); err != nil {
+			t.Fatalf("accepted %s and then refused %s: %v", data, again, err)
+		}
+	})
+}
