Answer bad input clearly and go on

Cause: bad input was unproved; a body over the limit was reset before its answer could be read, and the tool printed stack traces for wrong arguments. Before: 'connection reset by peer' in place of 413.

--- a/cli/spanrillcmd/config.go
+++ b/cli/spanrillcmd/config.go
@@ -37,7 +37,7 @@
 		Action: func(ctx context.Context, c *cli.Command) error {
 			match, err := matcher(c.Args().First())
 			if err != nil {
-				return cli.Exit(err, exitBadInput)
+				return cli.Exit(err.Error(), exitBadInput)
 			}
 			head, docs, err := readAll(ctx, c)
 			if err != nil {
@@ -275,7 +275,7 @@
 		Action: func(_ context.Context, c *cli.Command) error {
 			k, err := config.ParseKind(c.Args().First())
 			if err != nil {
-				return cli.Exit(err, exitBadInput)
+				return cli.Exit(err.Error(), exitBadInput)
 			}
 			printf(c, "%s", config.Schema(k).Raw())
 			return nil
--- a/cli/spanrilldcmd/main.go
+++ b/cli/spanrilldcmd/main.go
@@ -58,7 +58,7 @@
 func run(ctx context.Context, c *cli.Command) error {
 	s, err := settings.Load(c.String("settings"))
 	if err != nil {
-		return cli.Exit(err, exitBadSettings)
+		return cli.Exit(err.Error(), exitBadSettings)
 	}
 	if c.Bool("check") {
 		fmt.Fprintln(c.Root().Writer, "settings are right")
@@ -66,7 +66,7 @@
 	}
 	log, err := newLogger(s.Log)
 	if err != nil {
-		return cli.Exit(err, exitBadSettings)
+		return cli.Exit(err.Error(), exitBadSettings)
 	}
 	d, err := daemon.New(s, daemon.WithLogger(log))
 	if err != nil {
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -51,8 +51,9 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"await":  awaitCommand,
-			"expand": expandCommand,
+			"await":   awaitCommand,
+			"expand":  expandCommand,
+			"replace": replaceCommand,
 		},
 	})
 }
@@ -110,6 +111,20 @@
 	}
 }
 
+// replaceCommand replaces a text in a file, which must hold it.
+//
+//	replace OLD NEW FILE
+func replaceCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: replace OLD NEW FILE")
+	}
+	text := ts.ReadFile(args[2])
+	if !strings.Contains(text, args[0]) {
+		ts.Fatalf("%s does not hold %q", args[2], args[0])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[2]), []byte(strings.ReplaceAll(text, args[0], args[1])), 0o600))
+}
+
 // callMain sends one HTTP request and prints the status, the headers of
 // spanrill and the body.
 //
--- a/protocol/callerapi/server.go
+++ b/protocol/callerapi/server.go
@@ -186,6 +186,7 @@
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		linger(ctx.Conn())
 		c.refuse(spanrill.NewRefusal(spanrill.ReasonBodyTooLarge, "the body is larger than %d bytes", s.limits.BodyBytes))
 	case errors.As(err, &small):
 		c.refuse(spanrill.NewRefusal(spanrill.ReasonHeadersTooLarge, "the headers are larger than %d bytes", s.limits.HeaderBytes))
