--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -24,6 +24,7 @@
 	EditID    string           `json:"edit_id"`
 	InFlight  int64            `json:"in_flight"`
 	Policy    string           `json:"routing_policy"`
+	Placement uint64           `json:"placement_term,omitempty"` // term of the placement lease, if held
 	Running   int              `json:"running"`
 	Waiting   int              `json:"waiting"`
 	Peers     []string         `json:"peers"` // daemons alive, this one included
@@ -146,6 +147,9 @@
 		s.Why = err.Error()
 	}
 	s.Ready = s.Why == ""
+	if l := d.lease.Load(); l != nil {
+		s.Placement, _ = l.Held()
+	}
 	s.Running, s.Waiting = d.gate.Depth()
 	for _, m := range d.peers.list.Live() {
 		s.Peers = append(s.Peers, m.Name)
@@ -155,7 +159,7 @@
 		us := UpstreamStatus{
 			Name: u.Name(), Addr: u.Addr(), Zone: u.Zone(), Service: u.Service(),
 			InFlight: u.InFlight(), Load: u.Load(now), Slow: u.Slow(now),
-			Leaving: u.Leaving(), Ejected: u.Ejected(now),
+			Leaving: d.table.Leaving(u), Ejected: u.Ejected(now),
 		}
 		if r := u.Report(); r != nil {
 			us.Model, us.Layers = r.Model, r.Layers
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"spanrill/coordination/admission"
 	"spanrill/coordination/claim"
 	"spanrill/coordination/dispatch"
+	"spanrill/coordination/lease"
 	"spanrill/coordination/observe"
 	"spanrill/coordination/pipeline"
 	"spanrill/coordination/routing"
@@ -60,6 +61,8 @@
 	keeper   *claim.Keeper
 	api      *callerapi.Server
 	peers    *peers
+	engines  spanrill.Engines
+	lease    atomic.Pointer[lease.Lease] // of the placement of this daemon's site
 
 	callers  net.Listener
 	admin    net.Listener
@@ -128,6 +131,7 @@
 	d.follower = config.NewFollower(d.platform, config.WithClock(d.clock), config.WithLogger(d.log),
 		config.WithJitter(d.jitter), config.WithOnChange(d.configChanged), config.WithWatches(d.peers.watches))
 	engines, services := engineapi.New(d.http), serviceapi.New(d.http)
+	d.engines = engines
 	d.observer = observe.New(d.platform, engines, services, d.table, d.clock, observe.WithLogger(d.log),
 		observe.WithShare(d.peers), observe.WithOnBoxes(d.peers.setBoxes), observe.WithFallback(d.peers),
 		observe.WithGaps(d.settings.Observe.Boxes, d.settings.Observe.Status))
@@ -237,6 +241,7 @@
 		"admin":         d.serveAdmin,
 		"readiness":     d.awaitReady,
 		"peers":         d.peers.run,
+		"placement":     d.place,
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,7 @@
 	Listen        string   `json:"listen"`
 	AdminListen   string   `json:"admin_listen"`
 	PeerListen    string   `json:"peer_listen"`
+	PeerAdvertise string   `json:"peer_advertise"`
 	Platform      string   `json:"platform"`
 	FleetSecret   string   `json:"fleet_secret"`
 	Peers         []string `json:"peers"`
@@ -47,6 +48,7 @@
 	Drain         Drain    `json:"drain"`
 	Observe       Observe  `json:"observe"`
 	Log           Log      `json:"log"`
+	Placement     bool     `json:"placement"`
 	Pprof         bool     `json:"pprof"`
 }
 
@@ -94,10 +96,11 @@
 			BodyBytes: 4 << 20, HeaderBytes: 16 << 10, StreamTokens: 32768,
 			Queue: 1024, QueueWait: 2 * spanrill.Second,
 		},
-		Waits:   Waits{FirstToken: 5 * spanrill.Second, Token: 2 * spanrill.Second, Service: 10 * spanrill.Second},
-		Drain:   Drain{Notice: 3 * spanrill.Second, Finish: 5 * spanrill.Minute},
-		Observe: Observe{Boxes: spanrill.Second, Status: 500, Observers: 2},
-		Log:     Log{Level: "info", Format: "json"},
+		Waits:     Waits{FirstToken: 5 * spanrill.Second, Token: 2 * spanrill.Second, Service: 10 * spanrill.Second},
+		Drain:     Drain{Notice: 3 * spanrill.Second, Finish: 5 * spanrill.Minute},
+		Observe:   Observe{Boxes: spanrill.Second, Status: 500, Observers: 2},
+		Placement: true,
+		Log:       Log{Level: "info", Format: "json"},
 	}
 }
 
@@ -120,6 +123,14 @@
 	return s, nil
 }
 
+// PeerAddr returns the address that peers reach this daemon by.
+func (s Settings) PeerAddr() string {
+	if s.PeerAdvertise != "" {
+		return s.PeerAdvertise
+	}
+	return s.PeerListen
+}
+
 // Load reads settings from a file.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
--- a/state/config/snapshot.go
+++ b/state/config/snapshot.go
@@ -42,6 +42,20 @@
 // Models returns all models by name. The map must not be changed.
 func (s *Snapshot) Models() map[string]*Model { return s.models }
 
+// ModelsAt returns the models that accounts use at a site, each with the
+// highest priority of those accounts.
+func (s *Snapshot) ModelsAt(site string) map[string]int {
+	used := map[string]int{}
+	for _, g := range s.accounts {
+		for name, m := range g.models {
+			if m.site.Name == site {
+				used[name] = max(used[name], m.priority)
+			}
+		}
+	}
+	return used
+}
+
 // Account returns what the client account may do, or nil.
 func (s *Snapshot) Account(name string) *Grant { return s.accounts[name] }
 
--- a/state/load/table.go
+++ b/state/load/table.go
@@ -113,6 +113,18 @@
 	return all
 }
 
+// Leaving reports whether an upstream gets no new work because it is leaving,
+// by its own word or by the box list.
+func (t *Table) Leaving(u *Upstream) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isLeaving(u)
+}
+
+func (t *Table) isLeaving(u *Upstream) bool {
+	return u.leaving.Load() || t.boxes[u.name].State == spanrill.BoxLeaving
+}
+
 // Upstream returns the upstream of that name, or nil.
 func (t *Table) Upstream(name string) *Upstream {
 	t.mu.Lock()
@@ -174,11 +186,10 @@
 // usable returns the upstreams that may get new work. The caller holds the lock.
 func (t *Table) usable() []*Upstream {
 	var usable []*Upstream
-	for name, u := range t.upstreams {
-		if u.leaving.Load() || t.boxes[name].State == spanrill.BoxLeaving {
-			continue
+	for _, u := range t.upstreams {
+		if !t.isLeaving(u) {
+			usable = append(usable, u)
 		}
-		usable = append(usable, u)
 	}
 	return usable
 }
--- a/state/load/upstream.go
+++ b/state/load/upstream.go
@@ -157,6 +157,3 @@
 
 // LinkMicros returns the smoothed time on the link into the upstream.
 func (u *Upstream) LinkMicros() int64 { return u.linkMicros.Load() }
-
-// Leaving reports whether the upstream itself said that it is leaving.
-func (u *Upstream) Leaving() bool { return u.leaving.Load() }
