--- /dev/null
+++ b/bench/overhead.go
@@ -0,0 +1,152 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"spanrill"
+	"spanrill/scene"
+)
+
+// Overhead compares calls through a daemon with direct ones, in milliseconds.
+type Overhead struct {
+	Name      string  `json:"name"`
+	DirectP50 float64 `json:"direct_p50"`
+	DirectP99 float64 `json:"direct_p99"`
+	RoutedP50 float64 `json:"routed_p50"`
+	RoutedP99 float64 `json:"routed_p99"`
+	AddedP50  float64 `json:"added_p50"`
+	AddedP99  float64 `json:"added_p99"`
+}
+
+// MeasureOverhead calls the same stand-ins directly and through a daemon, in
+// turn and one at a time.
+func MeasureOverhead(ctx context.Context, calls int) ([]Overhead, error) {
+	spec := scene.Demo()
+	spec.Daemons = 1
+	s, err := scene.Start(ctx, spec)
+	if err != nil {
+		return nil, fmt.Errorf("start scene: %w", err)
+	}
+	defer s.Close()
+	o := &overhead{scene: s, calls: calls, client: &http.Client{}}
+	service, err := o.compare(ctx, "plain service call", o.directService, o.routedService)
+	if err != nil {
+		return nil, err
+	}
+	chain, err := o.compare(ctx, "answer of one token", o.directRun, o.routedRun)
+	if err != nil {
+		return nil, err
+	}
+	return []Overhead{service, chain}, nil
+}
+
+type overhead struct {
+	scene  *scene.Scene
+	calls  int
+	client *http.Client
+}
+
+func (o *overhead) compare(ctx context.Context, name string, direct, routed func(context.Context, int) error) (Overhead, error) {
+	d, r := newHistogram(), newHistogram()
+	for i := range o.calls + o.calls/10 {
+		for _, m := range []struct {
+			call func(context.Context, int) error
+			into *hdrhistogram.Histogram
+		}{{direct, d}, {routed, r}} {
+			started := time.Now()
+			if err := m.call(ctx, i); err != nil {
+				return Overhead{}, fmt.Errorf("%s: %w", name, err)
+			}
+			if i >= o.calls/10 { // the first ones warm up
+				record(m.into, time.Since(started))
+			}
+		}
+	}
+	v := Overhead{
+		Name:      name,
+		DirectP50: percentile(d, 50), DirectP99: percentile(d, 99),
+		RoutedP50: percentile(r, 50), RoutedP99: percentile(r, 99),
+	}
+	v.AddedP50, v.AddedP99 = v.RoutedP50-v.DirectP50, v.RoutedP99-v.DirectP99
+	return v, nil
+}
+
+func (o *overhead) post(ctx context.Context, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+scene.KeyPrefix+o.scene.Spec().Accounts[0].Name)
+	resp, err := o.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("send request: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func (o *overhead) directService(ctx context.Context, i int) error {
+	return o.post(ctx, "http://"+o.scene.Addr("readings-1")+"/readings", fmt.Appendf(nil, `{"id":"direct-%d"}`, i))
+}
+
+func (o *overhead) routedService(ctx context.Context, i int) error {
+	return o.post(ctx, o.scene.URL(0)+"/services/readings/readings", fmt.Appendf(nil, `{"id":"routed-%d"}`, i))
+}
+
+func (o *overhead) chatBody(i int) []byte {
+	return fmt.Appendf(nil, `{"model":%q,"seed":1,"max_tokens":1,"messages":[{"role":"user","content":"hive %d"}]}`,
+		o.scene.Spec().Model.Name, i)
+}
+
+// directRun gives a chain to its first engine, as a daemon does.
+func (o *overhead) directRun(ctx context.Context, i int) error {
+	m := o.scene.Spec().Model
+	run := spanrill.RunRequest{
+		ID: fmt.Sprintf("direct-%d", i), Path: "/v1/chat/completions", Body: o.chatBody(i),
+		Model: m.Name, Version: m.Version, LayerNum: m.Layers, Seed: 1, MaxTokens: 1, Chain: o.chain(),
+	}
+	body, err := json.Marshal(run)
+	if err != nil {
+		return fmt.Errorf("encode run: %w", err)
+	}
+	return o.post(ctx, "http://"+run.Chain[0].Addr+"/v1/run", body)
+}
+
+// chain is made of the first engine that the daemon knows of each stage.
+func (o *overhead) chain() []spanrill.StageRef {
+	var chain []spanrill.StageRef
+	for layer := 0; layer < o.scene.Spec().Model.Layers; {
+		next := layer
+		for _, s := range o.scene.Stages(0) {
+			if s.Layers.From == layer {
+				chain = append(chain, s)
+				next = s.Layers.To
+				break
+			}
+		}
+		if next == layer {
+			return chain
+		}
+		layer = next
+	}
+	return chain
+}
+
+func (o *overhead) routedRun(ctx context.Context, i int) error {
+	return o.post(ctx, o.scene.URL(0)+"/v1/chat/completions", o.chatBody(i))
+}
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -104,6 +104,17 @@
 	return nil
 }
 
+// Stages returns the engines that the daemon knows, as stages of chains.
+func (d *Daemon) Stages() []spanrill.StageRef {
+	var stages []spanrill.StageRef
+	for _, u := range d.table.Upstreams() {
+		if u.Service() == "" && u.Report() != nil {
+			stages = append(stages, u.Stage())
+		}
+	}
+	return stages
+}
+
 // Recent returns the generations that ended last, newest first.
 func (d *Daemon) Recent() []callerapi.Finished { return d.api.Recent() }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -41,6 +41,15 @@
 // String returns the name used in metrics.
 func (r Retry) String() string { return retryNames[r] }
 
+// RetryReasons returns every reason for a retry.
+func RetryReasons() []Retry {
+	all := make([]Retry, retryCount)
+	for r := range retryCount {
+		all[r] = r
+	}
+	return all
+}
+
 // Meters holds the counters of one daemon.
 type Meters struct {
 	set      *metrics.Set
--- a/scene/scene.go
+++ b/scene/scene.go
@@ -168,13 +168,7 @@
 		opts = append(opts, engine.WithModel(s.spec.Model, e.Layers))
 	}
 	v := engine.New(e.Name, opts...)
-	if s.spec.Link != nil {
-		links := map[string]int{}
-		for _, to := range s.spec.Engines {
-			links[to.Name] = int(s.spec.Link(e, to) / time.Microsecond)
-		}
-		v.SetFaults(engine.Faults{LinkMicros: links})
-	}
+	v.SetFaults(engine.Faults{LinkMicros: s.Links(e.Name)})
 	addr, err := v.Listen(s.ip + ":0")
 	if err != nil {
 		return err
@@ -306,9 +300,39 @@
 	return st.Ready && len(st.Peers) == len(s.daemons) && holding >= want
 }
 
+// Links returns the delays of the links from an engine, in microseconds.
+func (s *Scene) Links(name string) map[string]int {
+	links := map[string]int{}
+	if s.spec.Link == nil {
+		return links
+	}
+	for _, from := range s.spec.Engines {
+		if from.Name != name {
+			continue
+		}
+		for _, to := range s.spec.Engines {
+			links[to.Name] = int(s.spec.Link(from, to) / time.Microsecond)
+		}
+	}
+	return links
+}
+
 // URL returns the address that callers of a daemon use.
 func (s *Scene) URL(i int) string { return "http://" + s.daemons[i].settings.Listen }
 
+// Addr returns the address of an upstream.
+func (s *Scene) Addr(name string) string {
+	for _, b := range s.boxes {
+		if b.Name == name {
+			return b.Addr
+		}
+	}
+	return ""
+}
+
+// Stages returns the engines that a daemon knows, as stages of chains.
+func (s *Scene) Stages(i int) []spanrill.StageRef { return s.daemons[i].Stages() }
+
 // Daemons returns the daemons.
 func (s *Scene) Daemons() []*Daemon { return s.daemons }
 
--- a/scene/scenes.go
+++ b/scene/scenes.go
@@ -9,11 +9,13 @@
 	"spanrill/standin/model"
 )
 
-// The kinds of accelerators of the scenes. They differ fourfold in speed.
+// The kinds of accelerators of the scenes. They differ fivefold in speed. Their
+// batches are small, so that a whole fleet runs on one machine and the engines,
+// not the machine, are what limits it.
 var (
-	large = engine.Speed{Kind: "l1", Slots: 16, Step: 6 * time.Millisecond, TokenLayer: 20 * time.Microsecond, MemLayers: 16}
-	mid   = engine.Speed{Kind: "m1", Slots: 8, Step: 8 * time.Millisecond, TokenLayer: 50 * time.Microsecond, MemLayers: 12}
-	small = engine.Speed{Kind: "s1", Slots: 6, Step: 10 * time.Millisecond, TokenLayer: 80 * time.Microsecond, MemLayers: 8}
+	large = engine.Speed{Kind: "l1", Slots: 6, Step: 6 * time.Millisecond, TokenLayer: 20 * time.Microsecond, MemLayers: 16}
+	mid   = engine.Speed{Kind: "m1", Slots: 3, Step: 8 * time.Millisecond, TokenLayer: 50 * time.Microsecond, MemLayers: 12}
+	small = engine.Speed{Kind: "s1", Slots: 2, Step: 10 * time.Millisecond, TokenLayer: 80 * time.Microsecond, MemLayers: 8}
 )
 
 var thirds = []spanrill.LayerRange{{From: 0, To: 8}, {From: 8, To: 16}, {From: 16, To: 24}}
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -86,9 +86,19 @@
 		}
 		break
 	}
+	if waitOf(ctx) > 0 && p.watchesDead() {
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
 	p.answer(ctx, key, known)
 }
 
+func (p *Platform) watchesDead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults.FreezeWatch
+}
+
 func (p *Platform) watch(key, known string) (<-chan struct{}, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/state/config/config_test.go
+++ b/state/config/config_test.go
@@ -199,6 +199,7 @@
 		{"stale reads and lost answers", platform.Faults{StaleReads: 2, LoseAnswers: 4}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(t)
 			w.commit(baseDocs())
 			w.commit(map[Name]json.RawMessage{account(0): accountDoc(account(0), "keeper")})
@@ -210,7 +211,8 @@
 				accepted[n] = err == nil
 			}
 			w.platform.SetFaults(platform.Faults{})
-			_, docs := w.read()
+			head, docs := w.read()
+			w.checkHistory(head)
 			for n, told := range accepted {
 				if there := docs[n] != nil; there != told {
 					t.Errorf("%s: told accepted %v, is there %v", n, told, there)
@@ -220,6 +222,18 @@
 	}
 }
 
+// checkHistory fails the test if an edit was accepted twice.
+func (w *world) checkHistory(head *Head) {
+	w.t.Helper()
+	seen := map[string]bool{}
+	for _, e := range head.Recent {
+		if seen[e.EditID] {
+			w.t.Errorf("edit %s was accepted twice", e.EditID)
+		}
+		seen[e.EditID] = true
+	}
+}
+
 func (w *world) read() (*Head, Documents) {
 	w.t.Helper()
 	head, _, err := ReadHead(context.Background(), w.store())
@@ -233,6 +247,22 @@
 	return head, docs
 }
 
+// A peer that offers an older head does not take a daemon back.
+func TestOlderHeadOfAPeerIsIgnored(t *testing.T) {
+	w := newWorld(t)
+	w.commit(baseDocs())
+	old, _ := w.read()
+	w.commit(map[Name]json.RawMessage{account(1): accountDoc(account(1), "keeper")})
+	f := w.follow()
+	w.awaitRevision(f, 2)
+	if err := f.Offer(context.Background(), old); err != nil {
+		t.Fatal(err)
+	}
+	if f.Revision() != 2 {
+		t.Fatalf("revision fell to %d", f.Revision())
+	}
+}
+
 // Reads that show an older head do not take a daemon back.
 func TestStaleReadsDoNotRevert(t *testing.T) {
 	w := newWorld(t)
