Balance by this daemon's own requests and let more run at once

Too few requests in flight. A request is on one of three stages at a time, and a batch is full only if as many wait as run. Load reports that are as old as a request lives draw all daemons to the same engine. Change: three requests for each place in a batch; others' requests weigh 0.1, so that work from elsewhere still shows; up to 16 candidates.

--- a/bench/overhead.go
+++ b/bench/overhead.go
@@ -31,7 +31,10 @@
 // turn and one at a time.
 func MeasureOverhead(ctx context.Context, calls int) ([]Overhead, error) {
 	spec := scene.Demo()
-	spec.Daemons = 1
+	spec.Daemons, spec.Engines = 1, spec.Engines[:3]
+	for i := range spec.Engines {
+		spec.Engines[i].Speed.Step = time.Millisecond
+	}
 	s, err := scene.Start(ctx, spec)
 	if err != nil {
 		return nil, fmt.Errorf("start scene: %w", err)
@@ -91,11 +94,12 @@
 		return fmt.Errorf("send request: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
 		return fmt.Errorf("read answer: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("status %d", resp.StatusCode)
+		return errors.Errorf("status %d: %s", resp.StatusCode, answer)
 	}
 	return nil
 }
--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -130,7 +130,7 @@
 
 // headroom is by how much the requests that may run at once exceed what fits
 // into the batches of the engines, so that no batch waits for a request.
-const headroom = 1.25
+const headroom = 3
 
 // capacity returns how many requests of a model this daemon may run at once:
 // what fits into the engines less what others run there by their reports, and
--- a/coordination/routing/leastwork.go
+++ b/coordination/routing/leastwork.go
@@ -14,7 +14,7 @@
 }
 
 // defaultSamples is how many candidates are compared.
-const defaultSamples = 4
+const defaultSamples = 16
 
 // NewLeastWork returns the default policy.
 func NewLeastWork(source *rng.Source) *LeastWork {
--- a/scene/scenes.go
+++ b/scene/scenes.go
@@ -71,11 +71,17 @@
 	return s
 }
 
+// accountLimit is the requests a second that each account of Dakar may send:
+// about a tenth of what the engines can carry.
+const accountLimit = 25
+
 // Dakar is a scene close to that of the Dakar annex: the same fleet under other
-// names, with a few large accounts and one that may send a tenth of what it
-// sends.
+// names, with a limit for each account.
 func Dakar() Spec {
 	s := Quebec()
+	for i := range s.Accounts {
+		s.Accounts[i].Requests = accountLimit
+	}
 	s.Model.Name = "label-reading"
 	rename := map[string]string{"hall-un": "hann", "hall-deux": "plateau", "hall-trois": "fann"}
 	for i, z := range s.Zones {
--- a/state/load/upstream.go
+++ b/state/load/upstream.go
@@ -84,6 +84,8 @@
 // daemons counts half.
 const othersHalfLife = 2 * spanrill.Second
 
+const othersWeight = 0.1
+
 // Load returns the requests that are expected on the upstream now: those of
 // this daemon, and those of others by the last report, which counts less the
 // older it is.
@@ -91,7 +93,7 @@
 	others := float64(u.others.Load())
 	if others > 0 {
 		age := float64(now) - float64(u.reportedAt.Load())
-		others *= math.Exp2(-age / float64(othersHalfLife))
+		others *= othersWeight * math.Exp2(-age/float64(othersHalfLife))
 	}
 	return float64(u.inFlight.Load()) + others
 }
