--- a/bench/load.go
+++ b/bench/load.go
@@ -217,36 +217,45 @@
 	ctx, cancel := context.WithTimeout(ctx, r.opts.Deadline+time.Second)
 	defer cancel()
 	out := r.ask(ctx, a)
-	if a.at < r.opts.Warmup {
-		return
-	}
 	want := ""
 	if out.code == "" {
 		want = model.Text(model.Answer(r.spec, "<user> "+a.prompt, uint64(a.seed), a.tokens))
 	}
-	r.tally.count(a, out, want, r.opts.Deadline)
+	r.tally.count(a, out, want, r.opts)
 }
 
-func (t *Tally) count(a arrival, out outcome, want string, deadline time.Duration) {
+// count takes the end of a request. What was delivered counts by the time at
+// which it was whole, and all else by the time at which it was to be sent: after
+// an overload the answers of the backlog would count for more than was carried.
+func (t *Tally) count(a arrival, out outcome, want string, o Options) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	account := &t.accounts[a.account]
-	t.offered++
-	account.offered++
+	measured := a.at >= o.Warmup
+	if measured {
+		t.offered++
+		account.offered++
+	}
 	switch {
 	case out.code != "":
-		t.failed[out.code]++
-		record(t.refusal, out.whole)
+		if measured {
+			t.failed[out.code]++
+			record(t.refusal, out.whole)
+		}
+		return
 	case out.text != want:
 		t.wrong++
-	case out.whole > deadline:
+		return
+	case out.whole > o.Deadline:
 		t.late++
-	default:
+		return
+	}
+	if end := a.at + out.whole; end >= o.Warmup && end < o.Warmup+o.Duration {
 		t.useful++
 		account.useful++
-		record(account.whole, out.whole)
 	}
-	if out.first > 0 {
+	if measured {
+		record(account.whole, out.whole)
 		record(t.first, out.first)
 	}
 }
--- a/cli/spanrillcmd/bench.go
+++ b/cli/spanrillcmd/bench.go
@@ -28,6 +28,7 @@
 		&cli.StringFlag{Name: "policy", Value: "least-work", Usage: "routing policies, with commas"},
 		&cli.StringFlag{Name: "load", Value: load, Usage: "offered loads as parts of the bound, with commas"},
 		&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "length of each measurement"},
+		&cli.DurationFlag{Name: "warmup", Value: 5 * time.Second, Usage: "time before each measurement"},
 		&cli.IntFlag{Name: "daemons", Usage: "daemons in place of those of the scene"},
 		&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the arrivals and of all choices"},
 		&cli.BoolFlag{Name: "accounts", Usage: "show each account"},
@@ -56,7 +57,7 @@
 }
 
 func optionsOf(c *cli.Command, spec scene.Spec, load float64) bench.Options {
-	o := bench.Options{Load: load, Duration: c.Duration("duration"), Seed: c.Uint64("seed")}
+	o := bench.Options{Load: load, Duration: c.Duration("duration"), Warmup: c.Duration("warmup"), Seed: c.Uint64("seed")}
 	if c.Bool("greedy") {
 		o.Shares = greedyShares(len(spec.Accounts))
 	}
--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		slots += float64(u.Report().Slots)
-		others += u.Load(now) - float64(u.InFlight())
+		others += u.Others(now)
 	}
 	stages := float64(index.Stages(layers))
 	whole := headroom * slots
--- a/state/load/upstream.go
+++ b/state/load/upstream.go
@@ -84,18 +84,26 @@
 // daemons counts half.
 const othersHalfLife = 2 * spanrill.Second
 
+// othersWeight is the weight of other daemons' requests in the expected load.
+// Reports are about as old as a request lives, so that a larger weight draws all
+// daemons to the engine that was idle a while ago.
 const othersWeight = 0.1
 
-// Load returns the requests that are expected on the upstream now: those of
-// this daemon, and those of others by the last report, which counts less the
-// older it is.
-func (u *Upstream) Load(now spanrill.Millis) float64 {
+// Others returns the requests of other daemons by the last report, which counts
+// less the older it is.
+func (u *Upstream) Others(now spanrill.Millis) float64 {
 	others := float64(u.others.Load())
-	if others > 0 {
-		age := float64(now) - float64(u.reportedAt.Load())
-		others *= othersWeight * math.Exp2(-age/float64(othersHalfLife))
+	if others <= 0 {
+		return 0
 	}
-	return float64(u.inFlight.Load()) + others
+	age := float64(now) - float64(u.reportedAt.Load())
+	return others * math.Exp2(-age/float64(othersHalfLife))
+}
+
+// Load returns the requests that are expected on the upstream, for comparing
+// upstreams with one another: those of this daemon, and part of those of others.
+func (u *Upstream) Load(now spanrill.Millis) float64 {
+	return float64(u.inFlight.Load()) + othersWeight*u.Others(now)
 }
 
 // StepMicros returns how long the upstream's report says that one step of one
