--- a/bench/recovery.go
+++ b/bench/recovery.go
@@ -43,6 +43,7 @@
 // until the tokens a second were back.
 func Recovery(ctx context.Context, spec scene.Spec, o Options, fault Fault) (*Report, error) {
 	o = o.withDefaults()
+	o.Steady = true
 	s, err := scene.Start(ctx, spec)
 	if err != nil {
 		return nil, fmt.Errorf("start scene: %w", err)
--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -19,6 +19,7 @@
 	demand  *demand
 	most    int
 	longest spanrill.Millis
+	perSlot float64
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -38,16 +39,24 @@
 	return func(g *Gate) { g.most, g.longest = most, longest }
 }
 
+// WithPerSlot sets how many requests may run at once for each place in the
+// batches of the engines. A request is on one stage at a time, and a batch is
+// full only if as many requests wait for it as run in it.
+func WithPerSlot(n int) Option {
+	return func(g *Gate) { g.perSlot = float64(n) }
+}
+
 const (
 	defaultMost    = 1024
 	defaultLongest = 2 * spanrill.Second
+	defaultPerSlot = 4
 )
 
 // New returns a gate with no requests.
 func New(clock spanrill.Clock, table *load.Table, opts ...Option) *Gate {
 	g := &Gate{
 		clock: clock, table: table, meters: meter.New(), demand: newDemand(),
-		most: defaultMost, longest: defaultLongest,
+		most: defaultMost, longest: defaultLongest, perSlot: defaultPerSlot,
 		accounts: map[string]*account{}, queues: map[load.ModelKey]*queue{},
 	}
 	for _, o := range opts {
@@ -128,10 +137,6 @@
 	return q
 }
 
-// headroom is by how much the requests that may run at once exceed what fits
-// into the batches of the engines, so that no batch waits for a request.
-const headroom = 3
-
 // capacity returns how many requests of a model this daemon may run at once:
 // what fits into the engines less what others run there by their reports, and
 // at least this daemon's equal part.
@@ -150,7 +155,7 @@
 		others += u.Others(now)
 	}
 	stages := float64(index.Stages(layers))
-	whole := headroom * slots
+	whole := g.perSlot * slots
 	return max(1, int(max(whole/float64(g.demand.daemons()), whole-others/max(1, stages))))
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -59,6 +59,7 @@
 	StreamTokens int             `json:"stream_tokens"`
 	Queue        int             `json:"queue"`
 	QueueWait    spanrill.Millis `json:"queue_wait_ms"`
+	PerSlot      int             `json:"requests_per_slot"`
 }
 
 // Waits says how long upstreams may take.
@@ -94,7 +95,7 @@
 		RoutingPolicy: "least-work",
 		Limits: Limits{
 			BodyBytes: 4 << 20, HeaderBytes: 16 << 10, StreamTokens: 32768,
-			Queue: 1024, QueueWait: 2 * spanrill.Second,
+			Queue: 1024, QueueWait: 2 * spanrill.Second, PerSlot: 4,
 		},
 		Waits:     Waits{FirstToken: 5 * spanrill.Second, Token: 2 * spanrill.Second, Service: 10 * spanrill.Second},
 		Drain:     Drain{Notice: 3 * spanrill.Second, Finish: 5 * spanrill.Minute},
