--- a/coordination/claim/claim_test.go
+++ b/coordination/claim/claim_test.go
@@ -14,6 +14,7 @@
 	"spanrill/protocol/objectapi"
 	"spanrill/rng"
 	"spanrill/standin/platform"
+	"spanrill/standin/platform/platformtest"
 	"spanrill/state/record"
 	"spanrill/transport/httpcall"
 )
@@ -29,12 +30,7 @@
 
 func startPlatform(t *testing.T) (*platform.Platform, spanrill.ObjectStore) {
 	t.Helper()
-	p := platform.New(platform.WithRates(10000, 10000))
-	addr, err := p.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(p.Close)
+	p, addr := platformtest.Start(t)
 	return p, objectapi.New(addr, httpcall.New(), objectapi.WithTimeout(300))
 }
 
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -9,12 +9,12 @@
 
 	"spanrill"
 	"spanrill/clock"
+	"spanrill/protocol/engineapi"
 	"spanrill/protocol/objectapi"
 	"spanrill/standin/engine"
 	"spanrill/standin/platform"
+	"spanrill/standin/platform/platformtest"
 	"spanrill/transport/httpcall"
-
-	"spanrill/protocol/engineapi"
 )
 
 const testTime = 15 * spanrill.Second
@@ -28,12 +28,7 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	p := platform.New(platform.WithRates(10000, 10000))
-	addr, err := p.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(p.Close)
+	p, addr := platformtest.Start(t)
 	return &world{t: t, platform: p, addr: addr}
 }
 
--- a/protocol/callerapi/call.go
+++ b/protocol/callerapi/call.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -121,7 +123,7 @@
 
 func (c *call) listModels() {
 	list := modelList{Object: "list", Data: []modelCard{}}
-	for name := range c.grant.Models() {
+	for _, name := range slices.Sorted(maps.Keys(c.grant.Models())) {
 		list.Data = append(list.Data, modelCard{ID: name, Object: "model", OwnedBy: "spanrill"})
 	}
 	c.setOutcome(spanrill.OutcomeRan)
--- a/state/config/config_test.go
+++ b/state/config/config_test.go
@@ -18,6 +18,7 @@
 	"spanrill/clock"
 	"spanrill/protocol/objectapi"
 	"spanrill/standin/platform"
+	"spanrill/standin/platform/platformtest"
 	"spanrill/transport/httpcall"
 )
 
@@ -54,12 +55,7 @@
 
 func newWorld(t *testing.T) *world {
 	t.Helper()
-	p := platform.New(platform.WithRates(100000, 100000))
-	addr, err := p.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(p.Close)
+	p, addr := platformtest.Start(t)
 	return &world{t: t, platform: p, addr: addr}
 }
 
