--- a/cli/spanrilldcmd/main.go
+++ b/cli/spanrilldcmd/main.go
@@ -47,15 +47,19 @@
 			"spanrilld --settings spanrilld.json --check  check the settings and exit\n\n" +
 			"Exit codes: 0 stopped as planned or settings are right, 1 failed, 2 settings are wrong.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Required: true, Usage: "read settings from `FILE`"},
-			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			&cli.StringFlag{Name: "settings", Usage: "read settings from `FILE`", Local: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit", Local: true},
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Action:         run,
+		Commands:       []*cli.Command{gatewayCommand()},
 	}
 }
 
 func run(ctx context.Context, c *cli.Command) error {
+	if c.String("settings") == "" {
+		return cli.Exit("Required flag \"settings\" not set", exitBadSettings)
+	}
 	s, err := settings.Load(c.String("settings"))
 	if err != nil {
 		return cli.Exit(err.Error(), exitBadSettings)
--- /dev/null
+++ b/coordination/chain/chain.go
@@ -0,0 +1,207 @@
+// Package chain reads the chains of a service off the layers that its engines
+// hold.
+//
+// A chain is a series of engines that together hold every layer of the model
+// once. Nothing stores which engine belongs to which chain: every daemon sees
+// the same holdings and reads the same chains off them, and after a crash of
+// all daemons nothing has to be restored.
+//
+// A chain that has lost an engine has holes: ranges that none of its engines
+// holds.
+//
+// # Usage
+//
+//	chains, spares := chain.Read(model.Layers, holders)
+package chain
+
+import (
+	"sort"
+
+	"spanrill"
+)
+
+// Holder is an engine and the layers it holds.
+type Holder struct {
+	ID     string
+	Zone   string
+	Layers spanrill.LayerRange
+}
+
+// Chain is a series of holders in the order of their layers.
+type Chain struct {
+	parts  []Holder
+	layers int
+}
+
+// Parts returns the holders in order. The slice must not be changed.
+func (c *Chain) Parts() []Holder { return c.parts }
+
+// Covered returns how many layers the chain's engines hold.
+func (c *Chain) Covered() int {
+	n := 0
+	for _, p := range c.parts {
+		n += p.Layers.Len()
+	}
+	return n
+}
+
+// Whole reports whether the chain holds every layer.
+func (c *Chain) Whole() bool { return c.Covered() == c.layers }
+
+// Holes returns the ranges that no engine of the chain holds.
+func (c *Chain) Holes() []spanrill.LayerRange {
+	var holes []spanrill.LayerRange
+	at := 0
+	for _, p := range c.parts {
+		if p.Layers.From > at {
+			holes = append(holes, spanrill.LayerRange{From: at, To: p.Layers.From})
+		}
+		at = p.Layers.To
+	}
+	if at < c.layers {
+		holes = append(holes, spanrill.LayerRange{From: at, To: c.layers})
+	}
+	return holes
+}
+
+// Zone returns the availability zone that holds most of the chain.
+func (c *Chain) Zone() string {
+	count := map[string]int{}
+	best := ""
+	for _, p := range c.parts {
+		count[p.Zone] += p.Layers.Len()
+		if best == "" || count[p.Zone] > count[best] {
+			best = p.Zone
+		}
+	}
+	return best
+}
+
+// minShare is the part of the layers, as one in minShare, below which a series
+// of holders is taken for spares and not for a chain with holes.
+const minShare = 4
+
+// Read returns the chains of a model with that many layers, whole ones first,
+// and the holders that belong to none.
+func Read(layers int, holders []Holder) (chains []*Chain, spares []Holder) {
+	r := &reader{layers: layers, left: valid(layers, holders)}
+	for _, zone := range r.zones() {
+		for r.extract(zone, layers) {
+		}
+	}
+	for r.extract("", layers) {
+	}
+	for r.extract("", max(1, layers/minShare)) {
+	}
+	return r.chains, r.left
+}
+
+// valid returns the holders of a range of the model, in a fixed order.
+func valid(layers int, holders []Holder) []Holder {
+	out := make([]Holder, 0, len(holders))
+	for _, h := range holders {
+		if h.Layers.Len() > 0 && h.Layers.From >= 0 && h.Layers.To <= layers {
+			out = append(out, h)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool {
+		a, b := out[i], out[k]
+		if a.Layers.From != b.Layers.From {
+			return a.Layers.From < b.Layers.From
+		}
+		if a.Layers.To != b.Layers.To {
+			return a.Layers.To < b.Layers.To
+		}
+		return a.ID < b.ID
+	})
+	return out
+}
+
+type reader struct {
+	layers int
+	left   []Holder // sorted by valid
+	chains []*Chain
+}
+
+func (r *reader) zones() []string {
+	seen := map[string]bool{}
+	var zones []string
+	for _, h := range r.left {
+		if !seen[h.Zone] {
+			seen[h.Zone] = true
+			zones = append(zones, h.Zone)
+		}
+	}
+	sort.Strings(zones)
+	return zones
+}
+
+// The value of a series: layers count first, then few changes of zone.
+const (
+	layerValue    = 1000
+	crossingValue = 10
+)
+
+// extract takes the best series of holders out of those left, if it covers
+// enough layers. An empty zone allows all zones.
+func (r *reader) extract(zone string, enough int) bool {
+	n := len(r.left)
+	value := make([]int, n)
+	before := make([]int, n)
+	best := -1
+	for i, h := range r.left {
+		before[i] = -1
+		if zone != "" && h.Zone != zone {
+			continue
+		}
+		value[i] = h.Layers.Len() * layerValue
+		for k := range i {
+			g := r.left[k]
+			if g.Layers.To > h.Layers.From || zone != "" && g.Zone != zone {
+				continue
+			}
+			v := value[k] + h.Layers.Len()*layerValue
+			if g.Zone != h.Zone {
+				v -= crossingValue
+			}
+			if v > value[i] {
+				value[i], before[i] = v, k
+			}
+		}
+		if best < 0 || value[i] > value[best] {
+			best = i
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	c := r.series(best, before)
+	if c.Covered() < enough {
+		return false
+	}
+	r.remove(c)
+	r.chains = append(r.chains, c)
+	return true
+}
+
+func (r *reader) series(last int, before []int) *Chain {
+	c := &Chain{layers: r.layers}
+	for i := last; i >= 0; i = before[i] {
+		c.parts = append([]Holder{r.left[i]}, c.parts...)
+	}
+	return c
+}
+
+func (r *reader) remove(c *Chain) {
+	taken := make(map[string]bool, len(c.parts))
+	for _, p := range c.parts {
+		taken[p.ID] = true
+	}
+	left := r.left[:0:0]
+	for _, h := range r.left {
+		if !taken[h.ID] {
+			left = append(left, h)
+		}
+	}
+	r.left = left
+}
--- /dev/null
+++ b/coordination/chainrouting/router.go
@@ -0,0 +1,341 @@
+// Package chainrouting chooses the path of engines that a request takes.
+//
+// A path runs every layer of the model once and in order. It is a chain, or a
+// chain whose holes are bridged by parts of what engines of other chains hold.
+// Chains are read off the holdings (package chain); times and memory come from
+// the cost model (package cost).
+//
+// A path reserves the tokens of its request at each of its engines until it is
+// released, so that the choice counts what is on its way.
+//
+// # Usage
+//
+//	p, err := router.Pick(service, chainrouting.Need{Prompt: 800, Answer: 170, Zone: "hall-un"})
+//	defer p.Release()
+package chainrouting
+
+import (
+	"fmt"
+	"math"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/coordination/chain"
+	"spanrill/coordination/cost"
+	"spanrill/events"
+	"spanrill/state/fleet"
+)
+
+// Errors of Pick.
+var (
+	// ErrNoPath means that the engines that can be used do not hold all layers.
+	ErrNoPath = errors.New("no path covers the model")
+	// ErrNoRoom means that every path is full.
+	ErrNoRoom = errors.New("no path has room")
+)
+
+// Need is what a request needs of a path.
+type Need struct {
+	Prompt int             // tokens
+	Answer int             // tokens that are expected
+	Zone   string          // availability zone of this daemon
+	Avoid  map[string]bool // ids of engines that must not be used
+	Urgent bool            // may use the last part of the memory
+}
+
+// tokens is what is reserved: the prompt, and the part of the answer that a
+// running request holds in the mean.
+func (n Need) tokens() float64 {
+	return float64(n.Prompt) + reservedAnswer*float64(n.Answer)
+}
+
+const (
+	// reservedAnswer is more than the half that is held in the mean, because
+	// long answers run longer.
+	reservedAnswer = 0.75
+	// fill and fillUrgent are the parts of the memory that are used: the
+	// figures of other daemons are a quarter of a second old.
+	fill       = 0.88
+	fillUrgent = 0.96
+	// fullness weighs how full a chain is against its speed: a chain that is
+	// half full counts half as slow again.
+	fullness = 2.0
+	// otherZoneMillis is added for a path whose first engine is in another
+	// availability zone, so that equal paths stay inside one.
+	otherZoneMillis = 20.0
+	// riskWeight makes a path longer by the share of failures of its engines.
+	riskWeight = 3.0
+	// bridgeFactor makes a path with bridges a second choice.
+	bridgeFactor = 1.3
+)
+
+// Router chooses paths.
+type Router struct {
+	table *fleet.Table
+	clock spanrill.Clock
+	log   logrus.FieldLogger
+
+	mu     sync.Mutex
+	models map[string]*spanrill.EngineModel
+	cache  map[string]*layouts
+}
+
+// layouts is the chains of a service in one view.
+type layouts struct {
+	version uint64
+	model   *spanrill.EngineModel
+	chains  []*chain.Chain
+	shape   string
+}
+
+// New returns a router over a table.
+func New(table *fleet.Table, clock spanrill.Clock, log logrus.FieldLogger) *Router {
+	return &Router{table: table, clock: clock, log: log, models: map[string]*spanrill.EngineModel{}, cache: map[string]*layouts{}}
+}
+
+// chains returns the chains of a service as the newest view shows them.
+func (r *Router) chains(service string, m *spanrill.EngineModel, v *fleet.View) []*chain.Chain {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.cache[service]
+	if l != nil && l.version == v.Version() && l.model == m {
+		return l.chains
+	}
+	var holders []chain.Holder
+	for _, u := range v.Of(service) {
+		e := u.Entry()
+		if u.Takes() && e.Layers.Len() > 0 {
+			holders = append(holders, chain.Holder{ID: e.ID, Zone: e.Zone, Layers: e.Layers})
+		}
+	}
+	next := &layouts{version: v.Version(), model: m}
+	next.chains, _ = chain.Read(m.Layers, holders)
+	next.shape = shapeOf(next.chains)
+	if l == nil || l.shape != next.shape {
+		events.ChainsChanged.Log(r.log, logrus.Fields{"service": service, "chains": next.shape, "view": v.Version()})
+	}
+	r.cache[service] = next
+	return next.chains
+}
+
+// shapeOf describes chains for logs: their availability zone, engines and
+// holes.
+func shapeOf(chains []*chain.Chain) string {
+	s := ""
+	for _, c := range chains {
+		s += fmt.Sprintf("%s:%d%v ", c.Zone(), len(c.Parts()), c.Holes())
+	}
+	return s
+}
+
+// Pick returns the path on which the request should end first. The caller
+// releases it.
+func (r *Router) Pick(service string, m *spanrill.EngineModel, need Need) (*Path, error) {
+	v := r.table.View()
+	s := &search{view: v, service: service, model: m, need: need, now: r.clock.Now()}
+	var best []Part
+	bestCost, covered := math.Inf(1), false
+	for _, c := range r.chains(service, m, v) {
+		parts, bridged, ok := s.complete(c)
+		if !ok {
+			continue
+		}
+		covered = true
+		if !s.roomFor(parts) {
+			continue
+		}
+		estimate := s.estimate(parts)
+		if bridged {
+			estimate *= bridgeFactor
+		}
+		if estimate < bestCost {
+			best, bestCost = parts, estimate
+		}
+	}
+	switch {
+	case best != nil:
+	case covered:
+		return nil, ErrNoRoom
+	case s.none != nil:
+		return nil, s.none
+	default:
+		return nil, ErrNoPath
+	}
+	return newPath(best, int64(need.tokens())), nil
+}
+
+// search is one choice.
+type search struct {
+	view    *fleet.View
+	service string
+	model   *spanrill.EngineModel
+	need    Need
+	now     spanrill.Millis
+	none    error
+}
+
+func (s *search) usable(u *fleet.Upstream) bool {
+	return u != nil && u.Takes() && !u.Dead() && !u.Avoided(s.now) && !s.need.Avoid[u.ID()]
+}
+
+// complete turns a chain into a path: parts that cannot be used and holes are
+// bridged.
+func (s *search) complete(c *chain.Chain) (parts []Part, bridged, ok bool) {
+	used := map[string]bool{}
+	kept := make([]Part, 0, len(c.Parts()))
+	for _, p := range c.Parts() {
+		if u := s.view.ByID(p.ID); s.usable(u) {
+			kept = append(kept, Part{Upstream: u, Layers: p.Layers})
+			used[p.ID] = true
+		}
+	}
+	at := 0
+	for _, p := range append(kept, Part{Layers: spanrill.LayerRange{From: s.model.Layers, To: s.model.Layers}}) {
+		if p.Layers.From > at {
+			bridge, err := s.bridge(spanrill.LayerRange{From: at, To: p.Layers.From}, used)
+			if err != nil {
+				if s.none == nil || errors.Is(err, ErrNoRoom) {
+					s.none = err
+				}
+				return nil, false, false
+			}
+			parts, bridged = append(parts, bridge...), true
+		}
+		if p.Upstream != nil {
+			parts = append(parts, p)
+		}
+		at = p.Layers.To
+	}
+	return parts, bridged, len(parts) <= maxParts
+}
+
+// maxParts is the most engines that the platform takes in one path.
+const maxParts = 32
+
+// bridge covers a range with parts of what other engines hold. Used engines
+// are left out, and those taken are added to them.
+func (s *search) bridge(hole spanrill.LayerRange, used map[string]bool) ([]Part, error) {
+	var parts []Part
+	full := false
+	for at := hole.From; at < hole.To; {
+		best, bestTo := (*fleet.Upstream)(nil), at
+		for _, u := range s.view.Of(s.service) {
+			l := u.Entry().Layers
+			if used[u.ID()] || !s.usable(u) || l.From > at || l.To <= at {
+				continue
+			}
+			to := min(l.To, hole.To)
+			if s.free(u) < s.need.tokens()*float64(to-at)/float64(l.Len()) {
+				full = true
+				continue
+			}
+			if to > bestTo || to == bestTo && s.free(u) > s.free(best) {
+				best, bestTo = u, to
+			}
+		}
+		if best == nil && full {
+			return nil, ErrNoRoom
+		}
+		if best == nil {
+			return nil, ErrNoPath
+		}
+		used[best.ID()] = true
+		parts = append(parts, Part{Upstream: best, Layers: spanrill.LayerRange{From: at, To: bestTo}})
+		at = bestTo
+	}
+	return parts, nil
+}
+
+func (s *search) kind(u *fleet.Upstream) spanrill.KindModel { return s.model.Kinds[u.Entry().Kind] }
+
+// capacity is for how many tokens an engine has memory beside its layers.
+func (s *search) capacity(u *fleet.Upstream) float64 {
+	return cost.Capacity(s.model, s.kind(u), u.Entry().Layers.Len())
+}
+
+// free is for how many more tokens an engine has memory.
+func (s *search) free(u *fleet.Upstream) float64 {
+	if u == nil {
+		return 0
+	}
+	part := fill
+	if s.need.Urgent {
+		part = fillUrgent
+	}
+	return part*s.capacity(u) - float64(u.Tokens())
+}
+
+func (s *search) roomFor(parts []Part) bool {
+	if slots := parts[0].Upstream.Entry().Slots; slots > 0 && parts[0].Upstream.Calls() >= int64(slots) {
+		return false
+	}
+	for _, p := range parts {
+		if s.free(p.Upstream) < s.need.tokens()*p.share() {
+			return false
+		}
+	}
+	return true
+}
+
+// estimate is the time that the request is expected to take on a path, made
+// longer by how full the path is.
+func (s *search) estimate(parts []Part) float64 {
+	stages := make([]cost.Stage, len(parts))
+	full, requests := 0.0, 0.0
+	for i, p := range parts {
+		kind := s.kind(p.Upstream)
+		pace := p.Upstream.Pace()
+		kind.Pace *= pace
+		kind.ReadFactor *= pace
+		stages[i] = cost.Stage{Kind: kind, Zone: p.Upstream.Zone(), Layers: p.Layers.Len()}
+		full = max(full, float64(p.Upstream.Tokens())/max(1, s.capacity(p.Upstream)))
+		requests = max(requests, float64(p.Upstream.Tokens())/cost.Tokens(s.model))
+	}
+	answer := max(1, float64(s.need.Answer))
+	millis := cost.PromptMillis(s.model, stages, float64(s.need.Prompt)) + answer*cost.TokenMillis(s.model, stages, requests+1)
+	millis *= 1 + fullness*full*full
+	for _, p := range parts {
+		millis *= 1 + riskWeight*p.Upstream.Risk(s.now)
+	}
+	if parts[0].Upstream.Zone() != s.need.Zone {
+		millis += otherZoneMillis
+	}
+	return millis
+}
+
+// Replace returns a path that keeps the first engine and every other engine of
+// p that can be used, and bridges the rest. The caller releases both.
+func (r *Router) Replace(service string, m *spanrill.EngineModel, p *Path, need Need) (*Path, error) {
+	s := &search{view: r.table.View(), service: service, model: m, need: need, now: r.clock.Now()}
+	s.need.Urgent = true
+	parts := p.Parts()
+	used := map[string]bool{}
+	for _, old := range parts {
+		used[old.Upstream.ID()] = true
+	}
+	next := []Part{parts[0]}
+	for _, old := range parts[1:] {
+		if s.usableRunning(old.Upstream) {
+			next = append(next, old)
+			continue
+		}
+		bridge, err := s.bridge(old.Layers, used)
+		if err != nil {
+			return nil, err
+		}
+		next = append(next, bridge...)
+	}
+	if len(next) > maxParts {
+		return nil, ErrNoPath
+	}
+	return newPath(next, p.tokens.Load()), nil
+}
+
+// usableRunning reports whether a request that runs on an engine can stay: an
+// engine that leaves serves on.
+func (s *search) usableRunning(u *fleet.Upstream) bool {
+	return !u.Dead() && !s.need.Avoid[u.ID()]
+}
--- /dev/null
+++ b/coordination/exchange/exchange.go
@@ -0,0 +1,217 @@
+// Package exchange shares news between the daemons of a fleet: what their
+// requests hold at each upstream, and how fresh their configuration is.
+//
+// Each daemon asks others, and counts the age of an answer from before it
+// asked. A message that was delayed, or a daemon that stood still, can
+// therefore make knowledge look older than it is, never younger. A daemon that
+// the platform's store turns away proves its configuration in this way, and
+// fetches a newer one from the peer that has it.
+//
+// # Usage
+//
+//	e := exchange.New(peers, exchange.State{...}, clock)
+//	err := e.Run(ctx)
+package exchange
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/events"
+	"spanrill/protocol/peermsg"
+	"spanrill/rng"
+	"spanrill/state/fleet"
+	"spanrill/state/routes"
+	"spanrill/task"
+)
+
+// Peers is how other daemons are reached.
+type Peers interface {
+	// Others returns the daemons that are alive, without this one.
+	Others() []peermsg.Member
+	// Ask sends a request to a peer and decodes its reply.
+	Ask(ctx context.Context, addr string, kind uint8, req, reply any) error
+}
+
+// State is what news are made of.
+type State struct {
+	Name      string
+	Config    *routes.Current
+	Fleet     *fleet.Table
+	Placement func() bool // holds the lease of placement
+	Leaving   func() bool
+	// Decode decodes a configuration as it lies in the store.
+	Decode func(value []byte) (*spanrill.RouteConfig, error)
+}
+
+const (
+	// gap is the pause between two rounds. What other daemons hold is this old
+	// in the worst case; in that time a daemon of today starts two requests.
+	gap spanrill.Millis = 250
+	// askWait bounds one question: many times a round trip of 1 ms.
+	askWait spanrill.Millis = 400
+	// fanout bounds how many peers are asked in a round.
+	fanout = 8
+	// keep is how long the figures of a peer that does not answer are counted.
+	// Its requests go on for about as long as a usual answer takes.
+	keep = 2 * spanrill.Second
+)
+
+// Exchange asks for news and answers questions.
+type Exchange struct {
+	peers  Peers
+	state  State
+	clock  spanrill.Clock
+	log    logrus.FieldLogger
+	random *rng.Source
+
+	mu    sync.Mutex
+	heard map[string]heard // by name of the peer
+}
+
+// heard is the last news of a peer.
+type heard struct {
+	news peermsg.News
+	at   spanrill.Millis // before it was asked
+}
+
+// New returns an exchange.
+func New(peers Peers, state State, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source) *Exchange {
+	return &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}}
+}
+
+// Run asks for news until the context ends.
+func (e *Exchange) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		e.Round(ctx)
+		select {
+		case <-ctx.Done():
+		case <-e.clock.After(gap*9/10 + spanrill.Millis(e.random.Float64()*float64(gap)/5)):
+		}
+	}
+	return ctx.Err()
+}
+
+// Round asks some peers at the same time and takes what they say.
+func (e *Exchange) Round(ctx context.Context) {
+	var tasks task.Group
+	for _, m := range e.targets() {
+		tasks.Start(ctx, "ask for news", func(ctx context.Context) error { return e.ask(ctx, m) })
+	}
+	_ = tasks.Wait() // a peer that does not answer is asked again in the next round
+	e.apply()
+}
+
+func (e *Exchange) targets() []peermsg.Member {
+	others := e.peers.Others()
+	for i := len(others) - 1; i > 0; i-- {
+		k := e.random.IntN(i + 1)
+		others[i], others[k] = others[k], others[i]
+	}
+	return others[:min(fanout, len(others))]
+}
+
+func (e *Exchange) ask(ctx context.Context, m peermsg.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, askWait.Duration())
+	defer cancel()
+	sent := e.clock.Now()
+	var news peermsg.News
+	if err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindNews), nil, &news); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.heard[m.Name] = heard{news: news, at: sent}
+	e.mu.Unlock()
+	if news.Revision > e.state.Config.Revision() {
+		if err := e.fetch(ctx, m); err != nil {
+			return err
+		}
+	}
+	e.state.Config.Prove(news.Revision, sent-news.ProofAge)
+	return nil
+}
+
+// fetch takes a newer configuration from a peer.
+func (e *Exchange) fetch(ctx context.Context, m peermsg.Member) error {
+	var c peermsg.RouteConfig
+	if err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindRouteConfig), nil, &c); err != nil {
+		return err
+	}
+	config, err := e.state.Decode(c.Value)
+	if err != nil {
+		events.ConfigRejected.Log(e.log, logrus.Fields{"peer": m.Name, "revision": c.Revision, "error": err})
+		return err
+	}
+	if e.state.Config.Take(routes.New(config), c.Value, c.Revision) {
+		events.ConfigFromPeer.Log(e.log, logrus.Fields{"peer": m.Name, "revision": c.Revision, "config": config.Version})
+	}
+	return nil
+}
+
+// apply sums up what the peers' requests hold at each upstream.
+func (e *Exchange) apply() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	type sum struct{ tokens, calls int64 }
+	sums := map[uint32]sum{}
+	for name, h := range e.heard {
+		if now-h.at > keep {
+			delete(e.heard, name)
+			continue
+		}
+		for _, u := range h.news.Uses {
+			s := sums[u.Upstream]
+			sums[u.Upstream] = sum{tokens: s.tokens + u.Tokens, calls: s.calls + u.Calls}
+		}
+	}
+	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
+		s := sums[hash(u.ID())]
+		u.SetPeers(s.tokens, s.calls)
+	})
+}
+
+// PlacementHeld reports whether a peer has said lately that it holds the lease
+// of placement.
+func (e *Exchange) PlacementHeld() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	for _, h := range e.heard {
+		if h.news.Placement && now-h.at < placementFresh {
+			return true
+		}
+	}
+	return false
+}
+
+// placementFresh is how long a peer's word that it holds the lease is believed:
+// a few rounds.
+const placementFresh = spanrill.Second
+
+// News answers a question for news.
+func (e *Exchange) News() *peermsg.News {
+	n := &peermsg.News{
+		Name: e.state.Name, Revision: e.state.Config.Revision(), ProofAge: e.state.Config.Age(),
+		Placement: e.state.Placement(), Leaving: e.state.Leaving(),
+	}
+	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
+		tokens, calls := u.OwnTokens(), u.OwnCalls()
+		if tokens != 0 || calls != 0 {
+			n.Uses = append(n.Uses, peermsg.Use{Upstream: hash(u.ID()), Tokens: tokens, Calls: calls})
+		}
+	})
+	return n
+}
+
+// RouteConfig answers a question for the configuration.
+func (e *Exchange) RouteConfig() *peermsg.RouteConfig {
+	return &peermsg.RouteConfig{Revision: e.state.Config.Revision(), Value: e.state.Config.Raw()}
+}
+
+// hash shortens an id for messages.
+func hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
--- /dev/null
+++ b/coordination/layout/layout.go
@@ -0,0 +1,316 @@
+// Package layout decides which layers each engine of a service is to hold.
+//
+// Plan lays out a fleet that holds nothing. Repair changes a fleet that serves:
+// it fills the holes of chains from engines that hold nothing, then from spares,
+// then from the chain that has lost most, and it uses engines that were added.
+// Both are functions of what the engines hold now, so that any daemon can go on
+// where another one stopped.
+//
+// # Usage
+//
+//	moves := layout.Plan(model, engines)
+//	moves = layout.Repair(model, engines)
+package layout
+
+import (
+	"fmt"
+	"sort"
+
+	"spanrill"
+	"spanrill/coordination/chain"
+	"spanrill/coordination/cost"
+)
+
+// Engine is an engine as the planner sees it.
+type Engine struct {
+	ID     string
+	Zone   string
+	Kind   string
+	Layers spanrill.LayerRange // held, or ordered and on the way
+	Fixed  bool                // takes no order now: it loads, or is not well
+}
+
+// Move gives an engine a range.
+type Move struct {
+	Engine string
+	Layers spanrill.LayerRange
+	Why    string
+}
+
+// String returns the move for logs.
+func (m Move) String() string {
+	return fmt.Sprintf("%s=%d-%d", m.Engine, m.Layers.From, m.Layers.To)
+}
+
+// candidate is an engine with the model of its kind.
+type candidate struct {
+	Engine
+	kind spanrill.KindModel
+}
+
+func candidates(m *spanrill.EngineModel, engines []Engine) []candidate {
+	out := make([]candidate, 0, len(engines))
+	for _, e := range engines {
+		if k, ok := m.Kinds[e.Kind]; ok && cost.Fit(m, k) > 0 {
+			out = append(out, candidate{Engine: e, kind: k})
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].ID < out[k].ID })
+	return out
+}
+
+// The range of memory, in usual requests of one chain, over which Plan
+// searches: fewer than leastRequests make small batches and too many slow ones.
+const (
+	leastRequests = 20
+	mostRequests  = 240
+	requestStep   = 4
+)
+
+// Plan lays out engines that hold nothing: chains within one availability zone
+// first, then chains over several, and spares from what is left. It tries
+// several amounts of memory beside the layers and takes the layout that can
+// serve the most usual requests a second.
+func Plan(m *spanrill.EngineModel, engines []Engine) []Move {
+	all := candidates(m, engines)
+	var best [][]candidate
+	bestRate := 0.0
+	for requests := leastRequests; requests <= mostRequests; requests += requestStep {
+		for _, o := range orders {
+			chains := group(m, all, float64(requests)*cost.Tokens(m), o)
+			if rate := rateOf(m, chains); rate > bestRate {
+				best, bestRate = chains, rate
+			}
+		}
+	}
+	var moves []Move
+	used := map[string]bool{}
+	for i, c := range best {
+		for k, r := range cut(m, c) {
+			used[c[k].ID] = true
+			moves = append(moves, Move{Engine: c[k].ID, Layers: r, Why: fmt.Sprintf("chain %d of the first layout", i+1)})
+		}
+	}
+	return append(moves, duplicates(m, all, used, moves, zoneByID(all))...)
+}
+
+// order sorts the engines from which a chain takes what it needs.
+type order func(a, b *candidate) bool
+
+var orders = []order{
+	func(a, b *candidate) bool { return a.kind.Pace < b.kind.Pace },
+	func(a, b *candidate) bool { return a.kind.Pace > b.kind.Pace },
+	func(a, b *candidate) bool { return a.kind.MemoryMB < b.kind.MemoryMB },
+}
+
+// group divides engines into chains that have memory for that many tokens.
+func group(m *spanrill.EngineModel, all []candidate, tokens float64, o order) [][]candidate {
+	left := append([]candidate(nil), all...)
+	sort.SliceStable(left, func(i, k int) bool { return o(&left[i], &left[k]) })
+	var chains [][]candidate
+	for _, zone := range zonesOf(left) {
+		for {
+			c := take(m, left, tokens, func(e *candidate) bool { return e.Zone == zone })
+			if c == nil {
+				break
+			}
+			chains = append(chains, c)
+			left = without(left, c)
+		}
+	}
+	for {
+		c := take(m, left, tokens, func(*candidate) bool { return true })
+		if c == nil {
+			return chains
+		}
+		sort.SliceStable(c, func(i, k int) bool { return c[i].Zone < c[k].Zone })
+		chains = append(chains, c)
+		left = without(left, c)
+	}
+}
+
+func zonesOf(engines []candidate) []string {
+	seen := map[string]bool{}
+	var zones []string
+	for _, e := range engines {
+		if !seen[e.Zone] {
+			seen[e.Zone] = true
+			zones = append(zones, e.Zone)
+		}
+	}
+	sort.Strings(zones)
+	return zones
+}
+
+// take returns the first engines that hold all layers beside that many tokens.
+func take(m *spanrill.EngineModel, from []candidate, tokens float64, fits func(*candidate) bool) []candidate {
+	var c []candidate
+	layers := 0
+	for i := range from {
+		n := cost.Most(m, from[i].kind, tokens)
+		if n == 0 || !fits(&from[i]) {
+			continue
+		}
+		c = append(c, from[i])
+		if layers += n; layers >= m.Layers {
+			return c
+		}
+	}
+	return nil
+}
+
+func without(from, taken []candidate) []candidate {
+	gone := make(map[string]bool, len(taken))
+	for _, e := range taken {
+		gone[e.ID] = true
+	}
+	var left []candidate
+	for _, e := range from {
+		if !gone[e.ID] {
+			left = append(left, e)
+		}
+	}
+	return left
+}
+
+func rateOf(m *spanrill.EngineModel, chains [][]candidate) float64 {
+	total := 0.0
+	for _, c := range chains {
+		total += cost.Rate(m, stages(c, cut(m, c)))
+	}
+	return total
+}
+
+func stages(c []candidate, ranges []spanrill.LayerRange) []cost.Stage {
+	out := make([]cost.Stage, len(c))
+	for i, e := range c {
+		out[i] = cost.Stage{Kind: e.kind, Zone: e.Zone, Layers: ranges[i].Len()}
+	}
+	return out
+}
+
+// cut divides all layers among the engines of a chain so that the tightest of
+// them keeps the most memory. The engines can hold all layers.
+func cut(m *spanrill.EngineModel, c []candidate) []spanrill.LayerRange {
+	return divide(m, c, spanrill.LayerRange{From: 0, To: m.Layers})
+}
+
+// divideSteps is enough to find the memory to within a thousandth.
+const divideSteps = 24
+
+// divide divides a range among engines so that the tightest keeps the most
+// memory, and returns nil if they cannot hold it. Every engine gets a range,
+// which may be empty.
+func divide(m *spanrill.EngineModel, c []candidate, r spanrill.LayerRange) []spanrill.LayerRange {
+	holds := func(tokens float64) int {
+		n := 0
+		for _, e := range c {
+			n += cost.Most(m, e.kind, tokens)
+		}
+		return n
+	}
+	if holds(0) < r.Len() {
+		return nil
+	}
+	low, high := 0.0, mostRequests*10*cost.Tokens(m)
+	for range divideSteps {
+		middle := (low + high) / 2
+		if holds(middle) >= r.Len() {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	ranges := make([]spanrill.LayerRange, len(c))
+	at, surplus := r.From, holds(low)-r.Len()
+	for _, i := range slowestFirst(c) {
+		n := cost.Most(m, c[i].kind, low)
+		drop := min(surplus, n)
+		surplus -= drop
+		ranges[i].To = n - drop
+	}
+	for i := range ranges {
+		n := ranges[i].To
+		ranges[i] = spanrill.LayerRange{From: at, To: at + n}
+		at += n
+	}
+	return ranges
+}
+
+// slowestFirst returns the places of engines, so that what a chain need not
+// hold is taken from the slowest.
+func slowestFirst(c []candidate) []int {
+	places := make([]int, len(c))
+	for i := range places {
+		places[i] = i
+	}
+	sort.SliceStable(places, func(i, k int) bool { return c[places[i]].kind.Pace > c[places[k]].kind.Pace })
+	return places
+}
+
+// duplicates gives engines that belong to no chain a range that another engine
+// holds, so that a request can go on there at once when that engine is lost.
+func duplicates(m *spanrill.EngineModel, all []candidate, used map[string]bool, held []Move, zones map[string]string) []Move {
+	copies := map[spanrill.LayerRange]int{}
+	for _, h := range held {
+		copies[h.Layers]++
+	}
+	var moves []Move
+	for _, e := range all {
+		if used[e.ID] || e.Fixed || e.Layers.Len() > 0 {
+			continue
+		}
+		r, ok := worthCopying(m, e, held, zones, copies)
+		if !ok {
+			continue
+		}
+		copies[r]++
+		moves = append(moves, Move{Engine: e.ID, Layers: r, Why: "spare for the same layers of another engine"})
+	}
+	return moves
+}
+
+// worthCopying returns the range that an engine should hold as a spare: one
+// with few copies, in the same availability zone if there is one, as large as
+// fits with memory for a fair number of requests.
+func worthCopying(m *spanrill.EngineModel, e candidate, held []Move, zones map[string]string, copies map[spanrill.LayerRange]int) (spanrill.LayerRange, bool) {
+	best, bestScore, found := spanrill.LayerRange{}, 0, false
+	fits := cost.Most(m, e.kind, leastRequests*cost.Tokens(m))
+	for _, h := range held {
+		if h.Layers.Len() == 0 || h.Layers.Len() > fits {
+			continue
+		}
+		score := h.Layers.Len() - sparePenalty*copies[h.Layers]
+		if zones[h.Engine] == e.Zone {
+			score += spareZoneBonus
+		}
+		if !found || score > bestScore {
+			best, bestScore, found = h.Layers, score, true
+		}
+	}
+	return best, found
+}
+
+// Weights of worthCopying, in layers: a range with a copy less goes before any
+// size, and the same availability zone before a few layers.
+const (
+	sparePenalty   = 100
+	spareZoneBonus = 8
+)
+
+func zoneByID(all []candidate) map[string]string {
+	zones := make(map[string]string, len(all))
+	for _, e := range all {
+		zones[e.ID] = e.Zone
+	}
+	return zones
+}
+
+// chainsOf reads the chains off engines that can serve.
+func chainsOf(m *spanrill.EngineModel, all []candidate) ([]*chain.Chain, []chain.Holder) {
+	holders := make([]chain.Holder, 0, len(all))
+	for _, e := range all {
+		holders = append(holders, chain.Holder{ID: e.ID, Zone: e.Zone, Layers: e.Layers})
+	}
+	return chain.Read(m.Layers, holders)
+}
--- /dev/null
+++ b/coordination/layout/layout_test.go
@@ -0,0 +1,195 @@
+package layout
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"spanrill"
+	"spanrill/coordination/chain"
+	"spanrill/coordination/cost"
+)
+
+// testModel is a model of 80 layers on four kinds of accelerators.
+func testModel() *spanrill.EngineModel {
+	zones := []string{"a", "b", "c"}
+	m := &spanrill.EngineModel{
+		Name: "m", Layers: 80, LayerMB: 1750, Slots: 192, TokenBytes: 590000, ActBytes: 29500,
+		StepMillis: 0.85, PerSequence: 0.00382, ContextPerK: 0.00512, ReadPerMilli: 196,
+		PipeMbps: 9000, LoadSeconds: 14, LoadsAtOnce: 6, UsualPrompt: 772, UsualAnswer: 172,
+		Kinds: map[string]spanrill.KindModel{
+			"large":  {Name: "large", MemoryMB: 72000, Pace: 1.4, ReadFactor: 1},
+			"middle": {Name: "middle", MemoryMB: 36000, Pace: 3.1, ReadFactor: 3.2},
+			"small":  {Name: "small", MemoryMB: 21600, Pace: 16, ReadFactor: 8.2},
+			"tiny":   {Name: "tiny", MemoryMB: 14400, Pace: 15, ReadFactor: 15},
+		},
+		Delays: map[spanrill.ZonePair]float64{},
+	}
+	for _, a := range zones {
+		for _, b := range zones {
+			if a < b {
+				m.Delays[spanrill.PairOf(a, b)] = 0.42
+			}
+		}
+	}
+	return m
+}
+
+// testFleet is 39 engines in three availability zones.
+func testFleet() []Engine {
+	var engines []Engine
+	add := func(zone, kind string, n int) {
+		for range n {
+			engines = append(engines, Engine{ID: fmt.Sprintf("e%02d", len(engines)), Zone: zone, Kind: kind})
+		}
+	}
+	add("b", "large", 1)
+	add("a", "middle", 2)
+	add("b", "middle", 1)
+	add("c", "middle", 1)
+	add("a", "small", 4)
+	add("b", "small", 5)
+	add("c", "small", 8)
+	add("a", "tiny", 7)
+	add("b", "tiny", 7)
+	add("c", "tiny", 3)
+	return engines
+}
+
+func apply(engines []Engine, moves []Move) []Engine {
+	out := append([]Engine(nil), engines...)
+	for _, m := range moves {
+		for i := range out {
+			if out[i].ID == m.Engine {
+				out[i].Layers = m.Layers
+			}
+		}
+	}
+	return out
+}
+
+func read(m *spanrill.EngineModel, engines []Engine) (whole, broken int) {
+	var holders []chain.Holder
+	for _, e := range engines {
+		holders = append(holders, chain.Holder{ID: e.ID, Zone: e.Zone, Layers: e.Layers})
+	}
+	chains, _ := chain.Read(m.Layers, holders)
+	for _, c := range chains {
+		if c.Whole() {
+			whole++
+		} else {
+			broken++
+		}
+	}
+	return whole, broken
+}
+
+// Three chains, each inside one availability zone, have more memory for prompts
+// together than four of which one crosses zones.
+func TestPlanKeepsChainsInsideZones(t *testing.T) {
+	m := testModel()
+	moves := Plan(m, testFleet())
+	whole, broken := read(m, apply(testFleet(), moves))
+	t.Log(moves)
+	total := 0.0
+	chains, spares := chainsOf(m, candidates(m, apply(testFleet(), moves)))
+	for _, c := range chains {
+		var s []cost.Stage
+		for _, p := range c.Parts() {
+			for _, e := range candidates(m, testFleet()) {
+				if e.ID == p.ID {
+					s = append(s, cost.Stage{Kind: e.kind, Zone: e.Zone, Layers: p.Layers.Len()})
+				}
+			}
+		}
+		total += cost.Rate(m, s)
+		t.Logf("zone %s, %d parts, %d crossings, room %.0f, rate %.1f, token %.1f ms", c.Zone(), len(c.Parts()), cost.Crossings(s), cost.Room(m, s), cost.Rate(m, s), cost.TokenMillis(m, s, 70))
+	}
+	t.Logf("rate %.1f a second, %d spares", total, len(spares))
+	if whole < 3 || broken > 0 {
+		t.Fatalf("%d whole chains and %d broken ones, want 3 and 0", whole, broken)
+	}
+}
+
+// Whatever the fleet, no engine is given more than its memory holds, and every
+// move names an engine that may be moved.
+func TestRandomFleetsStayWithinMemory(t *testing.T) {
+	m := testModel()
+	kinds := []string{"large", "middle", "small", "tiny"}
+	for seed := range int64(60) {
+		r := rand.New(rand.NewSource(seed))
+		m.Layers = 20 + r.Intn(100)
+		var engines []Engine
+		for i := range 4 + r.Intn(60) {
+			engines = append(engines, Engine{
+				ID: fmt.Sprintf("e%d", i), Zone: fmt.Sprint(r.Intn(4)), Kind: kinds[r.Intn(4)], Fixed: r.Intn(20) == 0,
+			})
+		}
+		engines = apply(engines, Plan(m, engines))
+		check(t, m, engines)
+		for range 12 {
+			i := r.Intn(len(engines))
+			engines[i].Layers = spanrill.LayerRange{}
+			engines[i].Fixed = r.Intn(2) == 0
+			before := map[string]bool{}
+			for _, e := range engines {
+				before[e.ID] = e.Fixed
+			}
+			moves := Repair(m, engines)
+			for _, move := range moves {
+				if before[move.Engine] {
+					t.Fatalf("seed %d: %v moves an engine that takes no order", seed, move)
+				}
+			}
+			engines = apply(engines, moves)
+			check(t, m, engines)
+		}
+	}
+}
+
+func check(t *testing.T, m *spanrill.EngineModel, engines []Engine) {
+	t.Helper()
+	for _, e := range engines {
+		if n := e.Layers.Len(); n < 0 || n > cost.Fit(m, m.Kinds[e.Kind]) || e.Layers.To > m.Layers {
+			t.Fatalf("%s of kind %s is to hold %v", e.ID, e.Kind, e.Layers)
+		}
+	}
+}
+
+// An engine that restarts empty takes the hole that it left, and nothing else
+// moves.
+func TestRepairFillsTheHole(t *testing.T) {
+	m := testModel()
+	engines := apply(testFleet(), Plan(m, testFleet()))
+	for i := range engines {
+		if engines[i].Kind != "tiny" || engines[i].Layers.Len() == 0 {
+			continue
+		}
+		lost := append([]Engine(nil), engines...)
+		lost[i].Layers = spanrill.LayerRange{}
+		after := apply(lost, Repair(m, lost))
+		if whole, broken := read(m, after); whole < 3 || broken > 0 {
+			t.Fatalf("without %s: %d whole and %d broken chains", engines[i].ID, whole, broken)
+		}
+	}
+}
+
+// Two broken chains that cannot be filled become one whole chain.
+func TestRepairGivesUpTheWorstChain(t *testing.T) {
+	m := testModel()
+	engines := apply(testFleet(), Plan(m, testFleet()))
+	r := rand.New(rand.NewSource(1))
+	for range 8 {
+		i := r.Intn(len(engines))
+		engines = append(engines[:i], engines[i+1:]...)
+	}
+	before, _ := read(m, engines)
+	for range 6 {
+		engines = apply(engines, Repair(m, engines))
+	}
+	whole, broken := read(m, engines)
+	t.Logf("%d whole before, %d whole and %d broken after", before, whole, broken)
+	if whole < 2 || broken > 1 {
+		t.Fatalf("%d whole chains and %d broken ones, want at least 2 and at most 1", whole, broken)
+	}
+}
--- /dev/null
+++ b/coordination/layout/repair.go
@@ -0,0 +1,226 @@
+package layout
+
+import (
+	"sort"
+
+	"spanrill"
+	"spanrill/coordination/chain"
+	"spanrill/coordination/cost"
+)
+
+// Repair returns the changes that a fleet needs which holds layers already.
+func Repair(m *spanrill.EngineModel, engines []Engine) []Move {
+	all := candidates(m, engines)
+	r := &repair{model: m, byID: map[string]candidate{}, taken: map[string]bool{}}
+	for _, e := range all {
+		r.byID[e.ID] = e
+		if e.Layers.Len() == 0 && !e.Fixed {
+			r.empty = append(r.empty, e)
+		}
+	}
+	chains, spares := chainsOf(m, all)
+	if len(chains) == 0 {
+		return Plan(m, candidateList(without(all, fixed(all))).engines())
+	}
+	r.spares(spares)
+	r.fill(chains)
+	r.grow()
+	return append(r.moves, duplicates(m, r.unused(), r.taken, r.held(all), zoneByID(all))...)
+}
+
+type candidateList []candidate
+
+func (l candidateList) engines() []Engine {
+	out := make([]Engine, len(l))
+	for i, e := range l {
+		out[i] = e.Engine
+	}
+	return out
+}
+
+func fixed(all []candidate) candidateList {
+	var out candidateList
+	for _, e := range all {
+		if e.Fixed {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+type repair struct {
+	model *spanrill.EngineModel
+	byID  map[string]candidate
+	empty []candidate // hold nothing
+	spare []candidate // hold layers that no chain needs
+	taken map[string]bool
+	moves []Move
+}
+
+func (r *repair) spares(holders []chain.Holder) {
+	for _, h := range holders {
+		if e := r.byID[h.ID]; !e.Fixed {
+			r.spare = append(r.spare, e)
+		}
+	}
+}
+
+func (r *repair) give(e candidate, layers spanrill.LayerRange, why string) {
+	r.taken[e.ID] = true
+	r.moves = append(r.moves, Move{Engine: e.ID, Layers: layers, Why: why})
+}
+
+// fill fills the holes of chains, those of the fullest chain first. The chain
+// that misses most gives up its engines when there is no other way, if at least
+// two chains have holes: one whole chain is worth more than two broken ones.
+func (r *repair) fill(chains []*chain.Chain) {
+	broken := brokenOf(chains)
+	for i, c := range broken {
+		for _, hole := range c.Holes() {
+			if r.fillFrom(r.empty, c, hole, "hole of a chain") || r.fillFrom(r.spare, c, hole, "hole of a chain, from a spare") {
+				continue
+			}
+			if i < len(broken)-1 {
+				r.fillFrom(r.partsOf(broken[len(broken)-1]), c, hole, "hole of a chain, from one that misses more")
+			}
+		}
+	}
+}
+
+func brokenOf(chains []*chain.Chain) []*chain.Chain {
+	var broken []*chain.Chain
+	for _, c := range chains {
+		if !c.Whole() {
+			broken = append(broken, c)
+		}
+	}
+	sort.SliceStable(broken, func(i, k int) bool { return broken[i].Covered() > broken[k].Covered() })
+	return broken
+}
+
+func (r *repair) partsOf(c *chain.Chain) []candidate {
+	var out []candidate
+	for _, p := range c.Parts() {
+		if e := r.byID[p.ID]; !e.Fixed {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// fillFrom fills a hole with one engine, or with several if none can hold it.
+func (r *repair) fillFrom(from []candidate, c *chain.Chain, hole spanrill.LayerRange, why string) bool {
+	free := r.ranked(from, c.Zone(), hole)
+	if len(free) == 0 {
+		return false
+	}
+	if cost.Most(r.model, free[0].kind, leastRequests*cost.Tokens(r.model)) >= hole.Len() {
+		r.give(free[0], hole, why)
+		return true
+	}
+	var group []candidate
+	for _, e := range free {
+		group = append(group, e)
+		if ranges := divide(r.model, group, hole); ranges != nil && r.roomy(group, ranges) {
+			for i, part := range ranges {
+				if part.Len() > 0 {
+					r.give(group[i], part, why)
+				}
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// roomy reports whether engines keep memory for a fair number of requests.
+func (r *repair) roomy(group []candidate, ranges []spanrill.LayerRange) bool {
+	for i, e := range group {
+		if n := ranges[i].Len(); n > 0 && cost.Capacity(r.model, e.kind, n) < leastRequests*cost.Tokens(r.model) {
+			return false
+		}
+	}
+	return true
+}
+
+// ranked returns the engines that are free, the best for a hole first: those
+// that can hold it whole, then the same availability zone, then the tightest
+// fit, so that large engines stay for large holes.
+func (r *repair) ranked(from []candidate, zone string, hole spanrill.LayerRange) []candidate {
+	var free []candidate
+	for _, e := range from {
+		if !r.taken[e.ID] {
+			free = append(free, e)
+		}
+	}
+	tokens := leastRequests * cost.Tokens(r.model)
+	score := func(e candidate) int {
+		n := cost.Most(r.model, e.kind, tokens)
+		s := 0
+		if n >= hole.Len() {
+			s += wholeBonus - (n - hole.Len())
+		} else {
+			s += n
+		}
+		if e.Zone == zone {
+			s += zoneBonus
+		}
+		return s
+	}
+	sort.SliceStable(free, func(i, k int) bool { return score(free[i]) > score(free[k]) })
+	return free
+}
+
+// Weights of ranked, in layers.
+const (
+	wholeBonus = 10000
+	zoneBonus  = 100
+)
+
+// grow makes further chains from engines that no chain needs.
+func (r *repair) grow() {
+	var free []candidate
+	for _, e := range append(append([]candidate(nil), r.empty...), r.spare...) {
+		if !r.taken[e.ID] {
+			free = append(free, e)
+		}
+	}
+	tokens := growRequests * cost.Tokens(r.model)
+	for {
+		c := take(r.model, free, tokens, func(*candidate) bool { return true })
+		if c == nil {
+			return
+		}
+		sort.SliceStable(c, func(i, k int) bool { return c[i].Zone < c[k].Zone })
+		for i, part := range cut(r.model, c) {
+			if part.Len() > 0 {
+				r.give(c[i], part, "further chain")
+			}
+		}
+		free = without(free, c)
+	}
+}
+
+// growRequests is the room, in usual requests, that a further chain must have.
+const growRequests = 48
+
+func (r *repair) unused() []candidate {
+	var out []candidate
+	for _, e := range r.empty {
+		if !r.taken[e.ID] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// held returns what the engines will hold after the moves so far.
+func (r *repair) held(all []candidate) []Move {
+	held := append([]Move(nil), r.moves...)
+	for _, e := range all {
+		if !r.taken[e.ID] && e.Layers.Len() > 0 {
+			held = append(held, Move{Engine: e.ID, Layers: e.Layers})
+		}
+	}
+	return held
+}
--- /dev/null
+++ b/coordination/probe/probe.go
@@ -0,0 +1,164 @@
+// Package probe finds out whether engines answer.
+//
+// A request that has heard nothing for a while asks the engines of its path.
+// Requests that ask about the same engine at the same time share one question,
+// and an answer is used for a while, since each question is paid for.
+//
+// An engine that refuses the connection is dead at once. One that says nothing
+// is asked a second time first, on a new connection, because a lost packet is
+// sent again only after a fifth of a second.
+//
+// # Usage
+//
+//	p := probe.New(engines, clock, log)
+//	p.Check(ctx, suspects)
+//	if u.Dead() { ... }
+package probe
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/events"
+	"spanrill/state/fleet"
+)
+
+const (
+	// answerWait is how long an engine may take to answer. A report takes a
+	// millisecond or two; a retransmission takes 200.
+	answerWait spanrill.Millis = 110
+	// reuse is how long an answer is used.
+	reuse spanrill.Millis = 250
+	// againAfter is when an engine that did not answer is asked again.
+	againAfter spanrill.Millis = 500
+	// tries before an engine that says nothing counts as dead.
+	tries = 2
+)
+
+// Prober asks engines for their reports.
+type Prober struct {
+	engines spanrill.LayerEngines
+	clock   spanrill.Clock
+	log     logrus.FieldLogger
+
+	mu    sync.Mutex
+	asked map[string]*question // by id
+}
+
+// question is one question and, once done is closed, its answer.
+type question struct {
+	done   chan struct{}
+	at     spanrill.Millis
+	report spanrill.EngineReport
+	err    error
+}
+
+// New returns a prober.
+func New(engines spanrill.LayerEngines, clock spanrill.Clock, log logrus.FieldLogger) *Prober {
+	return &Prober{engines: engines, clock: clock, log: log, asked: map[string]*question{}}
+}
+
+// Check asks all of the engines at once and notes which are dead. It returns
+// the reports of those that answered, by id.
+func (p *Prober) Check(ctx context.Context, upstreams []*fleet.Upstream) map[string]spanrill.EngineReport {
+	questions := make([]*question, len(upstreams))
+	for i, u := range upstreams {
+		questions[i] = p.ask(ctx, u)
+	}
+	reports := make(map[string]spanrill.EngineReport, len(upstreams))
+	for i, q := range questions {
+		select {
+		case <-q.done:
+		case <-ctx.Done():
+			return reports
+		}
+		if q.err == nil {
+			reports[upstreams[i].ID()] = q.report
+		}
+	}
+	return reports
+}
+
+func (p *Prober) ask(ctx context.Context, u *fleet.Upstream) *question {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if q := p.asked[u.ID()]; q != nil && now-q.at < reuse {
+		return q
+	}
+	q := &question{done: make(chan struct{}), at: now}
+	p.asked[u.ID()] = q
+	go p.answer(context.WithoutCancel(ctx), u, q)
+	return q
+}
+
+func (p *Prober) answer(ctx context.Context, u *fleet.Upstream, q *question) {
+	defer close(q.done)
+	for try := 1; ; try++ {
+		q.report, q.err = p.once(ctx, u.Addr())
+		if q.err == nil || refused(q.err) || try == tries {
+			break
+		}
+	}
+	p.note(u, q)
+}
+
+func (p *Prober) once(ctx context.Context, addr string) (spanrill.EngineReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerWait.Duration())
+	defer cancel()
+	return p.engines.Report(ctx, addr)
+}
+
+// refused reports whether the other end said itself that nothing listens.
+func refused(err error) bool {
+	var call *spanrill.CallError
+	return errors.As(err, &call) && call.Phase == spanrill.PhaseDial && !errors.Is(err, context.DeadlineExceeded)
+}
+
+func (p *Prober) note(u *fleet.Upstream, q *question) {
+	dead := q.err != nil
+	if !dead {
+		u.SetPace(q.report.Pace)
+	}
+	if !u.SetDead(dead) {
+		return
+	}
+	event, fields := events.UpstreamBack, logrus.Fields{"upstream": u.ID(), "addr": u.Addr()}
+	if dead {
+		event = events.UpstreamEjected
+		fields["why"], fields["error"] = "did not answer a probe", q.err
+	}
+	event.Log(p.log, fields)
+}
+
+// Recheck asks the dead among the upstreams again, and forgets engines that
+// are gone. It is called a few times a second.
+func (p *Prober) Recheck(ctx context.Context, v *fleet.View) {
+	now := p.clock.Now()
+	v.Each(func(u *fleet.Upstream) {
+		if u.Dead() && p.age(u.ID(), now) >= againAfter {
+			p.ask(ctx, u)
+		}
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.asked {
+		if v.ByID(id) == nil {
+			delete(p.asked, id)
+		}
+	}
+}
+
+func (p *Prober) age(id string, now spanrill.Millis) spanrill.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.asked[id]
+	if q == nil {
+		return againAfter
+	}
+	return now - q.at
+}
--- /dev/null
+++ b/coordination/relay/chained.go
@@ -0,0 +1,323 @@
+package relay
+
+import (
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"spanrill"
+	"spanrill/coordination/chainrouting"
+	"spanrill/events"
+	"spanrill/meter"
+	"spanrill/state/fleet"
+	"spanrill/transport/httpcall"
+)
+
+// generation is a request that runs on a path of engines.
+type generation struct {
+	*request
+	path    *chainrouting.Path
+	avoid   map[string]bool // engines that failed this request
+	answer  *httpcall.Answer
+	first   *fleet.Upstream
+	begun   bool            // an event has reached the caller
+	quiet   spanrill.Millis // since when nothing has come from the path
+	moves   int
+	reached int  // engines that the request was sent to, without those lost since
+	unknown bool // an attempt may have run
+}
+
+// serveChained finds a path, sends the request and leaves the events to the
+// body of the answer.
+func (q *request) serveChained() {
+	g := &generation{request: q, avoid: map[string]bool{}}
+	if refusal := g.start(); refusal != nil {
+		g.release()
+		q.refuse(refusal)
+		q.finish()
+		return
+	}
+	resp := &q.http.Response
+	q.relay.Codec.CopyHead(&resp.Header, g.answer.Header())
+	if q.relay.closing.Load() {
+		q.http.SetConnectionClose()
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		g.passFailure()
+		return
+	}
+	resp.SetBodyStream(newEventBody(g), -1)
+}
+
+// passFailure hands on an engine's own failure, unchanged.
+func (g *generation) passFailure() {
+	defer g.finish()
+	defer g.release()
+	body, err := g.answer.ReadAll(maxAnswer)
+	if err != nil {
+		g.refuse(spanrill.NewRefusal(spanrill.ReasonUpstreamFailed, "%v", err).WithOutcome(spanrill.OutcomeUnknown))
+		return
+	}
+	g.http.Response.SetBodyRaw(body)
+	g.logEnded(g.http.Response.StatusCode(), logrus.Fields{"upstream": g.first.ID()})
+}
+
+func (g *generation) release() {
+	if g.answer != nil {
+		g.answer.Close()
+		g.answer = nil
+	}
+	if g.path != nil {
+		g.path.Release()
+		g.path = nil
+	}
+}
+
+// need is what the request needs of a path.
+func (g *generation) need(urgent bool) chainrouting.Need {
+	answer := g.head.GuessTokens
+	if answer == 0 {
+		answer = int(g.service.Model.UsualAnswer)
+	}
+	if g.head.MaxTokens > 0 {
+		answer = min(answer, g.head.MaxTokens)
+	}
+	return chainrouting.Need{
+		Prompt: g.head.PromptTokens, Answer: answer, Zone: g.relay.bounds.Zone, Avoid: g.avoid,
+		Urgent: urgent || g.priority() == 0,
+	}
+}
+
+// start sends the request until an engine has begun its answer.
+func (g *generation) start() *spanrill.Refusal {
+	for {
+		if refusal := g.findPath(g.holdLimit()); refusal != nil {
+			return g.orUnknown(refusal)
+		}
+		if refusal := g.stillAllowed(); refusal != nil {
+			return g.orUnknown(refusal)
+		}
+		err := g.send(g.head.LastEvent)
+		if err == nil {
+			return nil
+		}
+		if refusal := g.afterFailure(err); refusal != nil {
+			return refusal
+		}
+	}
+}
+
+// orUnknown marks a refusal of a request that an earlier attempt may have run.
+// A stream that may be resumed can be repeated, so that nothing hangs on it.
+func (g *generation) orUnknown(refusal *spanrill.Refusal) *spanrill.Refusal {
+	if g.unknown && g.route.Repeat == spanrill.RepeatNever {
+		return refusal.WithOutcome(spanrill.OutcomeUnknown)
+	}
+	return refusal
+}
+
+// holdLimit is how long a new request may wait for room: a quarter of its
+// target, after which the caller is told to come back.
+func (g *generation) holdLimit() spanrill.Millis {
+	return g.request.start + g.route.Target/holdPart
+}
+
+const (
+	holdPart = 4
+	// roomPoll is how often a request that waits looks for room: about the time
+	// of one token on a chain.
+	roomPoll spanrill.Millis = 15
+	// fullRetry is when a caller should come back to full chains: about the
+	// time in which a tenth of the requests that run have ended.
+	fullRetry spanrill.Millis = 300
+	// brokenRetry is when a caller should come back when layers are missing:
+	// about the time to load one engine's part.
+	brokenRetry spanrill.Millis = 700
+)
+
+// findPath waits until a path has room, at most until the limit.
+func (g *generation) findPath(limit spanrill.Millis) *spanrill.Refusal {
+	waited := false
+	for {
+		path, err := g.relay.Router.Pick(g.service.Name, g.service.Model, g.need(g.begun))
+		if err == nil && !path.Whole(g.service.Model.Layers) {
+			path.Release()
+			return spanrill.NewRefusal(spanrill.ReasonInternal, "path %s does not run every layer once", path)
+		}
+		if err == nil {
+			g.path, g.first = path, path.First()
+			return nil
+		}
+		now := g.relay.Clock.Now()
+		if now >= limit || g.ctx.Err() != nil {
+			return g.noPath(err)
+		}
+		if !waited {
+			waited = true
+			g.relay.good.Log(events.RequestWaits, g.relay.Log, func() logrus.Fields {
+				f := g.fields()
+				f["why"] = err
+				return f
+			})
+		}
+		g.sleep(min(roomPoll, limit-now))
+	}
+}
+
+func (g *generation) noPath(err error) *spanrill.Refusal {
+	if g.ctx.Err() != nil {
+		return g.ended(g.unknown)
+	}
+	if errors.Is(err, chainrouting.ErrNoRoom) {
+		return spanrill.NewRefusal(spanrill.ReasonNoRoom, "%v", err).WithRetryAfter(fullRetry)
+	}
+	return spanrill.NewRefusal(spanrill.ReasonNoChain, "%v", err).WithRetryAfter(brokenRetry)
+}
+
+// sendError is why an attempt has brought no events.
+type sendError struct {
+	outcome spanrill.Outcome
+	retry   meter.Retry
+	cause   error
+}
+
+// Error returns the cause.
+func (e *sendError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *sendError) Unwrap() error { return e.cause }
+
+// send makes one attempt and leaves the answer in g.answer. The error is a
+// *sendError.
+func (g *generation) send(lastEvent string) error {
+	r := g.relay
+	req := g.upstreamRequest(spanrill.UpstreamSend{EngineID: g.first.ID(), Path: g.path.Wire(), LastEvent: lastEvent})
+	defer fasthttp.ReleaseRequest(req)
+	g.sends++
+	g.reached++
+	g.quiet = r.Clock.Now()
+	g.logSent(g.first, g.path, lastEvent)
+	answer, err := r.HTTP.DoWatched(g.ctx, g.first.Addr(), req, g.reuse(), watchGap, g.onSilence)
+	if err != nil {
+		return g.callFailed(err)
+	}
+	head := r.Codec.ReadHead(answer.Header())
+	if err := g.genuine(head, answer.Header()); err != nil {
+		answer.Close()
+		g.first.Failed(r.Clock.Now())
+		return &sendError{outcome: spanrill.OutcomeUnknown, retry: meter.RetryBadToken, cause: err}
+	}
+	if head.NotRun {
+		answer.Close()
+		return g.refusedBy(head, answer.Status())
+	}
+	g.answer = answer
+	return nil
+}
+
+// callFailed judges a call without an answer.
+func (g *generation) callFailed(err error) error {
+	now := g.relay.Clock.Now()
+	failure := &sendError{outcome: spanrill.OutcomeUnknown, retry: meter.RetryCut, cause: err}
+	var call *spanrill.CallError
+	if errors.As(err, &call) {
+		failure.outcome = call.Outcome()
+		if call.Phase == spanrill.PhaseDial {
+			g.reached--
+			failure.retry = meter.RetryDial
+		}
+	}
+	if g.ctx.Err() == nil {
+		g.avoid[g.first.ID()] = true
+		g.first.Failed(now)
+		g.first.Avoid(now, now+failedAvoid)
+	}
+	return failure
+}
+
+// refusedBy judges an engine's own word that it did not run the request. The
+// engine at fault may be a later one of the path.
+func (g *generation) refusedBy(head spanrill.UpstreamHead, status int) error {
+	now := g.relay.Clock.Now()
+	fault := g.first
+	if u := g.relay.Fleet.View().ByAddr(head.AtFault); u != nil && head.AtFault != "" {
+		fault = u
+	}
+	g.avoid[fault.ID()] = true
+	fault.Avoid(now, now+refusedAvoid)
+	if status == fasthttp.StatusMisdirectedRequest {
+		fault.Avoid(now, now+misdirectedAvoid)
+	}
+	return &sendError{
+		outcome: spanrill.OutcomeNotRun, retry: meter.RetryRefused,
+		cause: errors.Errorf("engine %s refused with status %d", fault.ID(), status),
+	}
+}
+
+// misdirectedAvoid is how long an engine is left alone that does not hold what
+// its entry says: the entry follows within a heartbeat.
+const misdirectedAvoid spanrill.Millis = 600
+
+// afterFailure decides whether a failed attempt is followed by another one.
+func (g *generation) afterFailure(err error) *spanrill.Refusal {
+	var failure *sendError
+	if !errors.As(err, &failure) {
+		failure = &sendError{outcome: spanrill.OutcomeUnknown, cause: err}
+	}
+	failed := g.first
+	g.release()
+	if failure.outcome != spanrill.OutcomeNotRun {
+		g.unknown = true
+	}
+	if g.ctx.Err() != nil {
+		return g.ended(g.unknown)
+	}
+	if !g.mayRepeat(failure) {
+		return g.giveUp(failure)
+	}
+	g.relay.Meters.Retried(failure.retry)
+	g.logRetry(failed, failure.retry.String(), failure.outcome, failure.cause)
+	return nil
+}
+
+// mayRepeat reports whether another attempt is allowed.
+func (g *generation) mayRepeat(failure *sendError) bool {
+	if failure.outcome != spanrill.OutcomeNotRun && g.route.Repeat == spanrill.RepeatNever {
+		return false
+	}
+	if failure.retry == meter.RetryDial {
+		return len(g.avoid) <= dialTries
+	}
+	if g.reached >= g.route.MaxAttempts+g.lost() {
+		return false
+	}
+	if g.relay.Budgets.Of(g.service.Name).Take() {
+		return true
+	}
+	g.relay.Meters.Refused(spanrill.ReasonRetryBudget)
+	return false
+}
+
+// dialTries bounds how many engines are tried that take no connection.
+const dialTries = 3
+
+// lost counts the engines that failed this request and have ended since: the
+// operator's limit does not count those.
+func (g *generation) lost() int {
+	n := 0
+	view := g.relay.Fleet.View()
+	for id := range g.avoid {
+		if u := view.ByID(id); u == nil || u.Dead() {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *generation) giveUp(failure *sendError) *spanrill.Refusal {
+	if g.unknown {
+		return spanrill.NewRefusal(spanrill.ReasonUpstreamFailed, "%v", failure.cause).
+			WithOutcome(spanrill.OutcomeUnknown)
+	}
+	return spanrill.NewRefusal(spanrill.ReasonUpstreamRefused, "%v", failure.cause).WithRetryAfter(fullRetry)
+}
--- /dev/null
+++ b/coordination/relay/log.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/coordination/chainrouting"
+	"spanrill/events"
+	"spanrill/state/fleet"
+)
+
+// fields is what every line about a request says: its id, what decided it, and
+// how old that knowledge was.
+func (q *request) fields() logrus.Fields {
+	r := q.relay
+	f := logrus.Fields{"request": q.head.ID, "ms": r.Clock.Now() - q.start, "sends": q.sends}
+	if q.table != nil {
+		f["config"], f["config_revision"] = q.table.Version(), r.Config.Revision()
+		f["proof_age_ms"] = r.Config.Age()
+	}
+	if q.route != nil {
+		f["route"], f["repeat"] = q.route.Name, q.route.Repeat.String()
+	}
+	if q.service != nil {
+		f["service"] = q.service.Name
+	}
+	if q.account != nil {
+		f["account"] = q.account.Name
+	}
+	if q.until > 0 {
+		f["left_ms"] = q.left()
+	}
+	return f
+}
+
+func (q *request) logSent(u *fleet.Upstream, path *chainrouting.Path, lastEvent string) {
+	q.relay.good.Log(events.RequestSent, q.relay.Log, func() logrus.Fields {
+		f := q.fields()
+		f["upstream"], f["calls"] = u.ID(), u.Calls()
+		f["view"] = q.relay.Fleet.View().Version()
+		if path != nil {
+			f["path"], f["tokens"], f["prompt"] = path.String(), u.Tokens(), q.head.PromptTokens
+		}
+		if lastEvent != "" {
+			f["behind_event"] = lastEvent
+		}
+		return f
+	})
+}
+
+func (q *request) logEnded(status int, extra logrus.Fields) {
+	q.relay.good.Log(events.RequestEnded, q.relay.Log, func() logrus.Fields {
+		f := q.fields()
+		f["status"] = status
+		for name, value := range extra {
+			f[name] = value
+		}
+		return f
+	})
+}
+
+func (q *request) logRetry(u *fleet.Upstream, why string, outcome spanrill.Outcome, err error) {
+	q.relay.bad.Log(events.RequestRetried, q.relay.Log, func() logrus.Fields {
+		f := q.fields()
+		f["upstream"], f["why"], f["outcome"], f["error"] = u.ID(), why, outcome.String(), err
+		f["risk"], f["budget_left"] = u.Risk(q.relay.Clock.Now()), q.relay.Budgets.Of(q.service.Name).Left()
+		return f
+	})
+}
+
+func (q *request) logGone(sent bool) {
+	q.relay.good.Log(events.CallerGone, q.relay.Log, func() logrus.Fields {
+		f := q.fields()
+		f["sent"] = sent
+		return f
+	})
+}
--- /dev/null
+++ b/coordination/relay/plain.go
@@ -0,0 +1,307 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"spanrill"
+	"spanrill/meter"
+	"spanrill/state/fleet"
+	"spanrill/transport/httpcall"
+)
+
+// maxAnswer bounds a plain answer, which is held in memory whole.
+const maxAnswer = 32 << 20
+
+// servePlain sends a request to one upstream of a plain service, and to
+// another one where that is allowed and may help.
+func (q *request) servePlain() {
+	defer q.finish()
+	tried := map[string]bool{}
+	var last attempt
+	for {
+		u := q.pickPlain(tried)
+		if u == nil {
+			q.refuse(last.refusal(q, "no upstream of the service takes requests"))
+			return
+		}
+		if refusal := q.stillAllowed(); refusal != nil {
+			q.refuse(last.orRefusal(refusal))
+			return
+		}
+		tried[u.ID()] = true
+		last = q.tryPlain(u, last)
+		if last.final() || q.ctx.Err() != nil || !q.mayRetry(&last) {
+			break
+		}
+		q.relay.Meters.Retried(last.retry)
+		q.logRetry(u, last.retry.String(), last.outcome, last.err)
+	}
+	q.answerPlain(&last)
+}
+
+// attempt is the end of one attempt at a plain service.
+type attempt struct {
+	upstream *fleet.Upstream
+	resp     *fasthttp.Response // whole, or nil
+	notRun   bool               // the upstream said so
+	outcome  spanrill.Outcome
+	reached  bool // any byte may have left
+	sends    int  // attempts so far that reached an upstream
+	unknown  bool // an earlier attempt may have run
+	retry    meter.Retry
+	err      error
+}
+
+// final reports whether the answer is one to pass on at once.
+func (a *attempt) final() bool {
+	return a.resp != nil && !a.notRun && a.resp.StatusCode() < fasthttp.StatusInternalServerError
+}
+
+// mayRetry reports whether another attempt is allowed. What did not run may
+// always be sent elsewhere; what may have run only if it is safe.
+func (q *request) mayRetry(a *attempt) bool {
+	if !a.reached {
+		return len(q.relay.Fleet.View().Of(q.service.Name)) > 1
+	}
+	if a.sends >= q.route.MaxAttempts {
+		return false
+	}
+	if a.outcome != spanrill.OutcomeNotRun && q.route.Repeat != spanrill.RepeatSafe {
+		return false
+	}
+	if q.relay.Budgets.Of(q.service.Name).Take() {
+		return true
+	}
+	q.relay.Meters.Refused(spanrill.ReasonRetryBudget)
+	return false
+}
+
+// answerPlain gives the caller what the last attempt brought.
+func (q *request) answerPlain(a *attempt) {
+	r := q.relay
+	if a.resp == nil || a.notRun {
+		q.refuse(a.refusal(q, "the upstream did not run the request"))
+		return
+	}
+	resp := &q.http.Response
+	r.Codec.CopyHead(&resp.Header, &a.resp.Header)
+	resp.SetBodyRaw(a.resp.Body())
+	if r.closing.Load() {
+		q.http.SetConnectionClose()
+	}
+	r.Meters.Ended(spanrill.OutcomeRan)
+	r.Meters.ServiceCall.Update(float64(r.Clock.Now()-q.start) / float64(spanrill.Second))
+	q.logEnded(a.resp.StatusCode(), logrus.Fields{"upstream": a.upstream.ID(), "bytes": len(a.resp.Body())})
+}
+
+// refusal is the final answer when no upstream has given one.
+func (a attempt) refusal(q *request, text string) *spanrill.Refusal {
+	if q.ctx.Err() != nil {
+		return a.orRefusal(q.ended(a.reached))
+	}
+	if a.err == nil && !a.notRun {
+		return spanrill.NewRefusal(spanrill.ReasonNoUpstream, "%s", text).WithRetryAfter(plainRetry)
+	}
+	if a.outcome == spanrill.OutcomeNotRun {
+		return a.orRefusal(spanrill.NewRefusal(spanrill.ReasonUpstreamRefused, "%s: %v", text, a.err).WithRetryAfter(plainRetry))
+	}
+	return spanrill.NewRefusal(spanrill.ReasonUpstreamFailed, "the upstream failed: %v", a.err).WithOutcome(spanrill.OutcomeUnknown)
+}
+
+// orRefusal marks a refusal if an attempt may have run.
+func (a attempt) orRefusal(refusal *spanrill.Refusal) *spanrill.Refusal {
+	if a.unknown || a.reached && a.outcome != spanrill.OutcomeNotRun {
+		return refusal.WithOutcome(spanrill.OutcomeUnknown)
+	}
+	return refusal
+}
+
+// plainRetry is about as long as a few calls of a plain service take.
+const plainRetry spanrill.Millis = 150
+
+// tryPlain makes one attempt.
+func (q *request) tryPlain(u *fleet.Upstream, before attempt) attempt {
+	r := q.relay
+	a := attempt{upstream: u, sends: before.sends, unknown: before.unknown || before.reached && before.outcome != spanrill.OutcomeNotRun}
+	u.Begin()
+	defer u.End()
+	ctx, cancel := q.attemptContext(before.sends)
+	defer cancel()
+	req := q.upstreamRequest(spanrill.UpstreamSend{EngineID: u.ID()})
+	defer fasthttp.ReleaseRequest(req)
+	q.sends++
+	q.logSent(u, nil, "")
+	answer, err := r.HTTP.Do(ctx, u.Addr(), req, q.reuse())
+	if err != nil {
+		a.fail(r.Clock.Now(), err)
+		return a
+	}
+	a.reached = true
+	a.sends++
+	q.readPlain(&a, answer)
+	return a
+}
+
+// reuse says whether a request may use an old connection. One that may not be
+// repeated may not: such a connection can close under it.
+func (q *request) reuse() httpcall.Reuse {
+	return httpcall.Reuse(q.route.Repeat != spanrill.RepeatNever)
+}
+
+// attemptContext bounds an attempt that another one can follow, so that the
+// second can still be in time.
+func (q *request) attemptContext(sends int) (context.Context, context.CancelFunc) {
+	if q.route.Repeat != spanrill.RepeatSafe || sends+1 >= q.route.MaxAttempts || q.route.Target <= 0 {
+		return context.WithCancel(q.ctx)
+	}
+	return context.WithTimeout(q.ctx, (q.route.Target * firstAttemptPercent / percent).Duration())
+}
+
+const (
+	// firstAttemptPercent of the target is given to the first of several
+	// attempts. At 60 ms of work and a target of 300 ms this is four times the
+	// work, which one call in a few hundred exceeds.
+	firstAttemptPercent = 80
+	percent             = 100
+)
+
+// fail notes a call that brought no answer.
+func (a *attempt) fail(now spanrill.Millis, err error) {
+	a.err, a.outcome, a.retry = err, spanrill.OutcomeUnknown, meter.RetryCut
+	var call *spanrill.CallError
+	if errors.As(err, &call) {
+		a.outcome = call.Outcome()
+		a.reached = call.Phase != spanrill.PhaseDial
+		if call.Phase == spanrill.PhaseDial {
+			a.retry = meter.RetryDial
+		}
+	}
+	if a.reached {
+		a.sends++
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		a.retry = meter.RetryStalled
+	}
+	a.upstream.Failed(now)
+	a.upstream.Avoid(now, now+failedAvoid)
+}
+
+// failedAvoid is how long an upstream gets nothing after a call without an
+// answer, if there are others.
+const failedAvoid spanrill.Millis = 400
+
+// errForeign means that an answer belongs to another request.
+var errForeign = errors.New("answer has the id of another request")
+
+// errUnsigned means that a success does not carry the upstream's signature, or
+// carries an encoding that nobody asked for.
+var errUnsigned = errors.New("answer is not one of the upstream's")
+
+// readPlain reads the whole answer and judges it.
+func (q *request) readPlain(a *attempt, answer *httpcall.Answer) {
+	r := q.relay
+	body, err := answer.ReadAll(maxAnswer)
+	now := r.Clock.Now()
+	if err != nil {
+		a.sends--
+		a.fail(now, err)
+		return
+	}
+	head := r.Codec.ReadHead(answer.Header())
+	if err := q.genuine(head, answer.Header()); err != nil {
+		a.sends--
+		a.fail(now, &spanrill.CallError{Phase: spanrill.PhaseAnswer, Written: 1, Cause: err})
+		a.retry = meter.RetryBadToken
+		return
+	}
+	a.resp = &fasthttp.Response{}
+	answer.Header().CopyTo(&a.resp.Header)
+	a.resp.SetBodyRaw(body)
+	a.judge(now, head)
+}
+
+// judge says what a whole answer means for the request and for the upstream.
+func (a *attempt) judge(now spanrill.Millis, head spanrill.UpstreamHead) {
+	a.outcome = spanrill.OutcomeRan
+	switch {
+	case head.NotRun:
+		a.notRun, a.outcome, a.retry = true, spanrill.OutcomeNotRun, meter.RetryRefused
+		a.err = errors.Errorf("refused with status %d", a.resp.StatusCode())
+		a.upstream.Avoid(now, now+refusedAvoid)
+	case a.resp.StatusCode() >= fasthttp.StatusInternalServerError:
+		a.retry = meter.RetryStageLost
+		a.err = errors.Errorf("status %d", a.resp.StatusCode())
+		a.upstream.Failed(now)
+	default:
+		a.upstream.Succeeded(now)
+	}
+}
+
+// refusedAvoid is how long an upstream that is full gets nothing.
+const refusedAvoid spanrill.Millis = 60
+
+// genuine checks that an answer belongs to this request and is the upstream's.
+func (q *request) genuine(head spanrill.UpstreamHead, h *fasthttp.ResponseHeader) error {
+	if head.RequestID != "" && head.RequestID != q.head.ID {
+		return errForeign
+	}
+	status := h.StatusCode()
+	if status >= 200 && status < 300 && (!head.Signed || head.RequestID == "" || len(h.ContentEncoding()) > 0) {
+		return errUnsigned
+	}
+	return nil
+}
+
+// pickPlain returns the upstream with the least to do and the fewest failures
+// that was not tried yet, or nil.
+func (q *request) pickPlain(tried map[string]bool) *fleet.Upstream {
+	now := q.relay.Clock.Now()
+	var best *fleet.Upstream
+	bestScore := 0.0
+	for _, u := range q.relay.Fleet.View().Of(q.service.Name) {
+		if tried[u.ID()] || !u.Takes() {
+			continue
+		}
+		score := q.plainScore(u, now)
+		if best == nil || score < bestScore {
+			best, bestScore = u, score
+		}
+	}
+	return best
+}
+
+// Weights of plainScore, in requests that run at once.
+const (
+	avoidedWeight   = 50.0
+	failureWeight   = 12.0
+	otherZoneWeight = 0.4
+	tieWeight       = 0.2
+)
+
+func (q *request) plainScore(u *fleet.Upstream, now spanrill.Millis) float64 {
+	score := float64(u.Calls()) + failureWeight*u.Risk(now) + tieWeight*q.relay.Random.Float64()
+	if u.Avoided(now) || u.Dead() {
+		score += avoidedWeight
+	}
+	if u.Zone() != q.relay.bounds.Zone {
+		score += otherZoneWeight
+	}
+	return score
+}
+
+// sleep waits for a while, or until the request has ended.
+func (q *request) sleep(d spanrill.Millis) bool {
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-q.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/coordination/relay/stream.go
@@ -0,0 +1,208 @@
+package relay
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"spanrill"
+	"spanrill/events"
+	"spanrill/meter"
+)
+
+// eventBody is the body of a stream's answer: the events of an engine, and of
+// others that took the stream up. Only whole events are handed on, so that the
+// caller never sees two halves joined. An answer that cannot be completed ends
+// with an error, which closes the caller's connection without an end mark.
+type eventBody struct {
+	g       *generation
+	framer  *framer
+	ready   []byte // events for the caller
+	out     []byte // buffer behind ready
+	in      []byte
+	last    spanrill.Millis // when the last event came
+	events  int
+	ended   bool
+	taken   int // times that the stream was taken up
+	failure error
+}
+
+// readSize is several events.
+const readSize = 4096
+
+func newEventBody(g *generation) *eventBody {
+	return &eventBody{g: g, framer: newFramer(g.head.LastEvent), in: make([]byte, readSize), last: g.relay.Clock.Now()}
+}
+
+// Read returns events as they come.
+func (b *eventBody) Read(p []byte) (int, error) {
+	for len(b.ready) == 0 {
+		if b.ended {
+			return 0, io.EOF
+		}
+		if err := b.fill(); err != nil {
+			b.failure = err
+			return 0, err
+		}
+	}
+	n := copy(p, b.ready)
+	b.ready = b.ready[n:]
+	return n, nil
+}
+
+// fill reads once from the engine.
+func (b *eventBody) fill() error {
+	n, err := b.g.answer.Body().Read(b.in)
+	if n > 0 {
+		var count int
+		b.out, count = b.framer.feed(b.out[:0], b.in[:n])
+		b.ready = b.out
+		b.note(count)
+	}
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, io.EOF) && !b.framer.partial() {
+		b.ended = true
+		return nil
+	}
+	return b.takeUp(err)
+}
+
+// note counts events and what they say about the engines of the path.
+func (b *eventBody) note(count int) {
+	if count == 0 {
+		return
+	}
+	g, now := b.g, b.g.relay.Clock.Now()
+	seconds := float64(now-b.last) / float64(spanrill.Second)
+	if g.begun {
+		g.relay.Meters.BetweenTokens.Update(seconds)
+	} else {
+		g.relay.Meters.FirstToken.Update(float64(now-g.request.start) / float64(spanrill.Second))
+		g.begun = true
+	}
+	b.last = now
+	b.events += count
+	g.relay.Meters.Tokens.Add(count)
+	for _, p := range g.path.Parts() {
+		p.Upstream.Worked(now)
+	}
+	if b.events%growEvery == 0 {
+		g.path.Grow(int64(g.head.PromptTokens + b.events*tokensPerEvent))
+	}
+}
+
+const (
+	// growEvery is after how many events the reservation is looked at.
+	growEvery = 8
+	// tokensPerEvent is what an event of the users' engines holds.
+	tokensPerEvent = 2
+)
+
+// errCutOff means that a stream cannot go on.
+var errCutOff = errors.New("stream cannot be completed")
+
+// takeUp goes on with the stream on another path behind its last event.
+func (b *eventBody) takeUp(cause error) error {
+	g := b.g
+	for {
+		if g.ctx.Err() != nil {
+			return errors.Wrap(errCutOff, g.ended(true).Detail())
+		}
+		if g.route.Repeat != spanrill.RepeatResume || b.taken >= maxTakeUps {
+			return errors.Wrapf(errCutOff, "%v", cause)
+		}
+		b.taken++
+		b.framer.dropPartial()
+		g.avoid[g.first.ID()] = true
+		g.first.Failed(g.relay.Clock.Now())
+		if refusal := g.afterFailure(&sendError{outcome: spanrill.OutcomeUnknown, retry: retryReason(cause), cause: cause}); refusal != nil {
+			return errors.Wrapf(errCutOff, "%v", refusal)
+		}
+		if cause = b.resume(); cause == nil {
+			return nil
+		}
+	}
+}
+
+// maxTakeUps bounds how often one stream is taken up.
+const maxTakeUps = 4
+
+func retryReason(cause error) meter.Retry {
+	switch {
+	case errors.Is(cause, errFirstLost), errors.Is(cause, errNotThere):
+		return meter.RetryStageLost
+	default:
+		return meter.RetryCut
+	}
+}
+
+// takeUpWait bounds how long a stream waits for room elsewhere. Callers give a
+// stream up after two seconds without an event.
+const takeUpWait spanrill.Millis = 1200
+
+// resume sends the request once more, behind the last event.
+func (b *eventBody) resume() error {
+	g := b.g
+	if refusal := g.findPath(g.relay.Clock.Now() + takeUpWait); refusal != nil {
+		return refusal
+	}
+	if refusal := g.stillAllowed(); refusal != nil {
+		return refusal
+	}
+	if err := g.send(b.framer.lastID); err != nil {
+		return err
+	}
+	if status := g.answer.Status(); status != fasthttp.StatusOK {
+		return errors.Errorf("engine %s answers %d", g.first.ID(), status)
+	}
+	g.relay.Meters.Resumed.Inc()
+	g.relay.bad.Log(events.StreamTaken, g.relay.Log, func() logrus.Fields {
+		f := g.fields()
+		f["path"], f["behind_event"], f["silent_ms"] = g.path.String(), b.framer.lastID, g.relay.Clock.Now()-b.last
+		return f
+	})
+	return nil
+}
+
+// Close ends the request, whole or not.
+func (b *eventBody) Close() error {
+	g := b.g
+	whole := b.ended && len(b.ready) == 0
+	if whole {
+		g.first.Succeeded(g.relay.Clock.Now())
+		g.relay.Meters.Ended(spanrill.OutcomeRan)
+	}
+	b.logEnd(whole)
+	g.release()
+	g.finish()
+	return nil
+}
+
+func (b *eventBody) logEnd(whole bool) {
+	g := b.g
+	extra := func() logrus.Fields {
+		f := logrus.Fields{"events": b.events, "last_event": b.framer.lastID, "taken_up": b.taken, "moves": g.moves, "whole": whole}
+		if g.first != nil {
+			f["upstream"] = g.first.ID()
+		}
+		if b.failure != nil {
+			f["error"] = b.failure
+		}
+		return f
+	}
+	if whole {
+		g.logEnded(fasthttp.StatusOK, extra())
+		return
+	}
+	g.relay.bad.Log(events.StreamFailed, g.relay.Log, func() logrus.Fields {
+		f := g.fields()
+		for name, value := range extra() {
+			f[name] = value
+		}
+		return f
+	})
+}
--- a/events/events.go
+++ b/events/events.go
@@ -54,6 +54,7 @@
 	DaemonStopped   = define(103, logrus.InfoLevel, "daemon stopped")
 	DaemonDrainLate = define(104, logrus.WarnLevel, "drain took longer than allowed")
 	PartFailed      = define(105, logrus.ErrorLevel, "part of the daemon failed")
+	SettingsRead    = define(106, logrus.InfoLevel, "settings file read again")
 )
 
 // Configuration, 200 to 299.
@@ -64,12 +65,16 @@
 	ConfigHealed    = define(204, logrus.WarnLevel, "accepted edits written back to the platform")
 	ConfigHealFails = define(205, logrus.ErrorLevel, "accepted edits could not be written back")
 	ConfigFromPeer  = define(206, logrus.InfoLevel, "configuration taken from a peer")
+	ConfigStale     = define(207, logrus.WarnLevel, "configuration can no longer be proved fresh")
+	ConfigFresh     = define(208, logrus.InfoLevel, "configuration proved fresh again")
+	KeyWithdrawn    = define(209, logrus.InfoLevel, "keys withdrawn by a configuration")
 )
 
 // The platform, 300 to 399.
 var (
 	PlatformLost  = define(300, logrus.WarnLevel, "platform does not answer")
 	PlatformFound = define(301, logrus.InfoLevel, "platform answers again")
+	HistoryGone   = define(302, logrus.WarnLevel, "platform has forgotten the changes asked for, listing again")
 )
 
 // Membership and peers, 400 to 499.
@@ -90,6 +95,11 @@
 	UpstreamLeaving = define(501, logrus.InfoLevel, "upstream leaving")
 	UpstreamGone    = define(502, logrus.InfoLevel, "upstream gone")
 	UpstreamEjected = define(503, logrus.WarnLevel, "upstream ejected")
+	UpstreamBack    = define(504, logrus.InfoLevel, "upstream takes requests again")
+	UpstreamHeld    = define(505, logrus.InfoLevel, "entry of an upstream lapsed around an outage of the platform, kept for now")
+	UpstreamBadItem = define(506, logrus.ErrorLevel, "entry of an upstream cannot be read")
+	UpstreamStalled = define(507, logrus.WarnLevel, "upstream found standing still by the requests that wait for it")
+	ChainsChanged   = define(508, logrus.InfoLevel, "chains of a service changed")
 )
 
 // Requests, 600 to 699.
@@ -101,6 +111,17 @@
 	CallUncertain   = define(604, logrus.WarnLevel, "outcome of a call unknown")
 	ClaimUnsettled  = define(605, logrus.WarnLevel, "claim could not be settled")
 	RequestPanicked = define(607, logrus.ErrorLevel, "request handler panicked")
+	RequestSent     = define(620, logrus.InfoLevel, "request sent to an upstream")
+	RequestEnded    = define(621, logrus.InfoLevel, "request ended")
+	RequestRetried  = define(622, logrus.InfoLevel, "request is tried again")
+	RequestGivenUp  = define(623, logrus.WarnLevel, "request given up")
+	RequestMoved    = define(624, logrus.InfoLevel, "running request moved to another path")
+	MoveFailed      = define(625, logrus.WarnLevel, "running request could not be moved")
+	StreamTaken     = define(626, logrus.InfoLevel, "stream taken up on another path behind its last event")
+	CallerGone      = define(627, logrus.InfoLevel, "caller left, upstream cancelled")
+	RequestWaits    = define(628, logrus.InfoLevel, "request waits for room on a chain")
+	AnswerForeign   = define(629, logrus.WarnLevel, "answer belongs to another request")
+	LogsDropped     = define(630, logrus.WarnLevel, "log lines dropped because they were not read in time")
 )
 
 // Leases, orders and placement, 700 to 799.
@@ -112,4 +133,5 @@
 	OrderRefused = define(711, logrus.WarnLevel, "order refused")
 	OrderFailed  = define(712, logrus.WarnLevel, "order failed")
 	OrderWaits   = define(713, logrus.InfoLevel, "order waits until earlier ones cannot arrive")
+	LayoutMade   = define(714, logrus.InfoLevel, "layout planned")
 )
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,322 @@
+// Package gateway puts the parts of a router together that runs on the users'
+// platform.
+//
+// All gateways are equal. Each reads routes and engines from the platform's
+// store, serves callers, and exchanges news with the others; one of them holds
+// a lease and orders the engines which layers to hold.
+//
+//	gateway.go   the parts and their life
+//	config.go    the configuration of routes
+//	peers.go     messages of other daemons
+//	ready.go     readiness and metrics
+//	stop.go      the planned stop
+//
+// # Usage
+//
+//	g, err := gateway.New(settings, platform.New(settings.Platform, client), gateway.WithLogger(log))
+//	if err != nil {
+//		return fmt.Errorf("build gateway: %w", err)
+//	}
+//	err = g.Run(ctx) // until the context ends, then drains
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/clock"
+	"spanrill/coordination/chainrouting"
+	"spanrill/coordination/exchange"
+	"spanrill/coordination/layoutrun"
+	"spanrill/coordination/lease"
+	"spanrill/coordination/probe"
+	"spanrill/coordination/relay"
+	"spanrill/coordination/retry"
+	"spanrill/events"
+	"spanrill/meter"
+	"spanrill/rng"
+	"spanrill/settings"
+	"spanrill/state/fleet"
+	"spanrill/state/follow"
+	"spanrill/state/routes"
+	"spanrill/task"
+	"spanrill/transport/callerhttp"
+	"spanrill/transport/httpcall"
+)
+
+// Adapter is how a gateway speaks to the platform.
+type Adapter struct {
+	Store        spanrill.ObjectStore
+	Config       spanrill.Collection
+	Upstreams    spanrill.Collection
+	Engines      spanrill.LayerEngines
+	Codec        spanrill.HeaderCodec
+	DecodeConfig func(value []byte) (*spanrill.RouteConfig, error)
+	DecodeEntry  func(spanrill.Item) (spanrill.EngineEntry, error)
+	ConfigName   string // name of the configuration in its collection
+	ReadyPath    string // asked by the platform's balancer
+}
+
+// Connect builds an adapter that uses the client for all of its calls, and
+// tells onCall of the end of each call of the store.
+type Connect func(platform string, http *httpcall.Client, onCall func(call string, err error)) Adapter
+
+// Gateway is one router.
+type Gateway struct {
+	settings settings.Gateway
+	clock    spanrill.Clock
+	log      *logrus.Entry
+	random   *rng.Source
+	meters   *meter.Meters
+	adapter  Adapter
+
+	http      *httpcall.Client
+	config    *routes.Current
+	fleet     *fleet.Table
+	relay     *relay.Relay
+	prober    *probe.Prober
+	budgets   *retry.Budgets
+	exchange  *exchange.Exchange
+	lease     *lease.Lease
+	placer    *layoutrun.Placer
+	peers     *peers
+	callers   *callerhttp.Server
+	upstreams *follow.Follower
+	configs   *follow.Follower
+
+	listener net.Listener
+	ready    net.Listener
+	metrics  net.Listener
+	draining atomic.Bool
+	wasFresh atomic.Bool
+	done     chan struct{}
+}
+
+// Option changes a default of New.
+type Option func(*Gateway)
+
+// WithLogger sets where events go.
+func WithLogger(log *logrus.Logger) Option {
+	return func(g *Gateway) { g.log = logrus.NewEntry(log) }
+}
+
+// WithClock sets the gateway's clock.
+func WithClock(c spanrill.Clock) Option {
+	return func(g *Gateway) { g.clock = c }
+}
+
+const (
+	// freshnessMargin is taken off the time after which no request may run
+	// under a withdrawn key. It covers the way of a request from the check to
+	// the engine, and a clock that drifts.
+	freshnessMargin spanrill.Millis = 700
+	// leaseTime is how long the lease of placement holds from each write. When
+	// its holder is lost, another daemon orders a quarter more than this later.
+	leaseTime spanrill.Millis = 3000
+	// configWait is how long a watch of the configuration waits. Each end of a
+	// watch proves that the configuration is the newest, for all daemons,
+	// since they ask one another.
+	configWait spanrill.Millis = 1500
+	// upstreamSettle is the pause after changes of upstreams, so that those
+	// that come together cost one call. It is a twentieth of the time in which
+	// an upstream that leaves may still get requests.
+	upstreamSettle spanrill.Millis = 100
+	// dialTimeout bounds a new connection. One whose first packet was lost
+	// comes up after a second; another upstream is faster.
+	dialTimeout spanrill.Millis = 350
+)
+
+// New returns a gateway that listens on its addresses but serves nothing yet.
+func New(s settings.Gateway, connect Connect, opts ...Option) (*Gateway, error) {
+	g := &Gateway{
+		settings: s, clock: clock.NewSystem(), log: logrus.NewEntry(logrus.StandardLogger()),
+		meters: meter.New(), random: rng.New(uint64(time.Now().UnixNano())), done: make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(g)
+	}
+	g.log = g.log.WithField("daemon", s.Name)
+	if err := g.build(connect); err != nil {
+		return nil, fmt.Errorf("build %s: %w", s.Name, err)
+	}
+	if err := g.listen(); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return g, nil
+}
+
+func (g *Gateway) build(connect Connect) error {
+	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout))
+	g.config = routes.NewCurrent(g.clock)
+	g.adapter = connect(g.settings.Platform, g.http, g.storeCalled)
+	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log))
+	g.prober = probe.New(g.adapter.Engines, g.clock, g.log)
+	b := g.settings.Bounds
+	g.budgets = retry.NewBudgets(g.clock, b.RetryRatio, b.RetrySlack, b.RetryWindow, firstDaemons)
+	var err error
+	if g.peers, err = newPeers(g); err != nil {
+		return fmt.Errorf("build peers: %w", err)
+	}
+	g.exchange = exchange.New(g.peers, exchange.State{
+		Name: g.peers.name, Config: g.config, Fleet: g.fleet, Decode: g.adapter.DecodeConfig,
+		Placement: g.holdsLease, Leaving: g.draining.Load,
+	}, g.clock, g.log, g.random)
+	g.lease = lease.New(g.adapter.Store, g.clock, "placement", g.peers.name, lease.WithTime(leaseTime),
+		lease.WithLogger(g.log), lease.WithContends(g.contends))
+	g.placer = layoutrun.New(g.lease, g.adapter.Engines, g.fleet, g.models, g.clock, g.log)
+	g.relay = relay.New(relay.Parts{
+		Config: g.config, Fleet: g.fleet, Router: chainrouting.New(g.fleet, g.clock, g.log), Prober: g.prober,
+		Engines: g.adapter.Engines, Codec: g.adapter.Codec, HTTP: g.http, Budgets: g.budgets,
+		Clock: g.clock, Log: g.log, Meters: g.meters, Random: g.random,
+	}, relay.Bounds{Zone: g.settings.Zone, Freshness: g.freshness()})
+	g.callers = callerhttp.New(g.relay.Serve, g.limits)
+	jitter := follow.WithJitter(g.random.Float64)
+	g.configs = follow.New(g.adapter.Config, g.clock, configSink{g}, follow.WithWait(configWait), jitter,
+		follow.WithLogger(g.log, "configuration"))
+	g.upstreams = follow.New(g.adapter.Upstreams, g.clock, g.fleet, follow.WithSettle(upstreamSettle), jitter,
+		follow.WithLogger(g.log, "upstreams"))
+	return nil
+}
+
+// firstDaemons is the size of the fleet that is assumed until peers are known:
+// more than there are, so that the sum of all parts of a budget stays small.
+const firstDaemons = 16
+
+func (g *Gateway) freshness() spanrill.Millis {
+	return max(1, g.settings.Bounds.Revoke-freshnessMargin)
+}
+
+func (g *Gateway) limits() spanrill.CallerLimits {
+	if t := g.config.Table(); t != nil {
+		return t.Limits()
+	}
+	return spanrill.CallerLimits{}
+}
+
+func (g *Gateway) models() []spanrill.ServiceInfo {
+	if t := g.config.Table(); t != nil {
+		return t.Services()
+	}
+	return nil
+}
+
+func (g *Gateway) holdsLease() bool {
+	_, ok := g.lease.Held()
+	return ok
+}
+
+// contends reports whether this daemon should try to take the lease: it is not
+// stopping, knows what to place, and no peer says that it has the lease.
+func (g *Gateway) contends() bool {
+	return !g.draining.Load() && g.config.Table() != nil && !g.exchange.PlacementHeld()
+}
+
+// storeCalled notes calls of the store that failed.
+func (g *Gateway) storeCalled(_ string, err error) {
+	if err != nil {
+		g.fleet.NoteOutage()
+	}
+}
+
+func (g *Gateway) listen() error {
+	var err error
+	if g.listener, err = net.Listen("tcp", g.settings.Listen); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if g.ready, err = net.Listen("tcp", g.settings.ReadyListen); err != nil {
+		return fmt.Errorf("listen for the balancer: %w", err)
+	}
+	if g.settings.MetricsListen == "" {
+		return nil
+	}
+	if g.metrics, err = net.Listen("tcp", g.settings.MetricsListen); err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
+	return nil
+}
+
+// Done returns a channel that is closed when the gateway has stopped.
+func (g *Gateway) Done() <-chan struct{} { return g.done }
+
+// Meters returns the gateway's counters.
+func (g *Gateway) Meters() *meter.Meters { return g.meters }
+
+// Run serves until the context ends, then drains and stops.
+func (g *Gateway) Run(ctx context.Context) error {
+	defer close(g.done)
+	events.DaemonStarted.Log(g.log, logrus.Fields{"listen": g.settings.Listen, "zone": g.settings.Zone, "peers": g.settings.Peers})
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var tasks task.Group
+	failed := make(chan error, 1)
+	for name, part := range g.parts() {
+		tasks.Start(work, name, func(ctx context.Context) error { return g.runPart(ctx, name, part, failed) })
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+		g.drain()
+	case err = <-failed:
+	}
+	cancel()
+	g.close()
+	if stopped := tasks.Wait(); err == nil {
+		err = stopped
+	}
+	events.DaemonStopped.Log(g.log, nil)
+	return err
+}
+
+// parts are the long-running parts by name.
+func (g *Gateway) parts() map[string]func(context.Context) error {
+	return map[string]func(context.Context) error{
+		"configuration": g.configs.Run,
+		"upstreams":     g.upstreams.Run,
+		"peers":         g.peers.run,
+		"exchange":      g.exchange.Run,
+		"lease":         g.lease.Run,
+		"placement":     g.placer.Run,
+		"callers gone":  g.relay.Run,
+		"upkeep":        g.upkeep,
+		"readiness":     g.serveReady,
+		"callers":       func(context.Context) error { return g.callers.Serve(g.listener) },
+		"metrics":       g.serveMetrics,
+	}
+}
+
+func (g *Gateway) runPart(ctx context.Context, name string, part func(context.Context) error, failed chan<- error) error {
+	err := part(ctx)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	events.PartFailed.Log(g.log, logrus.Fields{"part": name, "error": err})
+	select {
+	case failed <- fmt.Errorf("part %s: %w", name, err):
+	default:
+	}
+	return err
+}
+
+// upkeepGap is how often what has become due is looked for.
+const upkeepGap spanrill.Millis = 100
+
+// upkeep does what becomes due with time.
+func (g *Gateway) upkeep(ctx context.Context) error {
+	for ctx.Err() == nil {
+		g.fleet.Tend()
+		g.prober.Recheck(ctx, g.fleet.View())
+		g.noteFreshness()
+		g.budgets.SetDaemons(len(g.peers.list.Live()))
+		select {
+		case <-ctx.Done():
+		case <-g.clock.After(upkeepGap):
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/coordination/membership"
+	"spanrill/events"
+	"spanrill/protocol/peermsg"
+	"spanrill/task"
+	"spanrill/transport/peernet"
+)
+
+// peers connects the gateway with the other daemons.
+type peers struct {
+	gateway *Gateway
+	name    string // new with each start
+	net     *peernet.Net
+	list    *membership.List
+}
+
+// memberRound is the pause between two rounds of gossip. A daemon that is lost
+// is taken as dead after eight of them.
+const memberRound spanrill.Millis = 500
+
+func newPeers(g *Gateway) (*peers, error) {
+	p := &peers{gateway: g, name: fmt.Sprintf("%s/%08x", g.settings.Name, uint32(g.random.Uint64()))}
+	var err error
+	p.net, err = peernet.New(g.settings.PeerListen, p.name, g.settings.FleetSecret, p.handle,
+		peernet.WithLogger(g.log), peernet.WithMeters(g.meters))
+	if err != nil {
+		return nil, fmt.Errorf("build peer transport: %w", err)
+	}
+	self := peermsg.Member{Name: p.name, Zone: g.settings.Zone, PeerAddr: g.settings.PeerListen}
+	p.list = membership.New(self, g.clock, p.gossip, membership.WithLogger(g.log),
+		membership.WithRandom(g.random), membership.WithRound(memberRound))
+	seeds := make([]spanrill.Box, 0, len(g.settings.Peers))
+	for _, addr := range g.settings.Peers {
+		if addr != g.settings.PeerListen {
+			seeds = append(seeds, spanrill.Box{Name: addr, Role: spanrill.RoleEntry, PeerAddr: addr})
+		}
+	}
+	p.list.SetBoxes(seeds)
+	return p, nil
+}
+
+// run carries messages and gossips until the context ends.
+func (p *peers) run(ctx context.Context) error {
+	var tasks task.Group
+	tasks.Start(ctx, "peer transport", p.net.Run)
+	tasks.Start(ctx, "membership", p.list.Run)
+	return tasks.Wait()
+}
+
+func (p *peers) gossip(addr string, g *peermsg.Gossip) error {
+	payload, err := peermsg.Encode(g)
+	if err != nil {
+		return err
+	}
+	return p.net.Send(addr, peermsg.KindGossip, payload)
+}
+
+// Others returns the daemons that are alive, without this one.
+func (p *peers) Others() []peermsg.Member { return p.list.Others() }
+
+// Ask sends a request to a peer and decodes its reply.
+func (p *peers) Ask(ctx context.Context, addr string, kind uint8, req, reply any) error {
+	payload, err := peermsg.Encode(req)
+	if err != nil {
+		return err
+	}
+	answer, err := p.net.Ask(ctx, addr, peernet.Kind(kind), payload)
+	if err != nil {
+		return fmt.Errorf("ask peer: %w", err)
+	}
+	return peermsg.Decode(answer, reply)
+}
+
+// handle takes a message of a peer. One that cannot be decoded is refused; its
+// sender goes on.
+func (p *peers) handle(from string, kind peernet.Kind, payload []byte) []byte {
+	reply, err := p.dispatch(kind, payload)
+	if err != nil {
+		p.gateway.meters.FramesRefused.Inc()
+		events.FrameRefused.Log(p.gateway.log, logrus.Fields{"peer": from, "kind": kind, "error": err})
+		return nil
+	}
+	if reply == nil {
+		return nil
+	}
+	answer, err := peermsg.Encode(reply)
+	if err != nil {
+		events.FrameRefused.Log(p.gateway.log, logrus.Fields{"peer": from, "kind": kind, "error": err})
+		return nil
+	}
+	return answer
+}
+
+func (p *peers) dispatch(kind peernet.Kind, payload []byte) (reply any, err error) {
+	switch kind {
+	case peermsg.KindGossip:
+		var m peermsg.Gossip
+		if err = peermsg.Decode(payload, &m); err == nil && len(m.Members) > 0 {
+			p.list.Take(&m)
+		}
+		return nil, err
+	case peermsg.KindNews:
+		return p.gateway.exchange.News(), nil
+	case peermsg.KindRouteConfig:
+		return p.gateway.exchange.RouteConfig(), nil
+	}
+	return nil, fmt.Errorf("unknown kind %d", kind)
+}
+
+// leave tells the others that this daemon is stopping.
+func (p *peers) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveWait)
+	defer cancel()
+	p.list.Leave(ctx)
+}
+
+// leaveWait bounds the farewell.
+const leaveWait = 500 * time.Millisecond
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -30,6 +30,9 @@
 	KindClaim   peernet.Kind = 6 // Claim, reply Claimed
 	KindSettle  peernet.Kind = 7 // Settle, no reply
 	KindBoxes   peernet.Kind = 8 // no payload, reply Boxes
+	KindNews    peernet.Kind = 9 // no payload, reply News
+
+	KindRouteConfig peernet.Kind = 10 // no payload, reply RouteConfig
 )
 
 // Member is what daemons tell one another about one of them.
@@ -170,3 +173,29 @@
 	}
 	return nil
 }
+
+// Use is what the requests of one daemon hold at one upstream.
+type Use struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Upstream uint32   // hash of its id
+	Tokens   int64
+	Calls    int64
+}
+
+// News is what a daemon answers when it is asked for news.
+type News struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Name      string
+	Revision  uint64          // of the newest configuration, or 0
+	ProofAge  spanrill.Millis // of that configuration, when the answer was made
+	Uses      []Use           // what this daemon's own requests hold
+	Placement bool            // holds the lease of placement
+	Leaving   bool
+}
+
+// RouteConfig is a configuration as it lies in the store.
+type RouteConfig struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Revision uint64
+	Value    []byte
+}
--- a/refusal.go
+++ b/refusal.go
@@ -40,6 +40,8 @@
 	ReasonRetryBudget      // a retry was due and the budget was spent
 	ReasonClaimOutstanding // an earlier request with this key has no outcome yet
 	ReasonClaimsFull       // the slot of the key holds as many records as fit
+	ReasonConfigStale      // the configuration cannot be proved fresh
+	ReasonNoRoom           // every chain is full
 	ReasonInternal         // a fault of this daemon
 	reasonCount
 )
@@ -88,6 +90,8 @@
 	ReasonRetryBudget:      {"retry_budget_spent", 503, kindUnavailable},
 	ReasonClaimOutstanding: {"outcome_pending", 409, kindUnavailable},
 	ReasonClaimsFull:       {"claims_full", 503, kindUnavailable},
+	ReasonConfigStale:      {"configuration_stale", 503, kindUnavailable},
+	ReasonNoRoom:           {"no_room", 503, kindUnavailable},
 	ReasonInternal:         {"internal_error", 500, kindServer},
 }
 
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,70 @@
+package settings
+
+import (
+	_ "embed" // the schema is embedded
+	"fmt"
+	"os"
+
+	"spanrill"
+	"spanrill/checked"
+)
+
+//go:embed gateway.json
+var gatewayJSON []byte
+
+var gatewaySchema = checked.MustCompile("gateway", gatewayJSON)
+
+// GatewaySchema returns the JSON schema of the settings of a gateway.
+func GatewaySchema() *checked.Schema { return gatewaySchema }
+
+// Gateway is the settings of one process that runs on the users' platform.
+type Gateway struct {
+	Name          string   `json:"name"`
+	Zone          string   `json:"availability_zone"`
+	Listen        string   `json:"listen"`
+	ReadyListen   string   `json:"ready_listen"`
+	PeerListen    string   `json:"peer_listen"`
+	MetricsListen string   `json:"metrics_listen"`
+	Peers         []string `json:"peers"`
+	Platform      string   `json:"platform"`
+	FleetSecret   string   `json:"fleet_secret"`
+	MemoryMB      int      `json:"memory_mb"` // 0: no limit
+	Bounds        Bounds   `json:"bounds"`
+	Log           Log      `json:"log"`
+}
+
+// Bounds is what the operator holds the fleet to.
+type Bounds struct {
+	Revoke      spanrill.Millis `json:"revoke_ms"` // after this no request runs under a withdrawn key
+	Grace       spanrill.Millis `json:"grace_ms"`  // from the request to stop to the kill
+	RetryRatio  float64         `json:"retry_ratio"`
+	RetrySlack  float64         `json:"retry_slack"`
+	RetryWindow spanrill.Millis `json:"retry_window_ms"`
+}
+
+// DefaultGateway returns settings in which all optional fields have their value.
+func DefaultGateway() Gateway {
+	return Gateway{
+		Peers: []string{}, Log: Log{Level: "info"},
+		Bounds: Bounds{RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * spanrill.Second},
+	}
+}
+
+// ParseGateway checks and decodes the settings of a gateway. File names them in
+// errors.
+func ParseGateway(file string, data []byte) (Gateway, error) {
+	s := DefaultGateway()
+	if err := gatewaySchema.Decode(file, data, &s); err != nil {
+		return Gateway{}, err
+	}
+	return s, nil
+}
+
+// LoadGateway reads the settings of a gateway from a file.
+func LoadGateway(path string) (Gateway, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, fmt.Errorf("read settings: %w", err)
+	}
+	return ParseGateway(path, data)
+}
--- /dev/null
+++ b/state/fleet/fleet.go
@@ -0,0 +1,217 @@
+// Package fleet holds what this daemon knows of the upstreams: their entries
+// in the platform's store, what runs on them, and whether they are well.
+//
+// Readers take a View, which is not changed after it was made, and see the
+// newest figures of each upstream through its atomics. Writers replace the
+// view as a whole.
+//
+// An entry that goes means that its upstream has left, except around an outage
+// of the store, where entries of upstreams that live may lapse: those are kept
+// for HoldTime after they were seen to be missing.
+//
+// # Usage
+//
+//	t := fleet.New(clock, decode)
+//	go follow.New(entries, clock, t).Run(ctx)
+//	for _, u := range t.View().Of("reader") { ... }
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/events"
+)
+
+// HoldTime is how long an upstream is kept whose entry lapsed around an outage
+// of the store. The users' page: such entries are back about 2 s after the
+// store's return, and an upstream that left may get nothing 2 s after its entry
+// was seen to go, so that it has to be a little less.
+const HoldTime spanrill.Millis = 1700
+
+// outageMemory is how long after the last failed call of the store an entry
+// that goes may have lapsed: three missed heartbeats of 1.2 s.
+const outageMemory spanrill.Millis = 3600
+
+// Table holds the upstreams.
+type Table struct {
+	clock  spanrill.Clock
+	log    logrus.FieldLogger
+	decode func(spanrill.Item) (spanrill.EngineEntry, error)
+
+	mu      sync.Mutex
+	all     map[string]*Upstream
+	held    map[string]spanrill.Millis // by id, when the entry was seen to go
+	view    atomic.Pointer[View]
+	outage  atomic.Int64 // end of the last failed call of the store
+	version uint64
+	seen    chan struct{}
+	once    sync.Once
+}
+
+// Option changes a default of New.
+type Option func(*Table)
+
+// WithLogger sets where events go.
+func WithLogger(log logrus.FieldLogger) Option {
+	return func(t *Table) { t.log = log }
+}
+
+// New returns an empty table. Decode reads the items of the collection.
+func New(clock spanrill.Clock, decode func(spanrill.Item) (spanrill.EngineEntry, error), opts ...Option) *Table {
+	t := &Table{
+		clock: clock, decode: decode, log: logrus.StandardLogger(),
+		all: map[string]*Upstream{}, held: map[string]spanrill.Millis{}, seen: make(chan struct{}),
+	}
+	t.outage.Store(-int64(outageMemory) * 2)
+	for _, o := range opts {
+		o(t)
+	}
+	t.view.Store(&View{})
+	return t
+}
+
+// Seen returns a channel that is closed once the collection was listed.
+func (t *Table) Seen() <-chan struct{} { return t.seen }
+
+// View returns the upstreams as they are known now.
+func (t *Table) View() *View { return t.view.Load() }
+
+// NoteOutage notes that a call of the store has failed.
+func (t *Table) NoteOutage() { t.outage.Store(int64(t.clock.Now())) }
+
+// Listed takes the whole collection.
+func (t *Table) Listed(items []spanrill.Item, _ spanrill.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	there := make(map[string]bool, len(items))
+	for _, item := range items {
+		there[item.Name] = true
+		t.put(item)
+	}
+	for id := range t.all {
+		if !there[id] {
+			t.gone(id)
+		}
+	}
+	t.publish()
+	t.once.Do(func() { close(t.seen) })
+}
+
+// Changed takes changes.
+func (t *Table) Changed(changes []spanrill.Change, _ spanrill.Millis) {
+	if len(changes) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range changes {
+		if c.Gone {
+			t.gone(c.Name)
+			continue
+		}
+		t.put(c.Item)
+	}
+	t.publish()
+}
+
+// put takes one entry. The caller holds the lock.
+func (t *Table) put(item spanrill.Item) {
+	entry, err := t.decode(item)
+	if err != nil {
+		events.UpstreamBadItem.Log(t.log, logrus.Fields{"upstream": item.Name, "error": err})
+		return
+	}
+	delete(t.held, entry.ID)
+	u := t.all[entry.ID]
+	if u == nil {
+		u = newUpstream(entry)
+		t.all[entry.ID] = u
+		t.replaced(entry)
+		events.UpstreamFound.Log(t.log, logrus.Fields{
+			"upstream": entry.ID, "service": entry.Service, "addr": entry.Addr, "zone": entry.Zone,
+			"kind": entry.Kind, "layers": entry.Layers, "leaving": entry.Leaving, "revision": entry.Revision,
+		})
+		return
+	}
+	old := u.Entry()
+	if old.Revision > entry.Revision {
+		return
+	}
+	u.entry.Store(&entry)
+	if entry.Leaving && !old.Leaving {
+		events.UpstreamLeaving.Log(t.log, logrus.Fields{"upstream": entry.ID, "revision": entry.Revision})
+	}
+}
+
+// replaced removes an upstream whose address a new one has.
+func (t *Table) replaced(entry spanrill.EngineEntry) {
+	for id, u := range t.all {
+		if id != entry.ID && u.Addr() == entry.Addr {
+			t.remove(id, "another upstream has its address")
+		}
+	}
+}
+
+// gone takes the end of an entry. The caller holds the lock.
+func (t *Table) gone(id string) {
+	if t.all[id] == nil {
+		return
+	}
+	if _, holding := t.held[id]; holding {
+		return
+	}
+	now := t.clock.Now()
+	if since := now - spanrill.Millis(t.outage.Load()); since < outageMemory && !t.all[id].Entry().Leaving {
+		t.held[id] = now
+		events.UpstreamHeld.Log(t.log, logrus.Fields{"upstream": id, "ms_since_outage": since})
+		return
+	}
+	t.remove(id, "entry gone")
+}
+
+func (t *Table) remove(id, why string) {
+	u := t.all[id]
+	u.removed.Store(true)
+	delete(t.all, id)
+	delete(t.held, id)
+	events.UpstreamGone.Log(t.log, logrus.Fields{"upstream": id, "why": why})
+}
+
+// Tend removes upstreams that were held long enough.
+func (t *Table) Tend() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, changed := t.clock.Now(), false
+	for id, since := range t.held {
+		if now-since >= HoldTime {
+			t.remove(id, "entry did not come back")
+			changed = true
+		}
+	}
+	if changed {
+		t.publish()
+	}
+}
+
+// Touch makes a new view, after what an upstream is thought of has changed.
+func (t *Table) Touch() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.publish()
+}
+
+func (t *Table) publish() {
+	t.version++
+	v := &View{version: t.version, byID: make(map[string]*Upstream, len(t.all)), byService: map[string][]*Upstream{}, byAddr: make(map[string]*Upstream, len(t.all))}
+	for id, u := range t.all {
+		v.byID[id] = u
+		v.byAddr[u.Addr()] = u
+		v.byService[u.Service()] = append(v.byService[u.Service()], u)
+	}
+	v.sort()
+	t.view.Store(v)
+}
--- /dev/null
+++ b/state/fleet/upstream.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"sync/atomic"
+
+	"spanrill"
+)
+
+// Upstream is one engine or plain service, and what this daemon knows of it.
+type Upstream struct {
+	entry   atomic.Pointer[spanrill.EngineEntry]
+	removed atomic.Bool
+
+	ownTokens  atomic.Int64 // reserved by requests of this daemon
+	peerTokens atomic.Int64 // reserved by requests of other daemons, as told last
+	ownCalls   atomic.Int64 // requests of this daemon that run
+	peerCalls  atomic.Int64
+
+	avoidUntil atomic.Int64 // on the daemon's clock; takes no new requests until then
+	avoided    atomic.Int32 // times in a row
+	dead       atomic.Bool  // did not answer when it was asked
+	risk       risk
+	pace       atomic.Int64 // reported slowness in thousandths, 0 if not known
+	lastOK     atomic.Int64 // when it last answered or produced something
+}
+
+func newUpstream(e spanrill.EngineEntry) *Upstream {
+	u := &Upstream{}
+	u.entry.Store(&e)
+	return u
+}
+
+// Entry returns the newest entry. It must not be changed.
+func (u *Upstream) Entry() *spanrill.EngineEntry { return u.entry.Load() }
+
+// ID returns the upstream's id, which is new with each of its starts.
+func (u *Upstream) ID() string { return u.Entry().ID }
+
+// Addr returns the address that requests go to.
+func (u *Upstream) Addr() string { return u.Entry().Addr }
+
+// Zone returns the availability zone.
+func (u *Upstream) Zone() string { return u.Entry().Zone }
+
+// Service returns the name of the service.
+func (u *Upstream) Service() string { return u.Entry().Service }
+
+// Takes reports whether the upstream may be given new requests at all: its
+// entry is there and it is not leaving.
+func (u *Upstream) Takes() bool { return !u.removed.Load() && !u.Entry().Leaving }
+
+// Removed reports whether the entry is gone.
+func (u *Upstream) Removed() bool { return u.removed.Load() }
+
+// Avoided reports whether the upstream is to be avoided because of failures.
+func (u *Upstream) Avoided(now spanrill.Millis) bool { return int64(now) < u.avoidUntil.Load() }
+
+// Avoid keeps new requests away until then, and reports whether it was not
+// avoided before.
+func (u *Upstream) Avoid(now, until spanrill.Millis) bool {
+	before := u.avoidUntil.Swap(int64(until))
+	fresh := before <= int64(now)
+	if fresh {
+		u.avoided.Add(1)
+	}
+	return fresh
+}
+
+// AvoidedTimes returns how often the upstream was avoided since it last worked.
+func (u *Upstream) AvoidedTimes() int32 { return u.avoided.Load() }
+
+// Worked notes that the upstream has produced something, which ends an
+// avoidance, and reports whether there was one.
+func (u *Upstream) Worked(now spanrill.Millis) bool {
+	u.lastOK.Store(int64(now))
+	if u.avoided.Load() == 0 {
+		return false
+	}
+	u.avoided.Store(0)
+	return u.avoidUntil.Swap(0) > int64(now)
+}
+
+// Dead reports whether the upstream did not answer when it was asked last.
+func (u *Upstream) Dead() bool { return u.dead.Load() }
+
+// SetDead notes whether the upstream answers, and reports whether that is news.
+func (u *Upstream) SetDead(dead bool) bool { return u.dead.Swap(dead) != dead }
+
+// Failed notes a request that failed here.
+func (u *Upstream) Failed(now spanrill.Millis) { u.risk.note(now, 1) }
+
+// Succeeded notes a request that was answered here.
+func (u *Upstream) Succeeded(now spanrill.Millis) { u.risk.note(now, 0) }
+
+// Risk returns the share of requests that failed lately, from 0 to 1.
+func (u *Upstream) Risk(now spanrill.Millis) float64 { return u.risk.at(now) }
+
+// LastOK returns when the upstream last produced something.
+func (u *Upstream) LastOK() spanrill.Millis { return spanrill.Millis(u.lastOK.Load()) }
+
+// Reserve adds tokens that a request of this daemon holds. A negative number
+// gives them back.
+func (u *Upstream) Reserve(tokens int64) { u.ownTokens.Add(tokens) }
+
+// OwnTokens returns the tokens that requests of this daemon hold.
+func (u *Upstream) OwnTokens() int64 { return u.ownTokens.Load() }
+
+// Tokens returns the tokens that requests of all daemons hold, as known here.
+func (u *Upstream) Tokens() int64 { return u.ownTokens.Load() + u.peerTokens.Load() }
+
+// Begin counts a request of this daemon, and End its end.
+func (u *Upstream) Begin() { u.ownCalls.Add(1) }
+
+// End ends a request that Begin has counted.
+func (u *Upstream) End() { u.ownCalls.Add(-1) }
+
+// OwnCalls returns how many requests of this daemon run.
+func (u *Upstream) OwnCalls() int64 { return u.ownCalls.Load() }
+
+// Calls returns how many requests of all daemons run, as known here.
+func (u *Upstream) Calls() int64 { return u.ownCalls.Load() + u.peerCalls.Load() }
+
+// SetPeers sets what requests of other daemons hold.
+func (u *Upstream) SetPeers(tokens, calls int64) {
+	u.peerTokens.Store(tokens)
+	u.peerCalls.Store(calls)
+}
+
+// SetPace notes how many times slower than its kind the upstream reports to be.
+func (u *Upstream) SetPace(pace float64) { u.pace.Store(int64(pace * paceUnit)) }
+
+// Pace returns the slowness that the upstream reported last, at least 1.
+func (u *Upstream) Pace() float64 { return max(1, float64(u.pace.Load())/paceUnit) }
+
+const paceUnit = 1000
--- /dev/null
+++ b/state/follow/follow.go
@@ -0,0 +1,172 @@
+// Package follow keeps up with a collection of the platform's store.
+//
+// A Follower lists the collection, then watches it. Whenever the store has
+// forgotten the history it lists again. Each answer is handed on with the time
+// at which its call was sent, so that its owner knows how old the knowledge is
+// at most.
+//
+// # Usage
+//
+//	f := follow.New(store.Collection("config"), clock, sink, follow.WithWait(spanrill.Second))
+//	err := f.Run(ctx)
+package follow
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/events"
+)
+
+// Sink takes what a follower learns. Its functions are called from one
+// goroutine.
+type Sink interface {
+	// Listed takes the whole collection.
+	Listed(items []spanrill.Item, sent spanrill.Millis)
+	// Changed takes changes, which may be none.
+	Changed(changes []spanrill.Change, sent spanrill.Millis)
+}
+
+// Follower keeps up with one collection.
+type Follower struct {
+	source spanrill.Collection
+	clock  spanrill.Clock
+	sink   Sink
+	log    logrus.FieldLogger
+	name   string
+	wait   spanrill.Millis
+	settle spanrill.Millis
+	jitter func() float64
+
+	at     uint64
+	listed bool
+	lost   bool
+	tries  int
+}
+
+// Option changes a default of New.
+type Option func(*Follower)
+
+// WithWait sets how long a watch waits for changes.
+func WithWait(d spanrill.Millis) Option {
+	return func(f *Follower) { f.wait = d }
+}
+
+// WithSettle sets a pause after changes have come, so that changes that come
+// in quick succession are fetched by one call.
+func WithSettle(d spanrill.Millis) Option {
+	return func(f *Follower) { f.settle = d }
+}
+
+// WithLogger sets where events go, and the name of the collection in them.
+func WithLogger(log logrus.FieldLogger, name string) Option {
+	return func(f *Follower) { f.log, f.name = log, name }
+}
+
+// WithJitter sets a source of numbers from 0 to 1 that spreads retries.
+func WithJitter(jitter func() float64) Option {
+	return func(f *Follower) { f.jitter = jitter }
+}
+
+const (
+	// defaultWait is the longest watch that the store takes.
+	defaultWait = 30 * spanrill.Second
+	// firstPause follows the first failed call: 25 times the store's usual
+	// answer, so that a store that has just come back is found at once.
+	firstPause spanrill.Millis = 100
+	// longestPause bounds the pause between failed calls. It is a fraction of
+	// the freshness that requests with a key need.
+	longestPause spanrill.Millis = 400
+)
+
+// New returns a follower that has read nothing.
+func New(source spanrill.Collection, clock spanrill.Clock, sink Sink, opts ...Option) *Follower {
+	f := &Follower{
+		source: source, clock: clock, sink: sink, log: logrus.StandardLogger(),
+		wait: defaultWait, jitter: func() float64 { return 0 },
+	}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
+}
+
+// Run follows the collection until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := f.Step(ctx)
+		if pause <= 0 {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.clock.After(pause):
+		}
+	}
+	return ctx.Err()
+}
+
+// Step makes one call and returns how long to pause before the next.
+func (f *Follower) Step(ctx context.Context) spanrill.Millis {
+	sent := f.clock.Now()
+	var err error
+	changed := false
+	if !f.listed {
+		err = f.list(ctx, sent)
+	} else {
+		changed, err = f.watch(ctx, sent)
+	}
+	if errors.Is(err, spanrill.ErrHistoryGone) {
+		events.HistoryGone.Log(f.log, logrus.Fields{"collection": f.name, "after": f.at})
+		f.listed = false
+		return 0
+	}
+	if err != nil {
+		return f.failed(ctx, err)
+	}
+	if f.lost {
+		f.lost = false
+		events.PlatformFound.Log(f.log, logrus.Fields{"collection": f.name, "tries": f.tries})
+	}
+	f.tries = 0
+	if changed {
+		return f.settle
+	}
+	return 0
+}
+
+func (f *Follower) list(ctx context.Context, sent spanrill.Millis) error {
+	items, at, err := f.source.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.at, f.listed = at, true
+	f.sink.Listed(items, sent)
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context, sent spanrill.Millis) (changed bool, err error) {
+	changes, at, err := f.source.Watch(ctx, f.at, f.wait)
+	if err != nil {
+		return false, err
+	}
+	f.at = max(f.at, at)
+	f.sink.Changed(changes, sent)
+	return len(changes) > 0, nil
+}
+
+func (f *Follower) failed(ctx context.Context, err error) spanrill.Millis {
+	if ctx.Err() != nil {
+		return 0
+	}
+	f.tries++
+	if !f.lost {
+		f.lost = true
+		events.PlatformLost.Log(f.log, logrus.Fields{"collection": f.name, "error": err})
+	}
+	pause := min(longestPause, firstPause<<min(f.tries-1, 4))
+	return pause/2 + spanrill.Millis(float64(pause)*f.jitter()/2)
+}
--- /dev/null
+++ b/state/routes/routes.go
@@ -0,0 +1,115 @@
+// Package routes looks up routes, services and keys of one version of the
+// configuration.
+//
+// A Table is built once for each version and not changed afterwards, so that a
+// request that holds one sees a single version from its start to its end.
+//
+// # Usage
+//
+//	t := routes.New(config)
+//	route, ok := t.Find("api.example", "/summaries/7")
+//	account, ok := t.Account(key)
+package routes
+
+import (
+	"sort"
+	"strings"
+
+	"spanrill"
+)
+
+// Table is one version of the configuration, made for look-ups.
+type Table struct {
+	config   *spanrill.RouteConfig
+	byHost   map[string][]*spanrill.Route // longest prefix first
+	services map[string]*spanrill.ServiceInfo
+	accounts map[string]*spanrill.Account // by key
+}
+
+// New returns the table of a configuration.
+func New(c *spanrill.RouteConfig) *Table {
+	t := &Table{
+		config: c, byHost: map[string][]*spanrill.Route{},
+		services: map[string]*spanrill.ServiceInfo{}, accounts: map[string]*spanrill.Account{},
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		sort.SliceStable(routes, func(i, k int) bool { return len(routes[i].Prefix) > len(routes[k].Prefix) })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Accounts {
+		for _, key := range c.Accounts[i].Keys {
+			t.accounts[key] = &c.Accounts[i]
+		}
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() int64 { return t.config.Version }
+
+// Limits returns the bounds on what callers may send.
+func (t *Table) Limits() spanrill.CallerLimits { return t.config.Limits }
+
+// Services returns all services.
+func (t *Table) Services() []spanrill.ServiceInfo { return t.config.Services }
+
+// HasAccounts reports whether routes that are not open need a key.
+func (t *Table) HasAccounts() bool { return len(t.config.Accounts) > 0 }
+
+// Find returns the route of a host and a path: the one whose prefix begins the
+// path and is longest. A port in the host is ignored.
+func (t *Table) Find(host, path string) (*spanrill.Route, bool) {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Account returns the client account that holds a key.
+func (t *Table) Account(key string) (*spanrill.Account, bool) {
+	a, ok := t.accounts[key]
+	return a, ok && key != ""
+}
+
+// Service returns a service by its name, or nil.
+func (t *Table) Service(name string) *spanrill.ServiceInfo { return t.services[name] }
+
+// Choose returns the service of a route for a draw from 0 to 1.
+func Choose(r *spanrill.Route, draw float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := draw * float64(total)
+	for _, s := range r.Shares {
+		at -= float64(s.Weight)
+		if at < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// KeysNotIn returns how many keys of the table another one does not have.
+func (t *Table) KeysNotIn(other *Table) int {
+	n := 0
+	for key := range t.accounts {
+		if _, ok := other.accounts[key]; !ok {
+			n++
+		}
+	}
+	return n
+}
--- a/transport/httpcall/answer.go
+++ b/transport/httpcall/answer.go
@@ -92,6 +92,7 @@
 		return
 	}
 	_ = a.resp.CloseBodyStream()
+	a.conn.silence = nil
 	_ = a.conn.SetReadDeadline(time.Time{})
 	a.client.idle.Put(a.addr, a.conn)
 }
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -24,9 +24,12 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"spanrill"
@@ -47,6 +50,7 @@
 // Client makes calls and keeps idle connections.
 type Client struct {
 	dialTimeout spanrill.Millis
+	unacked     spanrill.Millis
 	idle        *pool.Pool[string, *conn]
 	dialer      net.Dialer
 }
@@ -59,29 +63,71 @@
 	return func(c *Client) { c.dialTimeout = d }
 }
 
-const defaultDialTimeout spanrill.Millis = 1000
+// WithUnacked bounds how long sent bytes may stay without acknowledgement.
+func WithUnacked(d spanrill.Millis) Option {
+	return func(c *Client) { c.unacked = d }
+}
+
+const (
+	defaultDialTimeout spanrill.Millis = 1000
+	// defaultUnacked is several retransmissions on a link with loss.
+	defaultUnacked spanrill.Millis = 5000
+)
 
 // New returns a client with no connections.
 func New(opts ...Option) *Client {
-	c := &Client{dialTimeout: defaultDialTimeout}
+	c := &Client{dialTimeout: defaultDialTimeout, unacked: defaultUnacked}
 	for _, o := range opts {
 		o(c)
 	}
 	c.idle = pool.New(pool.WithDiscard[string, *conn](func(cn *conn) { _ = cn.Close() }))
 	c.dialer.Timeout = c.dialTimeout.Duration()
+	c.dialer.Control = c.setUserTimeout
 	return c
 }
 
+// setUserTimeout lets the operating system give up a connection whose bytes
+// nobody has acknowledged for a while: a cut link says nothing.
+func (c *Client) setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(c.unacked))
+	})
+	if err == nil {
+		err = set
+	}
+	if err != nil {
+		return fmt.Errorf("set user timeout: %w", err)
+	}
+	return nil
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpUserTimeout = 18
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.idle.Close() }
 
 // Do sends req to addr and returns as soon as the headers of the answer are
 // there. The context ends the call and, later, the reading of its body.
 func (c *Client) Do(ctx context.Context, addr string, req *fasthttp.Request, reuse Reuse) (*Answer, error) {
+	return c.DoWatched(ctx, addr, req, reuse, 0, nil)
+}
+
+// DoWatched is Do with a function that runs whenever nothing has arrived for
+// another every milliseconds, while the head or the body of the answer is
+// awaited. It is told for how long nothing has arrived. An error of it ends the
+// call.
+func (c *Client) DoWatched(ctx context.Context, addr string, req *fasthttp.Request, reuse Reuse,
+	every spanrill.Millis, onSilence func(silent spanrill.Millis) error,
+) (*Answer, error) {
 	cn, err := c.connect(ctx, addr, reuse)
 	if err != nil {
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("connect to %s: %w", addr, err)}
 	}
+	if onSilence != nil {
+		cn.silence = &silence{every: every, do: onSilence}
+	}
 	stop := context.AfterFunc(ctx, cn.interrupt)
 	a := &Answer{client: c, addr: addr, conn: cn, stop: stop}
 	if err := cn.send(req); err != nil {
@@ -121,11 +167,37 @@
 	w           *bufio.Writer
 	written     int
 	interrupted atomic.Bool
+	silence     *silence // or nil
+}
+
+// silence is what to do while nothing arrives.
+type silence struct {
+	every spanrill.Millis
+	do    func(silent spanrill.Millis) error
+}
+
+// Read waits for bytes. While none arrive, the silence function runs every so
+// often. No deadline interrupts a reader above in the middle of a message.
+func (cn *conn) Read(b []byte) (int, error) {
+	if cn.silence == nil {
+		return cn.Conn.Read(b)
+	}
+	for silent := spanrill.Millis(0); ; {
+		cn.setReadWait(cn.silence.every)
+		n, err := cn.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || cn.interrupted.Load() {
+			return n, err
+		}
+		silent += cn.silence.every
+		if err := cn.silence.do(silent); err != nil {
+			return 0, err
+		}
+	}
 }
 
 func newConn(nc net.Conn) *conn {
 	cn := &conn{Conn: nc}
-	cn.r = bufio.NewReader(nc)
+	cn.r = bufio.NewReader(cn)
 	cn.w = bufio.NewWriter(cn)
 	return cn
 }
