--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,10 +119,17 @@
 	// leaseTime is how long the lease of placement holds from each write. When
 	// its holder is lost, another daemon orders a quarter more than this later.
 	leaseTime spanrill.Millis = 3000
-	// configWait is how long a watch of the configuration waits. Each end of a
-	// watch proves that the configuration is the newest, for all daemons,
-	// since they ask one another.
-	configWait spanrill.Millis = 1500
+	// proofGoal is the age of the proof of the configuration at which a daemon
+	// asks the store again. All daemons learn of it within a quarter of a
+	// second, since they ask one another: the fleet makes about one call in
+	// this time, and a daemon that is alone makes one itself. It is a third of
+	// the time in which a new configuration has to be in force.
+	proofGoal spanrill.Millis = 650
+	// proofSpread is the part of the goal by which daemons differ, so that
+	// they do not all ask at the same time.
+	proofSpread = 0.6
+	// proofPoll is how often the age is looked at.
+	proofPoll spanrill.Millis = 50
 	// upstreamSettle is the pause after changes of upstreams, so that those
 	// that come together cost one call. It is a twentieth of the time in which
 	// an upstream that leaves may still get requests.
@@ -177,7 +184,7 @@
 	}, relay.Bounds{Zone: g.settings.Zone, Freshness: g.freshness()})
 	g.callers = callerhttp.New(g.relay.Serve, g.limits)
 	jitter := follow.WithJitter(g.random.Float64)
-	g.configs = follow.New(g.adapter.Config, g.clock, configSink{g}, follow.WithWait(configWait), jitter,
+	g.configs = follow.New(g.adapter.Config, g.clock, configSink{g}, follow.WithDue(g.proofDue), jitter,
 		follow.WithLogger(g.log, "configuration"))
 	g.upstreams = follow.New(g.adapter.Upstreams, g.clock, g.fleet, follow.WithSettle(upstreamSettle), jitter,
 		follow.WithLogger(g.log, "upstreams"))
@@ -217,6 +224,16 @@
 	return !g.draining.Load() && g.config.Table() != nil && !g.exchange.PlacementHeld()
 }
 
+// proofDue returns when to look again whether the configuration has to be
+// proved, or 0 if it has to be now.
+func (g *Gateway) proofDue() spanrill.Millis {
+	goal := spanrill.Millis(float64(proofGoal) * (1 + proofSpread*(g.random.Float64()-0.5)))
+	if g.config.Age() >= goal {
+		return 0
+	}
+	return proofPoll
+}
+
 // storeCalled notes calls of the store that failed.
 func (g *Gateway) storeCalled(_ string, err error) {
 	if err != nil {
--- a/state/follow/follow.go
+++ b/state/follow/follow.go
@@ -39,6 +39,7 @@
 	name   string
 	wait   spanrill.Millis
 	settle spanrill.Millis
+	due    func() spanrill.Millis
 	jitter func() float64
 
 	at     uint64
@@ -61,6 +62,12 @@
 	return func(f *Follower) { f.settle = d }
 }
 
+// WithDue makes the follower ask for changes without waiting for them, each time
+// that due returns 0. Until then it is asked again after what it returns.
+func WithDue(due func() spanrill.Millis) Option {
+	return func(f *Follower) { f.due, f.wait = due, 0 }
+}
+
 // WithLogger sets where events go, and the name of the collection in them.
 func WithLogger(log logrus.FieldLogger, name string) Option {
 	return func(f *Follower) { f.log, f.name = log, name }
@@ -111,6 +118,11 @@
 
 // Step makes one call and returns how long to pause before the next.
 func (f *Follower) Step(ctx context.Context) spanrill.Millis {
+	if f.due != nil && f.listed {
+		if pause := f.due(); pause > 0 {
+			return pause
+		}
+	}
 	sent := f.clock.Now()
 	var err error
 	changed := false
