Close chains up inside their zone, tell daemons of orders before they take layers away

A watch on reports of quiet paths showed engines with memory and no queue.

Ruled out: memory (engines reported half of theirs used), queues (waiting 0), dead engines (found in 280 ms).

Change: a chain whose hole no engine near by can fill divides its layers anew among its own engines; chains are read so that a change of zone costs as much as layers; the first layout keeps spares in each zone; daemons are told which layers are about to go; paths over pipes are bounded, paths that lag are chosen less.

--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -79,7 +79,7 @@
 
 // minShare is the part of the layers, as one in minShare, below which a series
 // of holders is taken for spares and not for a chain with holes.
-const minShare = 4
+const minShare = 2
 
 // Read returns the chains of a model with that many layers, whole ones first,
 // and the holders that belong to none.
@@ -93,6 +93,7 @@
 	}
 	for r.extract("", max(1, layers/minShare)) {
 	}
+	sort.SliceStable(r.chains, func(i, k int) bool { return r.chains[i].Covered() > r.chains[k].Covered() })
 	return r.chains, r.left
 }
 
@@ -136,10 +137,12 @@
 	return zones
 }
 
-// The value of a series: layers count first, then few changes of zone.
+// The value of a series: layers count, and each change of the availability zone
+// costs as much as a few of them. A hole is bridged by two changes of zone, and
+// a series that takes its engines from two chains breaks both.
 const (
-	layerValue    = 1000
-	crossingValue = 10
+	layerValue    = 1
+	crossingValue = 4
 )
 
 // extract takes the best series of holders out of those left, if it covers
--- a/coordination/chainrouting/path.go
+++ b/coordination/chainrouting/path.go
@@ -18,7 +18,7 @@
 // share is the part of the engine's layers that the path runs, and so the part
 // of its memory that a token takes.
 func (p Part) share() float64 {
-	held := p.Upstream.Entry().Layers.Len()
+	held := p.Upstream.Layers().Len()
 	if held <= 0 || p.Layers.Len() >= held {
 		return 1
 	}
@@ -31,10 +31,13 @@
 	reserved []int64 // at each part
 	tokens   atomic.Int64
 	released atomic.Bool
+	expected float64 // milliseconds that the whole request is expected to take
+	pipes    *pipes
 }
 
-func newPath(parts []Part, tokens int64) *Path {
-	p := &Path{parts: parts, reserved: make([]int64, len(parts))}
+func (r *Router) newPath(parts []Part, tokens int64, expected float64) *Path {
+	p := &Path{parts: parts, reserved: make([]int64, len(parts)), expected: expected, pipes: &r.pipes}
+	p.pipes.add(parts, 1)
 	p.tokens.Store(tokens)
 	for i, part := range parts {
 		p.reserved[i] = int64(float64(tokens) * part.share())
@@ -74,6 +77,7 @@
 		part.Upstream.Reserve(-p.reserved[i])
 	}
 	p.parts[0].Upstream.End()
+	p.pipes.add(p.parts, -1)
 }
 
 // Wire returns the path as engines are told it.
--- /dev/null
+++ b/coordination/chainrouting/pipes.go
@@ -0,0 +1,62 @@
+package chainrouting
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"spanrill"
+	"spanrill/coordination/cost"
+)
+
+// pipes counts the requests of this daemon whose paths cross between two
+// availability zones. All crossings of a pair share one pipe, which a few
+// prompts can fill: a path that crosses takes only as many requests as the pipe
+// can carry.
+type pipes struct {
+	daemons atomic.Int64
+	counts  sync.Map // spanrill.ZonePair to *atomic.Int64
+}
+
+// crossings calls f for each hop of a path between availability zones.
+func crossings(parts []Part, f func(spanrill.ZonePair)) {
+	for i := 1; i < len(parts); i++ {
+		a, b := parts[i-1].Upstream.Zone(), parts[i].Upstream.Zone()
+		if a != b {
+			f(spanrill.PairOf(a, b))
+		}
+	}
+}
+
+func (p *pipes) add(parts []Part, n int64) {
+	crossings(parts, func(pair spanrill.ZonePair) { p.count(pair).Add(n) })
+}
+
+func (p *pipes) count(pair spanrill.ZonePair) *atomic.Int64 {
+	c, ok := p.counts.Load(pair)
+	if !ok {
+		c, _ = p.counts.LoadOrStore(pair, &atomic.Int64{})
+	}
+	return c.(*atomic.Int64) //nolint:forcetypeassert // the map holds nothing else
+}
+
+// pipeUse is the part of a pipe that requests may use: a token that arrives
+// behind a prompt waits, and the wait grows fast with the use.
+const pipeUse = 0.5
+
+// pipesFor reports whether the pipes of a path can carry one more request that
+// takes that many milliseconds. Other daemons are taken to use them as much as
+// this one.
+func (s *search) pipesFor(parts []Part, millis float64) bool {
+	perRequest := cost.PipeMillis(s.model, s.model.UsualPrompt+s.model.UsualAnswer)
+	if perRequest <= 0 {
+		return true
+	}
+	limit := pipeUse * millis / perRequest / float64(max(1, s.pipes.daemons.Load()))
+	fits := true
+	needed := map[spanrill.ZonePair]int64{}
+	crossings(parts, func(pair spanrill.ZonePair) {
+		needed[pair]++
+		fits = fits && float64(s.pipes.count(pair).Load()+needed[pair]) <= max(1, limit)
+	})
+	return fits
+}
--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -78,9 +78,9 @@
 	clock spanrill.Clock
 	log   logrus.FieldLogger
 
-	mu     sync.Mutex
-	models map[string]*spanrill.EngineModel
-	cache  map[string]*layouts
+	mu    sync.Mutex
+	cache map[string]*layouts
+	pipes pipes
 }
 
 // layouts is the chains of a service in one view.
@@ -93,7 +93,7 @@
 
 // New returns a router over a table.
 func New(table *fleet.Table, clock spanrill.Clock, log logrus.FieldLogger) *Router {
-	return &Router{table: table, clock: clock, log: log, models: map[string]*spanrill.EngineModel{}, cache: map[string]*layouts{}}
+	return &Router{table: table, clock: clock, log: log, cache: map[string]*layouts{}}
 }
 
 // chains returns the chains of a service as the newest view shows them.
@@ -107,8 +107,8 @@
 	var holders []chain.Holder
 	for _, u := range v.Of(service) {
 		e := u.Entry()
-		if u.Takes() && e.Layers.Len() > 0 {
-			holders = append(holders, chain.Holder{ID: e.ID, Zone: e.Zone, Layers: e.Layers})
+		if l := u.Layers(); u.Takes() && l.Len() > 0 {
+			holders = append(holders, chain.Holder{ID: e.ID, Zone: e.Zone, Layers: l})
 		}
 	}
 	next := &layouts{version: v.Version(), model: m}
@@ -135,7 +135,7 @@
 // releases it.
 func (r *Router) Pick(service string, m *spanrill.EngineModel, need Need) (*Path, error) {
 	v := r.table.View()
-	s := &search{view: v, service: service, model: m, need: need, now: r.clock.Now()}
+	s := &search{view: v, service: service, model: m, need: need, now: r.clock.Now(), pipes: &r.pipes}
 	var best []Part
 	bestCost, covered := math.Inf(1), false
 	for _, c := range r.chains(service, m, v) {
@@ -144,10 +144,10 @@
 			continue
 		}
 		covered = true
-		if !s.roomFor(parts) {
+		estimate, base := s.estimate(parts)
+		if !s.roomFor(parts) || !s.pipesFor(parts, base) {
 			continue
 		}
-		estimate := s.estimate(parts)
 		if bridged {
 			estimate *= bridgeFactor
 		}
@@ -164,9 +164,13 @@
 	default:
 		return nil, ErrNoPath
 	}
-	return newPath(best, int64(need.tokens())), nil
+	_, base := s.estimate(best)
+	return r.newPath(best, int64(need.tokens()), base), nil
 }
 
+// SetDaemons sets how many daemons share the pipes between availability zones.
+func (r *Router) SetDaemons(n int) { r.pipes.daemons.Store(int64(max(1, n))) }
+
 // search is one choice.
 type search struct {
 	view    *fleet.View
@@ -175,6 +179,8 @@
 	need    Need
 	now     spanrill.Millis
 	none    error
+	pipes   *pipes
+	zone    string // bridges are taken from this availability zone alone, unless ""
 }
 
 func (s *search) usable(u *fleet.Upstream) bool {
@@ -195,7 +201,7 @@
 	at := 0
 	for _, p := range append(kept, Part{Layers: spanrill.LayerRange{From: s.model.Layers, To: s.model.Layers}}) {
 		if p.Layers.From > at {
-			bridge, err := s.bridge(spanrill.LayerRange{From: at, To: p.Layers.From}, used)
+			bridge, err := s.nearBridge(spanrill.LayerRange{From: at, To: p.Layers.From}, used, c.Zone())
 			if err != nil {
 				if s.none == nil || errors.Is(err, ErrNoRoom) {
 					s.none = err
@@ -215,6 +221,27 @@
 // maxParts is the most engines that the platform takes in one path.
 const maxParts = 32
 
+// nearBridge covers a range from one availability zone if that can be done, and
+// from any otherwise.
+func (s *search) nearBridge(hole spanrill.LayerRange, used map[string]bool, zone string) ([]Part, error) {
+	before := make(map[string]bool, len(used))
+	for id := range used {
+		before[id] = true
+	}
+	s.zone = zone
+	parts, err := s.bridge(hole, used)
+	s.zone = ""
+	if err == nil {
+		return parts, nil
+	}
+	for id := range used {
+		if !before[id] {
+			delete(used, id)
+		}
+	}
+	return s.bridge(hole, used)
+}
+
 // bridge covers a range with parts of what other engines hold. Used engines
 // are left out, and those taken are added to them.
 func (s *search) bridge(hole spanrill.LayerRange, used map[string]bool) ([]Part, error) {
@@ -223,8 +250,8 @@
 	for at := hole.From; at < hole.To; {
 		best, bestTo := (*fleet.Upstream)(nil), at
 		for _, u := range s.view.Of(s.service) {
-			l := u.Entry().Layers
-			if used[u.ID()] || !s.usable(u) || l.From > at || l.To <= at {
+			l := u.Layers()
+			if used[u.ID()] || !s.usable(u) || l.From > at || l.To <= at || s.zone != "" && u.Zone() != s.zone {
 				continue
 			}
 			to := min(l.To, hole.To)
@@ -253,7 +280,7 @@
 
 // capacity is for how many tokens an engine has memory beside its layers.
 func (s *search) capacity(u *fleet.Upstream) float64 {
-	return cost.Capacity(s.model, s.kind(u), u.Entry().Layers.Len())
+	return cost.Capacity(s.model, s.kind(u), u.Layers().Len())
 }
 
 // free is for how many more tokens an engine has memory.
@@ -281,8 +308,9 @@
 }
 
 // estimate is the time that the request is expected to take on a path, made
-// longer by how full the path is.
-func (s *search) estimate(parts []Part) float64 {
+// longer by how full the path is and by how it did lately, and the same without
+// these.
+func (s *search) estimate(parts []Part) (weighed, base float64) {
 	stages := make([]cost.Stage, len(parts))
 	full, requests := 0.0, 0.0
 	for i, p := range parts {
@@ -296,20 +324,24 @@
 	}
 	answer := max(1, float64(s.need.Answer))
 	millis := cost.PromptMillis(s.model, stages, float64(s.need.Prompt)) + answer*cost.TokenMillis(s.model, stages, requests+1)
+	base = millis
 	millis *= 1 + fullness*full*full
+	millis *= parts[0].Upstream.Lag(s.now)
 	for _, p := range parts {
 		millis *= 1 + riskWeight*p.Upstream.Risk(s.now)
 	}
 	if parts[0].Upstream.Zone() != s.need.Zone {
 		millis += otherZoneMillis
 	}
-	return millis
+	return millis, base
 }
 
 // Replace returns a path that keeps the first engine and every other engine of
-// p that can be used, and bridges the rest. The caller releases both.
-func (r *Router) Replace(service string, m *spanrill.EngineModel, p *Path, need Need) (*Path, error) {
-	s := &search{view: r.table.View(), service: service, model: m, need: need, now: r.clock.Now()}
+// p that can be used, and bridges the rest. Near allows only bridges in the
+// availability zone of the part that they replace: every token so far has to be
+// sent to an engine that takes a part over. The caller releases both paths.
+func (r *Router) Replace(service string, m *spanrill.EngineModel, p *Path, need Need, near bool) (*Path, error) {
+	s := &search{view: r.table.View(), service: service, model: m, need: need, now: r.clock.Now(), pipes: &r.pipes}
 	s.need.Urgent = true
 	parts := p.Parts()
 	used := map[string]bool{}
@@ -322,6 +354,10 @@
 			next = append(next, old)
 			continue
 		}
+		s.zone = ""
+		if near {
+			s.zone = old.Upstream.Zone()
+		}
 		bridge, err := s.bridge(old.Layers, used)
 		if err != nil {
 			return nil, err
@@ -331,7 +367,7 @@
 	if len(next) > maxParts {
 		return nil, ErrNoPath
 	}
-	return newPath(next, p.tokens.Load()), nil
+	return r.newPath(next, p.tokens.Load(), p.expected), nil
 }
 
 // usableRunning reports whether a request that runs on an engine can stay: an
--- a/coordination/cost/cost.go
+++ b/coordination/cost/cost.go
@@ -167,11 +167,17 @@
 	millis := PromptMillis(m, stages, m.UsualPrompt) + m.UsualAnswer*TokenMillis(m, stages, requests)
 	rate := requests / millis * perK
 	if crossings := Crossings(stages); crossings > 0 {
-		rate = min(rate, perK/PipeMillis(m, m.UsualPrompt+m.UsualAnswer)*pipeShare)
+		rate = min(rate, perK/PipeMillis(m, m.UsualPrompt+m.UsualAnswer)*pipeShare) * crossingWorth
 	}
 	return rate
 }
 
+// crossingWorth is what a chain over several availability zones is worth of one
+// inside a zone: its tokens wait behind prompts in the pipe, and slow links
+// reach it. In trials a fourth chain over two zones beside three inside zones
+// made a tenth of all streams pause for too long.
+const crossingWorth = 0.4
+
 // pipeShare is the part of a pipe that one chain is planned to use.
 const pipeShare = 0.7
 
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -44,6 +44,8 @@
 	Fleet     *fleet.Table
 	Placement func() bool // holds the lease of placement
 	Leaving   func() bool
+	// Targets returns what this daemon is ordering engines to hold, by id.
+	Targets func() map[string]spanrill.LayerRange
 	// Decode decodes a configuration as it lies in the store.
 	Decode func(value []byte) (*spanrill.RouteConfig, error)
 }
@@ -169,10 +171,37 @@
 			sums[u.Upstream] = sum{tokens: s.tokens + u.Tokens, calls: s.calls + u.Calls}
 		}
 	}
+	targets, changed := e.targetsNow(now), false
 	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
 		s := sums[hash(u.ID())]
 		u.SetPeers(s.tokens, s.calls)
+		var target *spanrill.LayerRange
+		if t, ok := targets[hash(u.ID())]; ok {
+			target = &t
+		}
+		changed = u.SetTarget(target) || changed
 	})
+	if changed {
+		e.state.Fleet.Touch()
+	}
+}
+
+// targetsNow returns what engines are being ordered to hold, as this daemon
+// does it or the holder of the lease has said. The caller holds the lock.
+func (e *Exchange) targetsNow(now spanrill.Millis) map[uint32]spanrill.LayerRange {
+	targets := map[uint32]spanrill.LayerRange{}
+	for _, h := range e.heard {
+		if !h.news.Placement || now-h.at > placementFresh {
+			continue
+		}
+		for _, t := range h.news.Targets {
+			targets[t.Upstream] = spanrill.LayerRange{From: t.From, To: t.To}
+		}
+	}
+	for id, layers := range e.state.Targets() {
+		targets[hash(id)] = layers
+	}
+	return targets
 }
 
 // PlacementHeld reports whether a peer has said lately that it holds the lease
@@ -205,6 +234,9 @@
 			n.Uses = append(n.Uses, peermsg.Use{Upstream: hash(u.ID()), Tokens: tokens, Calls: calls})
 		}
 	})
+	for id, layers := range e.state.Targets() {
+		n.Targets = append(n.Targets, peermsg.Target{Upstream: hash(id), From: layers.From, To: layers.To})
+	}
 	return n
 }
 
--- a/coordination/layout/layout.go
+++ b/coordination/layout/layout.go
@@ -78,7 +78,7 @@
 	for requests := leastRequests; requests <= mostRequests; requests += requestStep {
 		for _, o := range orders {
 			chains := group(m, all, float64(requests)*cost.Tokens(m), o)
-			if rate := rateOf(m, chains); rate > bestRate {
+			if rate := durableRate(m, all, chains); rate > bestRate {
 				best, bestRate = chains, rate
 			}
 		}
@@ -173,14 +173,37 @@
 	return left
 }
 
-func rateOf(m *spanrill.EngineModel, chains [][]candidate) float64 {
+// durableRate is how many usual requests a second a layout can serve, counting
+// only a part of each chain for those of its engines whose loss no spare in the
+// same availability zone could make good.
+func durableRate(m *spanrill.EngineModel, all []candidate, chains [][]candidate) float64 {
+	spares := append([]candidate(nil), all...)
+	for _, c := range chains {
+		spares = without(spares, c)
+	}
+	layers := map[string]int{} // that spares can hold, by availability zone
+	for _, e := range spares {
+		layers[e.Zone] += cost.Most(m, e.kind, leastRequests*cost.Tokens(m))
+	}
 	total := 0.0
 	for _, c := range chains {
-		total += cost.Rate(m, stages(c, cut(m, c)))
+		ranges := cut(m, c)
+		exposed := 0
+		for i, e := range c {
+			if ranges[i].Len() > layers[e.Zone] {
+				exposed++
+			}
+		}
+		total += cost.Rate(m, stages(c, ranges)) * (1 - exposure*float64(exposed)/float64(len(c)))
 	}
 	return total
 }
 
+// exposure is the part of a chain's rate that counts as lost for engines that
+// cannot be replaced: on a bad day an engine in forty fails every few seconds,
+// and a chain stands for as long as its hole is open.
+const exposure = 0.5
+
 func stages(c []candidate, ranges []spanrill.LayerRange) []cost.Stage {
 	out := make([]cost.Stage, len(c))
 	for i, e := range c {
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -25,7 +25,7 @@
 	r.spares(spares)
 	r.fill(chains)
 	r.grow()
-	return append(r.moves, duplicates(m, r.unused(), r.taken, r.held(all), zoneByID(all))...)
+	return append(r.moves, duplicates(m, r.free(r.empty), r.taken, r.held(all), zoneByID(all))...)
 }
 
 type candidateList []candidate
@@ -70,23 +70,96 @@
 	r.moves = append(r.moves, Move{Engine: e.ID, Layers: layers, Why: why})
 }
 
-// fill fills the holes of chains, those of the fullest chain first. The chain
-// that misses most gives up its engines when there is no other way, if at least
-// two chains have holes: one whole chain is worth more than two broken ones.
+// fill fills the holes of chains, those of the fullest chain first. Engines in
+// the chain's own availability zone go first: those that hold nothing, spares,
+// and then the chain itself, whose engines move closer together. After that come
+// engines of other zones, and in the end the chain that misses most gives up its
+// engines, if at least two chains have holes: one whole chain is worth more than
+// two broken ones.
 func (r *repair) fill(chains []*chain.Chain) {
 	broken := brokenOf(chains)
 	for i, c := range broken {
+		if r.fillNear(c) || r.closeUp(c) {
+			continue
+		}
 		for _, hole := range c.Holes() {
-			if r.fillFrom(r.empty, c, hole, "hole of a chain") || r.fillFrom(r.spare, c, hole, "hole of a chain, from a spare") {
+			if r.fillFrom(r.free(r.empty), c, hole, "hole of a chain") || r.fillFrom(r.free(r.spare), c, hole, "hole of a chain, from a spare") {
 				continue
 			}
 			if i < len(broken)-1 {
-				r.fillFrom(r.partsOf(broken[len(broken)-1]), c, hole, "hole of a chain, from one that misses more")
+				r.fillFrom(r.free(r.partsOf(broken[len(broken)-1])), c, hole, "hole of a chain, from one that misses more")
 			}
 		}
 	}
 }
 
+// fillNear fills all holes of a chain from free engines of its own zone, or
+// none of them.
+func (r *repair) fillNear(c *chain.Chain) bool {
+	moves := len(r.moves)
+	for _, hole := range c.Holes() {
+		empty, spare := r.inZone(r.free(r.empty), c.Zone()), r.inZone(r.free(r.spare), c.Zone())
+		if r.fillFrom(empty, c, hole, "hole of a chain") || r.fillFrom(spare, c, hole, "hole of a chain, from a spare") ||
+			r.fillFrom(append(empty, spare...), c, hole, "hole of a chain, from several") {
+			continue
+		}
+		r.takeBack(moves)
+		return false
+	}
+	return true
+}
+
+// takeBack forgets the moves behind the first n.
+func (r *repair) takeBack(n int) {
+	for _, m := range r.moves[n:] {
+		delete(r.taken, m.Engine)
+	}
+	r.moves = r.moves[:n]
+}
+
+// closeUp divides all layers anew among a chain's engines and free engines of
+// its zone. The engines keep their order, so that each loads few layers, and
+// requests that run are not disturbed: layers that are given up wait for them.
+func (r *repair) closeUp(c *chain.Chain) bool {
+	parts := r.partsOf(c)
+	if len(parts) < len(c.Parts()) {
+		return false // some part takes no order now
+	}
+	for _, e := range append(r.inZone(r.free(r.empty), c.Zone()), r.inZone(r.free(r.spare), c.Zone())...) {
+		parts = append(parts, e)
+	}
+	ranges := divide(r.model, parts, spanrill.LayerRange{From: 0, To: r.model.Layers})
+	if ranges == nil || !r.roomy(parts, ranges) {
+		return false
+	}
+	for i, part := range ranges {
+		if part.Len() > 0 && part != parts[i].Layers {
+			r.give(parts[i], part, "chain closes up around a hole")
+		}
+	}
+	return true
+}
+
+func (r *repair) free(from []candidate) []candidate {
+	var out []candidate
+	for _, e := range from {
+		if !r.taken[e.ID] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (r *repair) inZone(from []candidate, zone string) []candidate {
+	var out []candidate
+	for _, e := range from {
+		if e.Zone == zone {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 func brokenOf(chains []*chain.Chain) []*chain.Chain {
 	var broken []*chain.Chain
 	for _, c := range chains {
@@ -143,16 +216,11 @@
 	return true
 }
 
-// ranked returns the engines that are free, the best for a hole first: those
+// ranked returns engines, the best for a hole first: those
 // that can hold it whole, then the same availability zone, then the tightest
 // fit, so that large engines stay for large holes.
 func (r *repair) ranked(from []candidate, zone string, hole spanrill.LayerRange) []candidate {
-	var free []candidate
-	for _, e := range from {
-		if !r.taken[e.ID] {
-			free = append(free, e)
-		}
-	}
+	free := append([]candidate(nil), from...)
 	tokens := leastRequests * cost.Tokens(r.model)
 	score := func(e candidate) int {
 		n := cost.Most(r.model, e.kind, tokens)
@@ -177,43 +245,30 @@
 	zoneBonus  = 100
 )
 
-// grow makes further chains from engines that no chain needs.
+// grow makes further chains from engines that no chain needs, inside one
+// availability zone. What is left stays as spares.
 func (r *repair) grow() {
-	var free []candidate
-	for _, e := range append(append([]candidate(nil), r.empty...), r.spare...) {
-		if !r.taken[e.ID] {
-			free = append(free, e)
-		}
-	}
+	free := r.free(append(append([]candidate(nil), r.empty...), r.spare...))
 	tokens := growRequests * cost.Tokens(r.model)
-	for {
-		c := take(r.model, free, tokens, func(*candidate) bool { return true })
-		if c == nil {
-			return
-		}
-		sort.SliceStable(c, func(i, k int) bool { return c[i].Zone < c[k].Zone })
-		for i, part := range cut(r.model, c) {
-			if part.Len() > 0 {
-				r.give(c[i], part, "further chain")
+	for _, zone := range zonesOf(free) {
+		for {
+			c := take(r.model, free, tokens, func(e *candidate) bool { return e.Zone == zone })
+			if c == nil {
+				break
 			}
+			for i, part := range cut(r.model, c) {
+				if part.Len() > 0 {
+					r.give(c[i], part, "further chain")
+				}
+			}
+			free = without(free, c)
 		}
-		free = without(free, c)
 	}
 }
 
 // growRequests is the room, in usual requests, that a further chain must have.
 const growRequests = 48
 
-func (r *repair) unused() []candidate {
-	var out []candidate
-	for _, e := range r.empty {
-		if !r.taken[e.ID] {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
 // held returns what the engines will hold after the moves so far.
 func (r *repair) held(all []candidate) []Move {
 	held := append([]Move(nil), r.moves...)
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -45,6 +45,10 @@
 	// seenTime is how long it may take after a load until the store shows it:
 	// a heartbeat of 1.2 s and some more.
 	seenTime spanrill.Millis = 2500
+	// tellTime is how long before an order that takes layers away the other
+	// daemons are told of it, so that they send nothing there for these layers.
+	// They ask for news every quarter of a second.
+	tellTime spanrill.Millis = 400
 	// slowLoad is the factor by which loads slow one another down at most in
 	// what is waited for.
 	slowLoad = 4.0
@@ -170,13 +174,36 @@
 	if u == nil {
 		return
 	}
-	p.note(m, p.clock.Now()+orderWait*2, false)
+	p.note(m, p.clock.Now()+tellTime+orderWait*2, false)
 	p.orders.Start(ctx, "order", func(ctx context.Context) error {
+		if takesAway(u.Entry().Layers, m.Layers) {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-p.clock.After(tellTime):
+			}
+		}
 		p.order(ctx, s, u, m)
 		return nil
 	})
 }
 
+// takesAway reports whether a move takes layers from an engine.
+func takesAway(held, next spanrill.LayerRange) bool {
+	return held.Len() > 0 && (held.From < next.From || held.To > next.To)
+}
+
+// Targets returns what engines are being ordered to hold, by id.
+func (p *Placer) Targets() map[string]spanrill.LayerRange {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	targets := make(map[string]spanrill.LayerRange, len(p.ordered))
+	for id, o := range p.ordered {
+		targets[id] = o.layers
+	}
+	return targets
+}
+
 func (p *Placer) note(m layout.Move, until spanrill.Millis, sent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -22,6 +22,7 @@
 	first   *fleet.Upstream
 	begun   bool            // an event has reached the caller
 	quiet   spanrill.Millis // since when nothing has come from the path
+	askAt   spanrill.Millis // silence at which the engines are asked next
 	moves   int
 	reached int  // engines that the request was sent to, without those lost since
 	unknown bool // an attempt may have run
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -70,6 +70,7 @@
 	running  *callers
 	inFlight atomic.Int64
 	closing  atomic.Bool // answers end their connections
+	refusing atomic.Bool // new requests are refused
 	good     *events.Limiter
 	bad      *events.Limiter
 }
@@ -95,6 +96,9 @@
 // CloseConnections makes every answer end its connection, for a planned stop.
 func (r *Relay) CloseConnections() { r.closing.Store(true) }
 
+// RefuseNew refuses requests from now on, for the end of a planned stop.
+func (r *Relay) RefuseNew() { r.refusing.Store(true) }
+
 // request is one request of a caller.
 type request struct {
 	relay   *Relay
@@ -142,6 +146,9 @@
 	if q.table == nil {
 		return spanrill.NewRefusal(spanrill.ReasonNotReady, "no configuration yet").WithRetryAfter(notReadyRetry)
 	}
+	if r.refusing.Load() {
+		return spanrill.NewRefusal(spanrill.ReasonDraining, "this daemon is stopping").WithRetryAfter(leastRetry)
+	}
 	var err error
 	if q.head, err = r.Codec.ReadRequest(&q.http.Request.Header); err != nil {
 		return spanrill.NewRefusal(spanrill.ReasonBadField, "%v", err)
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -82,9 +82,10 @@
 		g.relay.Meters.BetweenTokens.Update(seconds)
 	} else {
 		g.relay.Meters.FirstToken.Update(float64(now-g.request.start) / float64(spanrill.Second))
+		g.first.NoteLag(now, float64(now-g.quiet)/g.expectedFirst()/slowFirst)
 		g.begun = true
 	}
-	b.last = now
+	b.last, g.askAt = now, 0
 	b.events += count
 	g.relay.Meters.Tokens.Add(count)
 	for _, p := range g.path.Parts() {
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -46,11 +47,16 @@
 	gap := firstGap
 	if g.begun {
 		gap = watchGap
+	} else {
+		g.noteWait()
 	}
 	if silent < gap {
 		return nil
 	}
-	g.askSuspects(silent)
+	if silent >= g.askAt {
+		g.askAt = silent * askAgainFactor
+		g.askSuspects(silent)
+	}
 	if g.first.Dead() {
 		return errFirstLost
 	}
@@ -60,6 +66,35 @@
 	return nil
 }
 
+// askAgainFactor spreads the questions about one silence: each costs.
+const askAgainFactor = 2
+
+// noteWait lets other requests know that a first event takes long on a path.
+func (g *generation) noteWait() {
+	now := g.relay.Clock.Now()
+	waited := float64(now - g.quiet)
+	if expected := g.expectedFirst(); waited > expected*slowFirst {
+		g.first.NoteLag(now, waited/expected)
+	}
+}
+
+// slowFirst is how many times longer than expected a first event has to take
+// before it tells anything: requests differ, and passes are shared.
+const slowFirst = 2.0
+
+// expectedFirst is about how long the first event should take, in
+// milliseconds: the reading of the prompt and a pass over the path.
+func (g *generation) expectedFirst() float64 {
+	return max(leastFirst, float64(g.route.Target)/firstPart)
+}
+
+const (
+	// leastFirst is the shortest time to the first event that is expected.
+	leastFirst = 60.0
+	// firstPart of the target is what a first event takes on a good path.
+	firstPart = 5.0
+)
+
 // askSuspects asks those engines of the path from which nothing has come since
 // this request has heard nothing.
 func (g *generation) askSuspects(silent spanrill.Millis) {
@@ -79,7 +114,26 @@
 	reports := g.relay.Prober.Check(g.ctx, suspects)
 	if silent >= stalledGap {
 		g.believeStalled(reports[g.first.ID()])
+		g.logQuiet(silent, reports)
+	}
+}
+
+// quietLog is how long nothing has come before that is worth a line.
+const quietLog spanrill.Millis = 500
+
+// logQuiet says once for each silence what the engines of a path report.
+func (g *generation) logQuiet(silent spanrill.Millis, reports map[string]spanrill.EngineReport) {
+	if silent < quietLog || silent >= quietLog+watchGap {
+		return
 	}
+	g.relay.bad.Log(events.RequestQuiet, g.relay.Log, func() logrus.Fields {
+		f := g.fields()
+		f["silent_ms"], f["begun"], f["path"], f["tokens"] = silent, g.begun, g.path.String(), g.first.Tokens()
+		for id, r := range reports {
+			f["report_"+id] = fmt.Sprintf("running %d waiting %d kv %.0f of %.0f pace %.1f stalled %d", r.Running, r.Waiting, r.KVUsed, r.KVTotal, r.Pace, len(r.Stalled))
+		}
+		return f
+	})
 }
 
 // believeStalled takes the first engine's word for the engine that the request
@@ -114,12 +168,11 @@
 // no other engine can take the part, the request waits on.
 func (g *generation) move() error {
 	r := g.relay
-	next, err := r.Router.Replace(g.service.Name, g.service.Model, g.path, g.need(true))
+	next, err := g.replacement()
 	if err != nil {
-		g.logMove(events.MoveFailed, g.path, err)
-		if errors.Is(err, chainrouting.ErrNoPath) || errors.Is(err, chainrouting.ErrNoRoom) {
-			return g.elsewhere(err)
-		}
+		return err
+	}
+	if next == nil {
 		return nil
 	}
 	g.moves++
@@ -143,18 +196,42 @@
 // on another chain.
 const movesBeforeElsewhere = 3
 
-// elsewhere ends the attempt if another chain can take the request: its own
-// chain has a hole that nobody fills.
-func (g *generation) elsewhere(cause error) error {
-	if g.route.Repeat != spanrill.RepeatResume {
-		return nil
+// replacement returns a path without the dead engines: near by if there is one,
+// across availability zones if the request cannot go on on another chain, or
+// nil if there is none. An error ends the attempt, so that the request goes on
+// on another chain.
+func (g *generation) replacement() (*chainrouting.Path, error) {
+	router, service := g.relay.Router, g.service
+	next, err := router.Replace(service.Name, service.Model, g.path, g.need(true), true)
+	if err == nil {
+		return next, nil
+	}
+	if g.canGoElsewhere() {
+		return nil, errors.Wrap(err, "no engine near by can take the part over")
+	}
+	next, err = router.Replace(service.Name, service.Model, g.path, g.need(true), false)
+	if err != nil {
+		g.logMove(events.MoveFailed, g.path, err)
+		return nil, nil //nolint:nilnil // no path, and the request waits on where it is
+	}
+	return next, nil
+}
+
+// canGoElsewhere reports whether another path has room for the request and the
+// retry budget allows it.
+func (g *generation) canGoElsewhere() bool {
+	if g.route.Repeat != spanrill.RepeatResume || g.reached >= g.route.MaxAttempts+g.lost() {
+		return false
+	}
+	if g.relay.Budgets.Of(g.service.Name).Left() < 1 {
+		return false
 	}
 	path, err := g.relay.Router.Pick(g.service.Name, g.service.Model, g.need(true))
 	if err != nil {
-		return nil //nolint:nilerr // no other chain: the request waits on where it is
+		return false
 	}
 	path.Release()
-	return errors.Wrap(cause, "no engine can take the part over")
+	return true
 }
 
 func (g *generation) logMove(e events.Event, path *chainrouting.Path, err error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	config    *routes.Current
 	fleet     *fleet.Table
 	relay     *relay.Relay
+	router    *chainrouting.Router
 	prober    *probe.Prober
 	budgets   *retry.Budgets
 	exchange  *exchange.Exchange
@@ -172,13 +173,14 @@
 	}
 	g.exchange = exchange.New(g.peers, exchange.State{
 		Name: g.peers.name, Config: g.config, Fleet: g.fleet, Decode: g.adapter.DecodeConfig,
-		Placement: g.holdsLease, Leaving: g.draining.Load,
+		Placement: g.holdsLease, Leaving: g.draining.Load, Targets: g.targets,
 	}, g.clock, g.log, g.random)
 	g.lease = lease.New(g.adapter.Store, g.clock, "placement", g.peers.name, lease.WithTime(leaseTime),
 		lease.WithLogger(g.log), lease.WithContends(g.contends))
 	g.placer = layoutrun.New(g.lease, g.adapter.Engines, g.fleet, g.models, g.clock, g.log)
+	g.router = chainrouting.New(g.fleet, g.clock, g.log)
 	g.relay = relay.New(relay.Parts{
-		Config: g.config, Fleet: g.fleet, Router: chainrouting.New(g.fleet, g.clock, g.log), Prober: g.prober,
+		Config: g.config, Fleet: g.fleet, Router: g.router, Prober: g.prober,
 		Engines: g.adapter.Engines, Codec: g.adapter.Codec, HTTP: g.http, Budgets: g.budgets,
 		Clock: g.clock, Log: g.log, Meters: g.meters, Random: g.random,
 	}, relay.Bounds{Zone: g.settings.Zone, Freshness: g.freshness()})
@@ -218,6 +220,9 @@
 	return ok
 }
 
+// targets returns what this daemon is ordering engines to hold.
+func (g *Gateway) targets() map[string]spanrill.LayerRange { return g.placer.Targets() }
+
 // contends reports whether this daemon should try to take the lease: it is not
 // stopping, knows what to place, and no peer says that it has the lease.
 func (g *Gateway) contends() bool {
@@ -272,24 +277,48 @@
 	defer cancel()
 	var tasks task.Group
 	failed := make(chan error, 1)
+	leasing, handBack := context.WithCancel(work)
+	defer handBack()
+	held := tasks.Start(leasing, "lease", g.lease.Run)
 	for name, part := range g.parts() {
 		tasks.Start(work, name, func(ctx context.Context) error { return g.runPart(ctx, name, part, failed) })
 	}
 	var err error
 	select {
 	case <-ctx.Done():
+		handBack()
 		g.drain()
 	case err = <-failed:
 	}
 	cancel()
 	g.close()
-	if stopped := tasks.Wait(); err == nil {
+	select {
+	case <-held.Done():
+	case <-g.clock.After(endWait):
+	}
+	if stopped := g.await(&tasks); err == nil {
 		err = stopped
 	}
 	events.DaemonStopped.Log(g.log, nil)
 	return err
 }
 
+// endWait bounds the wait for the parts at the end: a call that hangs must not
+// keep the process until it is killed.
+const endWait spanrill.Millis = 300
+
+// await waits for the parts that run, for a while.
+func (g *Gateway) await(tasks *task.Group) error {
+	ended := make(chan error, 1)
+	go func() { ended <- tasks.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-g.clock.After(endWait):
+		return nil
+	}
+}
+
 // parts are the long-running parts by name.
 func (g *Gateway) parts() map[string]func(context.Context) error {
 	return map[string]func(context.Context) error{
@@ -297,7 +326,6 @@
 		"upstreams":     g.upstreams.Run,
 		"peers":         g.peers.run,
 		"exchange":      g.exchange.Run,
-		"lease":         g.lease.Run,
 		"placement":     g.placer.Run,
 		"callers gone":  g.relay.Run,
 		"upkeep":        g.upkeep,
@@ -329,7 +357,9 @@
 		g.fleet.Tend()
 		g.prober.Recheck(ctx, g.fleet.View())
 		g.noteFreshness()
-		g.budgets.SetDaemons(len(g.peers.list.Live()))
+		daemons := len(g.peers.list.Live())
+		g.budgets.SetDaemons(daemons)
+		g.router.SetDaemons(daemons)
 		select {
 		case <-ctx.Done():
 		case <-g.clock.After(upkeepGap):
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -17,9 +17,9 @@
 	drainPoll spanrill.Millis = 20
 )
 
-// drain fails readiness, serves on until the balancer has noticed, and returns
-// when the requests that run have ended, or shortly before the process is
-// killed. Every answer from now on ends its connection.
+// drain fails readiness, serves on until the balancer has noticed, then refuses
+// what is new, and returns when the requests that run have ended, or shortly
+// before the process is killed. Every answer from now on ends its connection.
 func (g *Gateway) drain() {
 	start := g.clock.Now()
 	g.draining.Store(true)
@@ -28,8 +28,12 @@
 	g.peers.leave()
 	limit := start + g.settings.Bounds.Grace - graceMargin
 	for g.clock.Now() < limit {
-		if g.clock.Now() >= start+notice && g.relay.InFlight() == 0 {
-			return
+		if g.clock.Now() >= start+notice {
+			g.relay.RefuseNew()
+			g.callers.CloseIdle()
+			if g.relay.InFlight() == 0 {
+				return
+			}
 		}
 		<-g.clock.After(drainPoll)
 	}
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -191,6 +191,15 @@
 	Uses      []Use           // what this daemon's own requests hold
 	Placement bool            // holds the lease of placement
 	Leaving   bool
+	Targets   []Target // what engines are being ordered to hold, from the holder of the lease
+}
+
+// Target is the range that an engine is being ordered to hold.
+type Target struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Upstream uint32   // hash of its id
+	From     int
+	To       int
 }
 
 // RouteConfig is a configuration as it lies in the store.
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -10,6 +10,7 @@
 type Upstream struct {
 	entry   atomic.Pointer[spanrill.EngineEntry]
 	removed atomic.Bool
+	target  atomic.Pointer[spanrill.LayerRange] // what the engine is being ordered to hold, or nil
 
 	ownTokens  atomic.Int64 // reserved by requests of this daemon
 	peerTokens atomic.Int64 // reserved by requests of other daemons, as told last
@@ -20,6 +21,7 @@
 	avoided    atomic.Int32 // times in a row
 	dead       atomic.Bool  // did not answer when it was asked
 	risk       risk
+	lag        lag
 	pace       atomic.Int64 // reported slowness in thousandths, 0 if not known
 	lastOK     atomic.Int64 // when it last answered or produced something
 }
@@ -42,6 +44,32 @@
 // Zone returns the availability zone.
 func (u *Upstream) Zone() string { return u.Entry().Zone }
 
+// Layers returns the layers that requests can run on: those of the entry, and
+// of these only what the engine keeps if it is being ordered to change. The
+// entry follows an order by up to a heartbeat.
+func (u *Upstream) Layers() spanrill.LayerRange {
+	held := u.Entry().Layers
+	target := u.target.Load()
+	if target == nil {
+		return held
+	}
+	kept := spanrill.LayerRange{From: max(held.From, target.From), To: min(held.To, target.To)}
+	if kept.To <= kept.From {
+		return spanrill.LayerRange{}
+	}
+	return kept
+}
+
+// SetTarget notes what the engine is being ordered to hold, or nil, and reports
+// whether that is news.
+func (u *Upstream) SetTarget(target *spanrill.LayerRange) bool {
+	old := u.target.Swap(target)
+	if old == nil || target == nil {
+		return old != target
+	}
+	return *old != *target
+}
+
 // Service returns the name of the service.
 func (u *Upstream) Service() string { return u.Entry().Service }
 
@@ -98,6 +126,14 @@
 // LastOK returns when the upstream last produced something.
 func (u *Upstream) LastOK() spanrill.Millis { return spanrill.Millis(u.lastOK.Load()) }
 
+// NoteLag notes how many times longer than expected a request that was sent
+// here has waited for its first event.
+func (u *Upstream) NoteLag(now spanrill.Millis, times float64) { u.lag.note(now, times) }
+
+// Lag returns how many times longer than expected first events take lately, at
+// least 1.
+func (u *Upstream) Lag(now spanrill.Millis) float64 { return u.lag.at(now) }
+
 // Reserve adds tokens that a request of this daemon holds. A negative number
 // gives them back.
 func (u *Upstream) Reserve(tokens int64) { u.ownTokens.Add(tokens) }
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -29,11 +29,12 @@
 
 // Server serves callers.
 type Server struct {
-	http   *fasthttp.Server
-	limits Limits
-	open   atomic.Int64
-	mu     sync.Mutex
-	ln     net.Listener
+	http     *fasthttp.Server
+	limits   Limits
+	open     atomic.Int64
+	shutdown sync.Once
+	mu       sync.Mutex
+	ln       net.Listener
 }
 
 const (
@@ -108,10 +109,14 @@
 // Open returns how many connections are open.
 func (s *Server) Open() int64 { return s.open.Load() }
 
-// Shutdown stops listening and waits for requests that are being served, until
-// the context ends.
-func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.ShutdownWithContext(ctx)
+// CloseIdle stops listening and closes the connections on which no request is
+// being served. It does not wait, and may be called again.
+func (s *Server) CloseIdle() {
+	s.shutdown.Do(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.http.ShutdownWithContext(ctx) // its error is that it did not wait
+	})
 }
 
 type listener struct {
