Share entries of upstreams between daemons, and ask the store in the order of a rank

Change: daemons pull the entries of upstreams from one another, with the age of that knowledge; the store is asked by the first daemon in rank, by the next ones only when its news do not come.

--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -134,9 +134,30 @@
 		}
 	}
 	e.state.Config.Prove(news.Revision, sent-news.ProofAge)
+	if news.UpstreamsAt == 0 || e.state.Fleet.Prove(news.UpstreamsAt, news.UpstreamsChange, sent-news.UpstreamsAge) {
+		return nil
+	}
+	return e.fetchEntries(ctx, m)
+}
+
+// fetchEntries takes newer entries of upstreams from a peer.
+func (e *Exchange) fetchEntries(ctx context.Context, m peermsg.Member) error {
+	sent := e.clock.Now()
+	var r peermsg.Entries
+	if err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindEntries), nil, &r); err != nil {
+		return err
+	}
+	e.state.Fleet.Merge(fleet.Knowledge{Entries: r.Entries, At: r.At, Change: r.Change}, sent-r.Age)
 	return nil
 }
 
+// Entries answers a question for the entries of upstreams.
+func (e *Exchange) Entries() *peermsg.Entries {
+	_, _, age := e.state.Fleet.Proof()
+	k := e.state.Fleet.Knowledge()
+	return &peermsg.Entries{Entries: k.Entries, At: k.At, Change: k.Change, Age: age}
+}
+
 // fetch takes a newer configuration from a peer.
 func (e *Exchange) fetch(ctx context.Context, m peermsg.Member) error {
 	var c peermsg.RouteConfig
@@ -228,6 +249,7 @@
 		Name: e.state.Name, Revision: e.state.Config.Revision(), ProofAge: e.state.Config.Age(),
 		Placement: e.state.Placement(), Leaving: e.state.Leaving(),
 	}
+	n.UpstreamsAt, n.UpstreamsChange, n.UpstreamsAge = e.state.Fleet.Proof()
 	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
 		tokens, calls := u.OwnTokens(), u.OwnCalls()
 		if tokens != 0 || calls != 0 {
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -12,7 +12,7 @@
 type configSink struct{ g *Gateway }
 
 // Listed takes the configuration if it is there.
-func (s configSink) Listed(items []spanrill.Item, sent spanrill.Millis) {
+func (s configSink) Listed(items []spanrill.Item, _ uint64, sent spanrill.Millis) {
 	for _, item := range items {
 		s.take(item, sent)
 	}
@@ -20,7 +20,7 @@
 
 // Changed takes a new configuration. No change proves that the one held is the
 // newest.
-func (s configSink) Changed(changes []spanrill.Change, sent spanrill.Millis) {
+func (s configSink) Changed(changes []spanrill.Change, _ uint64, sent spanrill.Millis) {
 	for _, c := range changes {
 		if !c.Gone {
 			s.take(c.Item, sent)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,21 +120,25 @@
 	// leaseTime is how long the lease of placement holds from each write. When
 	// its holder is lost, another daemon orders a quarter more than this later.
 	leaseTime spanrill.Millis = 3000
-	// proofGoal is the age of the proof of the configuration at which a daemon
-	// asks the store again. All daemons learn of it within a quarter of a
-	// second, since they ask one another: the fleet makes about one call in
-	// this time, and a daemon that is alone makes one itself. It is a third of
-	// the time in which a new configuration has to be in force.
+	// proofGoal is the age of the proof of the configuration at which the first
+	// daemon in rank asks the store again. All daemons learn of it within a
+	// quarter of a second, since they ask one another, so that the fleet makes
+	// one call in this time. It is a third of the time in which a new
+	// configuration has to be in force.
 	proofGoal spanrill.Millis = 650
-	// proofSpread is the part of the goal by which daemons differ, so that
-	// they do not all ask at the same time.
-	proofSpread = 0.6
+	// rankDelay is how much later the next in rank asks, if the first one has
+	// not: two rounds of news.
+	rankDelay spanrill.Millis = 500
+	// rankStep is how much later each further one asks.
+	rankStep spanrill.Millis = 150
+	// ranks is how many daemons have a rank of their own; all others follow
+	// together.
+	ranks = 3
 	// proofPoll is how often the age is looked at.
 	proofPoll spanrill.Millis = 50
-	// upstreamSettle is the pause after changes of upstreams, so that those
-	// that come together cost one call. It is a twentieth of the time in which
-	// an upstream that leaves may still get requests.
-	upstreamSettle spanrill.Millis = 100
+	// upstreamsGoal is the same for the entries of upstreams. It is a quarter of
+	// the time after which an upstream that leaves may get nothing more.
+	upstreamsGoal spanrill.Millis = 400
 	// dialTimeout bounds a new connection. One whose first packet was lost
 	// comes up after a second; another upstream is faster.
 	dialTimeout spanrill.Millis = 350
@@ -188,7 +192,7 @@
 	jitter := follow.WithJitter(g.random.Float64)
 	g.configs = follow.New(g.adapter.Config, g.clock, configSink{g}, follow.WithDue(g.proofDue), jitter,
 		follow.WithLogger(g.log, "configuration"))
-	g.upstreams = follow.New(g.adapter.Upstreams, g.clock, g.fleet, follow.WithSettle(upstreamSettle), jitter,
+	g.upstreams = follow.New(g.adapter.Upstreams, g.clock, g.fleet, follow.WithDue(g.upstreamsDue), follow.WithAt(g.fleet.At), jitter,
 		follow.WithLogger(g.log, "upstreams"))
 	return nil
 }
@@ -232,8 +236,25 @@
 // proofDue returns when to look again whether the configuration has to be
 // proved, or 0 if it has to be now.
 func (g *Gateway) proofDue() spanrill.Millis {
-	goal := spanrill.Millis(float64(proofGoal) * (1 + proofSpread*(g.random.Float64()-0.5)))
-	if g.config.Age() >= goal {
+	return g.due("configuration", g.config.Age(), proofGoal)
+}
+
+// upstreamsDue is the same for the entries of upstreams.
+func (g *Gateway) upstreamsDue() spanrill.Millis {
+	_, _, age := g.fleet.Proof()
+	return g.due("upstreams", age, upstreamsGoal)
+}
+
+// due compares the age of knowledge with the age at which a daemon of this rank
+// asks the store.
+func (g *Gateway) due(what string, age, goal spanrill.Millis) spanrill.Millis {
+	if age < goal {
+		return proofPoll
+	}
+	if rank := g.peers.rank(what); rank > 0 {
+		goal += rankDelay + rankStep*spanrill.Millis(rank-1) + spanrill.Millis(g.random.Float64()*float64(rankStep))
+	}
+	if age >= goal {
 		return 0
 	}
 	return proofPoll
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -67,6 +67,17 @@
 // Others returns the daemons that are alive, without this one.
 func (p *peers) Others() []peermsg.Member { return p.list.Others() }
 
+// rank returns this daemon's place among those that ask the store for
+// something, from 0 to ranks.
+func (p *peers) rank(what string) int {
+	for i, m := range p.list.Owners(what, ranks) {
+		if m.Name == p.name {
+			return i
+		}
+	}
+	return ranks
+}
+
 // Ask sends a request to a peer and decodes its reply.
 func (p *peers) Ask(ctx context.Context, addr string, kind uint8, req, reply any) error {
 	payload, err := peermsg.Encode(req)
@@ -112,6 +123,8 @@
 		return p.gateway.exchange.News(), nil
 	case peermsg.KindRouteConfig:
 		return p.gateway.exchange.RouteConfig(), nil
+	case peermsg.KindEntries:
+		return p.gateway.exchange.Entries(), nil
 	}
 	return nil, fmt.Errorf("unknown kind %d", kind)
 }
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -33,6 +33,7 @@
 	KindNews    peernet.Kind = 9 // no payload, reply News
 
 	KindRouteConfig peernet.Kind = 10 // no payload, reply RouteConfig
+	KindEntries     peernet.Kind = 11 // no payload, reply Entries
 )
 
 // Member is what daemons tell one another about one of them.
@@ -192,6 +193,19 @@
 	Placement bool            // holds the lease of placement
 	Leaving   bool
 	Targets   []Target // what engines are being ordered to hold, from the holder of the lease
+
+	UpstreamsAt     uint64          // revision of the store up to which all upstreams are known
+	UpstreamsChange uint64          // revision up to which there were changes of them
+	UpstreamsAge    spanrill.Millis // of that knowledge, when the answer was made
+}
+
+// Entries is all entries of upstreams as they stood at a revision of the store.
+type Entries struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Entries  []spanrill.EngineEntry
+	At       uint64
+	Change   uint64
+	Age      spanrill.Millis
 }
 
 // Target is the range that an engine is being ordered to hold.
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -48,6 +48,9 @@
 	view    atomic.Pointer[View]
 	outage  atomic.Int64 // end of the last failed call of the store
 	version uint64
+	at      uint64          // revision of the store up to which everything is known
+	change  uint64          // revision at which the last change was known
+	proved  spanrill.Millis // before the read was sent that told of at
 	seen    chan struct{}
 	once    sync.Once
 }
@@ -84,47 +87,118 @@
 func (t *Table) NoteOutage() { t.outage.Store(int64(t.clock.Now())) }
 
 // Listed takes the whole collection.
-func (t *Table) Listed(items []spanrill.Item, _ spanrill.Millis) {
+func (t *Table) Listed(items []spanrill.Item, at uint64, sent spanrill.Millis) {
+	entries := make([]spanrill.EngineEntry, 0, len(items))
+	for _, item := range items {
+		if entry, ok := t.read(item); ok {
+			entries = append(entries, entry)
+		}
+	}
+	t.Merge(Knowledge{Entries: entries, At: at, Change: at}, sent)
+}
+
+// Knowledge is all entries as they stood at a revision of the store.
+type Knowledge struct {
+	Entries []spanrill.EngineEntry
+	At      uint64
+	Change  uint64 // revision up to which there were changes, at most At
+}
+
+// Merge takes what the store or a peer knows, if it is newer than what is known
+// here, and reports whether it was.
+func (t *Table) Merge(k Knowledge, sent spanrill.Millis) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	there := make(map[string]bool, len(items))
-	for _, item := range items {
-		there[item.Name] = true
-		t.put(item)
+	if k.At < t.at {
+		return false
+	}
+	there := make(map[string]bool, len(k.Entries))
+	for _, entry := range k.Entries {
+		there[entry.ID] = true
+		t.put(entry)
 	}
 	for id := range t.all {
 		if !there[id] {
 			t.gone(id)
 		}
 	}
+	t.at, t.change, t.proved = k.At, max(t.change, k.Change), max(t.proved, sent)
 	t.publish()
 	t.once.Do(func() { close(t.seen) })
+	return true
 }
 
-// Changed takes changes.
-func (t *Table) Changed(changes []spanrill.Change, _ spanrill.Millis) {
-	if len(changes) == 0 {
-		return
+// Knowledge returns all entries, for a peer.
+func (t *Table) Knowledge() Knowledge {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := Knowledge{At: t.at, Change: t.change}
+	for _, u := range t.all {
+		k.Entries = append(k.Entries, *u.Entry())
+	}
+	return k
+}
+
+// At returns the revision of the store up to which everything is known.
+func (t *Table) At() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.at
+}
+
+// Proof returns up to which revision of the store everything is known, the
+// revision of the last change, and how old that knowledge is.
+func (t *Table) Proof() (at, change uint64, age spanrill.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.at, t.change, t.clock.Now() - t.proved
+}
+
+// Prove notes that up to a revision there was no change behind the one given.
+// It returns false if that change is not known here.
+func (t *Table) Prove(at, change uint64, sent spanrill.Millis) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if change > t.at {
+		return false
 	}
+	t.at, t.proved = max(t.at, at), max(t.proved, sent)
+	return true
+}
+
+// Changed takes the changes up to a revision.
+func (t *Table) Changed(changes []spanrill.Change, at uint64, sent spanrill.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if at < t.at {
+		return
+	}
 	for _, c := range changes {
 		if c.Gone {
 			t.gone(c.Name)
 			continue
 		}
-		t.put(c.Item)
+		if entry, ok := t.read(c.Item); ok {
+			t.put(entry)
+		}
+	}
+	t.at, t.proved = at, max(t.proved, sent)
+	if len(changes) > 0 {
+		t.change = at
+		t.publish()
 	}
-	t.publish()
 }
 
-// put takes one entry. The caller holds the lock.
-func (t *Table) put(item spanrill.Item) {
+func (t *Table) read(item spanrill.Item) (spanrill.EngineEntry, bool) {
 	entry, err := t.decode(item)
 	if err != nil {
 		events.UpstreamBadItem.Log(t.log, logrus.Fields{"upstream": item.Name, "error": err})
-		return
 	}
+	return entry, err == nil
+}
+
+// put takes one entry. The caller holds the lock.
+func (t *Table) put(entry spanrill.EngineEntry) {
 	delete(t.held, entry.ID)
 	u := t.all[entry.ID]
 	if u == nil {
--- a/state/follow/follow.go
+++ b/state/follow/follow.go
@@ -24,10 +24,10 @@
 // Sink takes what a follower learns. Its functions are called from one
 // goroutine.
 type Sink interface {
-	// Listed takes the whole collection.
-	Listed(items []spanrill.Item, sent spanrill.Millis)
-	// Changed takes changes, which may be none.
-	Changed(changes []spanrill.Change, sent spanrill.Millis)
+	// Listed takes the whole collection as it stood at a revision of the store.
+	Listed(items []spanrill.Item, at uint64, sent spanrill.Millis)
+	// Changed takes the changes up to a revision of the store, which may be none.
+	Changed(changes []spanrill.Change, at uint64, sent spanrill.Millis)
 }
 
 // Follower keeps up with one collection.
@@ -41,6 +41,7 @@
 	settle spanrill.Millis
 	due    func() spanrill.Millis
 	jitter func() float64
+	known  func() uint64
 
 	at     uint64
 	listed bool
@@ -68,6 +69,12 @@
 	return func(f *Follower) { f.due, f.wait = due, 0 }
 }
 
+// WithAt sets where the revision is read up to which the sink knows everything
+// from elsewhere, so that it is not asked for again.
+func WithAt(at func() uint64) Option {
+	return func(f *Follower) { f.known = at }
+}
+
 // WithLogger sets where events go, and the name of the collection in them.
 func WithLogger(log logrus.FieldLogger, name string) Option {
 	return func(f *Follower) { f.log, f.name = log, name }
@@ -93,7 +100,7 @@
 func New(source spanrill.Collection, clock spanrill.Clock, sink Sink, opts ...Option) *Follower {
 	f := &Follower{
 		source: source, clock: clock, sink: sink, log: logrus.StandardLogger(),
-		wait: defaultWait, jitter: func() float64 { return 0 },
+		wait: defaultWait, jitter: func() float64 { return 0 }, known: func() uint64 { return 0 },
 	}
 	for _, o := range opts {
 		o(f)
@@ -156,17 +163,18 @@
 		return err
 	}
 	f.at, f.listed = at, true
-	f.sink.Listed(items, sent)
+	f.sink.Listed(items, at, sent)
 	return nil
 }
 
 func (f *Follower) watch(ctx context.Context, sent spanrill.Millis) (changed bool, err error) {
+	f.at = max(f.at, f.known())
 	changes, at, err := f.source.Watch(ctx, f.at, f.wait)
 	if err != nil {
 		return false, err
 	}
 	f.at = max(f.at, at)
-	f.sink.Changed(changes, sent)
+	f.sink.Changed(changes, at, sent)
 	return len(changes) > 0, nil
 }
 
