Confirm orders by reports, order without the lease while the store is away

Change: refusals in a row keep new requests away for 60 ms to 2 s; an order without an answer is followed by a question and given again for the same count; what an engine answers is told to the other daemons; the first daemon in rank orders while all knowledge of the fleet is older than the lease.

--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -45,7 +45,7 @@
 	Placement func() bool // holds the lease of placement
 	Leaving   func() bool
 	// Targets returns what this daemon is ordering engines to hold, by id.
-	Targets func() map[string]spanrill.LayerRange
+	Targets func() map[string]fleet.Target
 	// Decode decodes a configuration as it lies in the store.
 	Decode func(value []byte) (*spanrill.RouteConfig, error)
 }
@@ -196,7 +196,7 @@
 	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
 		s := sums[hash(u.ID())]
 		u.SetPeers(s.tokens, s.calls)
-		var target *spanrill.LayerRange
+		var target *fleet.Target
 		if t, ok := targets[hash(u.ID())]; ok {
 			target = &t
 		}
@@ -209,18 +209,18 @@
 
 // targetsNow returns what engines are being ordered to hold, as this daemon
 // does it or the holder of the lease has said. The caller holds the lock.
-func (e *Exchange) targetsNow(now spanrill.Millis) map[uint32]spanrill.LayerRange {
-	targets := map[uint32]spanrill.LayerRange{}
+func (e *Exchange) targetsNow(now spanrill.Millis) map[uint32]fleet.Target {
+	targets := map[uint32]fleet.Target{}
 	for _, h := range e.heard {
 		if !h.news.Placement || now-h.at > placementFresh {
 			continue
 		}
 		for _, t := range h.news.Targets {
-			targets[t.Upstream] = spanrill.LayerRange{From: t.From, To: t.To}
+			targets[t.Upstream] = fleet.Target{Layers: spanrill.LayerRange{From: t.From, To: t.To}, Done: t.Done}
 		}
 	}
-	for id, layers := range e.state.Targets() {
-		targets[hash(id)] = layers
+	for id, target := range e.state.Targets() {
+		targets[hash(id)] = target
 	}
 	return targets
 }
@@ -256,8 +256,8 @@
 			n.Uses = append(n.Uses, peermsg.Use{Upstream: hash(u.ID()), Tokens: tokens, Calls: calls})
 		}
 	})
-	for id, layers := range e.state.Targets() {
-		n.Targets = append(n.Targets, peermsg.Target{Upstream: hash(id), From: layers.From, To: layers.To})
+	for id, t := range e.state.Targets() {
+		n.Targets = append(n.Targets, peermsg.Target{Upstream: hash(id), From: t.Layers.From, To: t.Layers.To, Done: t.Done})
 	}
 	return n
 }
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -6,9 +6,18 @@
 // fits and changes nothing. What the engines hold is all the state there is:
 // another daemon that takes the lease goes on from it.
 //
+// While no daemon can reach the store, nobody can hold the lease, and engines
+// fail nevertheless. Then the first daemon in rank acts without it: two daemons
+// that order at the same time can undo one another's work, but no order can
+// exceed an engine's memory, and every path is checked by its engines.
+//
+// The store shows what an engine holds up to a heartbeat late, and not at all
+// while it is down. The placer therefore asks the engines that it has ordered,
+// and tells the other daemons what they answer.
+//
 // # Usage
 //
-//	p := layoutrun.New(lease, engines, table, models, clock, log)
+//	p := layoutrun.New(may, engines, table, models, clock, log)
 //	err := p.Run(ctx)
 package layoutrun
 
@@ -20,7 +29,6 @@
 
 	"spanrill"
 	"spanrill/coordination/layout"
-	"spanrill/coordination/lease"
 	"spanrill/events"
 	"spanrill/state/fleet"
 	"spanrill/task"
@@ -29,34 +37,24 @@
 // Models returns the services whose engines hold parts of a model.
 type Models func() []spanrill.ServiceInfo
 
+// MayAct returns the fencing token under which orders may be given now, or
+// false. A token of 0 means that none could be had.
+type MayAct func() (term uint64, ok bool)
+
 const (
 	// round is the pause between two looks at the engines: a hole is seen when
 	// the next look comes, and loading takes a second or more.
 	round spanrill.Millis = 150
-	// orderWait bounds one question or order.
-	orderWait spanrill.Millis = 600
 	// settleTime is how long no engine was added before the first layout is
 	// made: engines that start together appear over two or three seconds.
 	settleTime spanrill.Millis = 1200
 	// settleMost bounds the wait for the first layout.
 	settleMost spanrill.Millis = 5000
-	// uncertainTime is how long an order without an answer is waited for.
-	uncertainTime spanrill.Millis = 1500
-	// seenTime is how long it may take after a load until the store shows it:
-	// a heartbeat of 1.2 s and some more.
-	seenTime spanrill.Millis = 2500
-	// tellTime is how long before an order that takes layers away the other
-	// daemons are told of it, so that they send nothing there for these layers.
-	// They ask for news every quarter of a second.
-	tellTime spanrill.Millis = 400
-	// slowLoad is the factor by which loads slow one another down at most in
-	// what is waited for.
-	slowLoad = 4.0
 )
 
-// Placer gives orders while it holds the lease.
+// Placer gives orders while it may.
 type Placer struct {
-	lease   *lease.Lease
+	mayAct  MayAct
 	engines spanrill.LayerEngines
 	table   *fleet.Table
 	models  Models
@@ -64,25 +62,25 @@
 	log     logrus.FieldLogger
 
 	mu      sync.Mutex
-	ordered map[string]order // by engine
-	known   map[string]int   // engines seen of a service
+	ordered map[string]*order // by engine
+	known   map[string]int    // engines seen of a service
 	grewAt  map[string]spanrill.Millis
 	firstAt map[string]spanrill.Millis
 	orders  task.Group
 }
 
-// order is an order that was given and does not show yet.
+// order is a change that an engine is being brought to.
 type order struct {
-	layers spanrill.LayerRange
-	until  spanrill.Millis
-	sent   bool // false while it is being given
+	move layout.Move
+	done bool            // the engine has answered that it holds the range
+	drop spanrill.Millis // when to forget it, if over 0
 }
 
 // New returns a placer.
-func New(l *lease.Lease, engines spanrill.LayerEngines, table *fleet.Table, models Models, clock spanrill.Clock, log logrus.FieldLogger) *Placer {
+func New(mayAct MayAct, engines spanrill.LayerEngines, table *fleet.Table, models Models, clock spanrill.Clock, log logrus.FieldLogger) *Placer {
 	return &Placer{
-		lease: l, engines: engines, table: table, models: models, clock: clock, log: log,
-		ordered: map[string]order{}, known: map[string]int{},
+		mayAct: mayAct, engines: engines, table: table, models: models, clock: clock, log: log,
+		ordered: map[string]*order{}, known: map[string]int{},
 		grewAt: map[string]spanrill.Millis{}, firstAt: map[string]spanrill.Millis{},
 	}
 }
@@ -102,13 +100,14 @@
 
 // Round looks at all services once.
 func (p *Placer) Round(ctx context.Context) {
+	p.forgetOld()
 	for _, s := range p.models() {
 		if s.Model == nil {
 			continue
 		}
 		engines, anyHeld := p.look(&s)
 		settled := p.settled(s.Name, len(engines))
-		if _, ok := p.lease.Held(); !ok || !anyHeld && !settled {
+		if _, ok := p.mayAct(); !ok || !anyHeld && !settled {
 			continue
 		}
 		moves := layout.Repair(s.Model, engines)
@@ -117,7 +116,7 @@
 		}
 		events.LayoutMade.Log(p.log, logrus.Fields{"service": s.Name, "engines": len(engines), "moves": len(moves), "view": p.table.View().Version()})
 		for _, m := range moves {
-			p.give(ctx, &s, m)
+			p.give(ctx, s, m)
 		}
 	}
 }
@@ -143,126 +142,69 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	view := p.table.View()
-	for _, u := range view.Of(s.Name) {
-		if !u.Takes() || u.Dead() {
+	for _, u := range p.table.View().Of(s.Name) {
+		if !u.Takes() || u.Dead() || u.Refusing(now) {
 			continue
 		}
 		entry := u.Entry()
 		e := layout.Engine{ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers}
 		if o, ok := p.ordered[e.ID]; ok {
-			if entry.Layers == o.layers || now >= o.until {
-				delete(p.ordered, e.ID)
-			} else {
-				e.Layers, e.Fixed = o.layers, true
-			}
+			e.Layers, e.Fixed = o.move.Layers, !o.done
 		}
 		anyHeld = anyHeld || e.Layers.Len() > 0
 		engines = append(engines, e)
 	}
-	for id := range p.ordered {
-		if view.ByID(id) == nil {
-			delete(p.ordered, id)
-		}
-	}
 	return engines, anyHeld
 }
 
-// give orders one move.
-func (p *Placer) give(ctx context.Context, s *spanrill.ServiceInfo, m layout.Move) {
-	u := p.table.View().ByID(m.Engine)
-	if u == nil {
-		return
-	}
-	p.note(m, p.clock.Now()+tellTime+orderWait*2, false)
-	p.orders.Start(ctx, "order", func(ctx context.Context) error {
-		if takesAway(u.Entry().Layers, m.Layers) {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-p.clock.After(tellTime):
-			}
+// forgetOld forgets orders that the store shows, and those of engines that are
+// gone.
+func (p *Placer) forgetOld() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, view := p.clock.Now(), p.table.View()
+	for id, o := range p.ordered {
+		u := view.ByID(id)
+		if u == nil || o.drop > 0 && now >= o.drop || o.done && u.Entry().Layers == o.move.Layers {
+			delete(p.ordered, id)
 		}
-		p.order(ctx, s, u, m)
-		return nil
-	})
-}
-
-// takesAway reports whether a move takes layers from an engine.
-func takesAway(held, next spanrill.LayerRange) bool {
-	return held.Len() > 0 && (held.From < next.From || held.To > next.To)
+	}
 }
 
 // Targets returns what engines are being ordered to hold, by id.
-func (p *Placer) Targets() map[string]spanrill.LayerRange {
+func (p *Placer) Targets() map[string]fleet.Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	targets := make(map[string]spanrill.LayerRange, len(p.ordered))
+	targets := make(map[string]fleet.Target, len(p.ordered))
 	for id, o := range p.ordered {
-		targets[id] = o.layers
+		targets[id] = fleet.Target{Layers: o.move.Layers, Done: o.done}
 	}
 	return targets
 }
 
-func (p *Placer) note(m layout.Move, until spanrill.Millis, sent bool) {
+// give starts to bring an engine to a range.
+func (p *Placer) give(ctx context.Context, s spanrill.ServiceInfo, m layout.Move) {
+	u := p.table.View().ByID(m.Engine)
+	if u == nil {
+		return
+	}
+	o := &order{move: m}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.ordered[m.Engine] = order{layers: m.Layers, until: until, sent: sent}
+	p.ordered[m.Engine] = o
+	p.mu.Unlock()
+	p.orders.Start(ctx, "order", func(ctx context.Context) error {
+		c := &carrier{placer: p, service: s, upstream: u, order: o}
+		c.run(ctx)
+		return nil
+	})
 }
 
-func (p *Placer) forget(m layout.Move) {
+// end notes what became of an order.
+func (p *Placer) end(o *order, done bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.ordered, m.Engine)
-}
-
-// order asks the engine how many orders it has taken, and gives the order for
-// exactly that state, if the lease is still held.
-func (p *Placer) order(ctx context.Context, s *spanrill.ServiceInfo, u *fleet.Upstream, m layout.Move) {
-	ctx, cancel := context.WithTimeout(ctx, (orderWait * 2).Duration())
-	defer cancel()
-	fields := logrus.Fields{"upstream": m.Engine, "layers": m.Layers, "why": m.Why, "service": s.Name}
-	report, err := p.engines.Report(ctx, u.Addr())
-	if err != nil {
-		fields["error"] = err
-		events.OrderFailed.Log(p.log, fields)
-		p.forget(m)
-		return
-	}
-	fields["sequence"], fields["held"], fields["busy"] = report.Sequence, report.Layers, report.Busy
-	term, ok := p.lease.Held()
-	if !ok || report.Busy {
-		fields["lease"] = ok
-		events.OrderWaits.Log(p.log, fields)
-		p.forget(m)
-		return
-	}
-	fields["term"] = term
-	state, err := p.engines.Place(ctx, u.Addr(), m.Engine, spanrill.PlaceOrder{Layers: m.Layers, Term: term, Sequence: report.Sequence})
-	p.after(s, m, state, err, fields)
-}
-
-func (p *Placer) after(s *spanrill.ServiceInfo, m layout.Move, state spanrill.OrderState, err error, fields logrus.Fields) {
-	now := p.clock.Now()
-	if err != nil {
-		fields["error"] = err
-		events.OrderFailed.Log(p.log, fields)
-		p.note(m, now+uncertainTime, true)
-		return
-	}
-	fields["state"] = state.String()
-	switch state {
-	case spanrill.OrderBegun, spanrill.OrderDone:
-		events.OrderGiven.Log(p.log, fields)
-		share := float64(m.Layers.Len()) / float64(max(1, s.Model.Layers))
-		load := spanrill.Millis(s.Model.LoadSeconds * share * slowLoad * float64(spanrill.Second))
-		p.note(m, now+load+seenTime, true)
-	case spanrill.OrderFenced:
-		p.lease.GiveUp()
-		events.OrderRefused.Log(p.log, fields)
-		p.forget(m)
-	default:
-		events.OrderRefused.Log(p.log, fields)
-		p.forget(m)
+	o.done = done
+	if !done {
+		o.drop = 1 // at the next look
 	}
 }
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -245,7 +245,7 @@
 		fault = u
 	}
 	g.avoid[fault.ID()] = true
-	fault.Avoid(now, now+refusedAvoid)
+	fault.Refused(now)
 	if status == fasthttp.StatusMisdirectedRequest {
 		fault.Avoid(now, now+misdirectedAvoid)
 	}
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -84,6 +84,9 @@
 		g.relay.Meters.FirstToken.Update(float64(now-g.request.start) / float64(spanrill.Second))
 		g.first.NoteLag(now, float64(now-g.quiet)/g.expectedFirst()/slowFirst)
 		g.begun = true
+		for _, p := range g.path.Parts() {
+			p.Upstream.Accepted()
+		}
 	}
 	b.last, g.askAt = now, 0
 	b.events += count
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -181,7 +181,7 @@
 	}, g.clock, g.log, g.random)
 	g.lease = lease.New(g.adapter.Store, g.clock, "placement", g.peers.name, lease.WithTime(leaseTime),
 		lease.WithLogger(g.log), lease.WithContends(g.contends))
-	g.placer = layoutrun.New(g.lease, g.adapter.Engines, g.fleet, g.models, g.clock, g.log)
+	g.placer = layoutrun.New(g.mayPlace, g.adapter.Engines, g.fleet, g.models, g.clock, g.log)
 	g.router = chainrouting.New(g.fleet, g.clock, g.log)
 	g.relay = relay.New(relay.Parts{
 		Config: g.config, Fleet: g.fleet, Router: g.router, Prober: g.prober,
@@ -219,13 +219,28 @@
 	return nil
 }
 
+// mayPlace reports whether this daemon may order engines: it holds the lease,
+// or the store cannot be reached by any daemon and this one is the first in
+// rank.
+func (g *Gateway) mayPlace() (term uint64, ok bool) {
+	if term, ok = g.lease.Held(); ok {
+		return term, true
+	}
+	_, _, age := g.fleet.Proof()
+	return 0, age > storeAway && !g.draining.Load() && !g.exchange.PlacementHeld() && g.peers.rank("placement") == 0
+}
+
+// storeAway is the age of what all daemons know together after which nobody
+// can reach the store: longer than the lease holds.
+const storeAway = leaseTime + 500
+
 func (g *Gateway) holdsLease() bool {
-	_, ok := g.lease.Held()
+	_, ok := g.mayPlace()
 	return ok
 }
 
 // targets returns what this daemon is ordering engines to hold.
-func (g *Gateway) targets() map[string]spanrill.LayerRange { return g.placer.Targets() }
+func (g *Gateway) targets() map[string]fleet.Target { return g.placer.Targets() }
 
 // contends reports whether this daemon should try to take the lease: it is not
 // stopping, knows what to place, and no peer says that it has the lease.
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -214,6 +214,7 @@
 	Upstream uint32   // hash of its id
 	From     int
 	To       int
+	Done     bool // the engine has said that it holds the range
 }
 
 // RouteConfig is a configuration as it lies in the store.
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -10,7 +10,7 @@
 type Upstream struct {
 	entry   atomic.Pointer[spanrill.EngineEntry]
 	removed atomic.Bool
-	target  atomic.Pointer[spanrill.LayerRange] // what the engine is being ordered to hold, or nil
+	target  atomic.Pointer[Target] // what the engine is being ordered to hold, or nil
 
 	ownTokens  atomic.Int64 // reserved by requests of this daemon
 	peerTokens atomic.Int64 // reserved by requests of other daemons, as told last
@@ -19,6 +19,7 @@
 
 	avoidUntil atomic.Int64 // on the daemon's clock; takes no new requests until then
 	avoided    atomic.Int32 // times in a row
+	refusals   atomic.Int32 // of new requests, in a row
 	dead       atomic.Bool  // did not answer when it was asked
 	risk       risk
 	lag        lag
@@ -44,16 +45,26 @@
 // Zone returns the availability zone.
 func (u *Upstream) Zone() string { return u.Entry().Zone }
 
-// Layers returns the layers that requests can run on: those of the entry, and
-// of these only what the engine keeps if it is being ordered to change. The
-// entry follows an order by up to a heartbeat.
+// Target is the range that an engine is being ordered to hold.
+type Target struct {
+	Layers spanrill.LayerRange
+	Done   bool // the engine has said that it holds the range
+}
+
+// Layers returns the layers that requests can run on: what the engine itself
+// has said after an order, or those of the entry, and of these only what the
+// engine keeps if it is being ordered to change. The entry follows an order by
+// up to a heartbeat.
 func (u *Upstream) Layers() spanrill.LayerRange {
 	held := u.Entry().Layers
 	target := u.target.Load()
-	if target == nil {
+	switch {
+	case target == nil:
 		return held
+	case target.Done:
+		return target.Layers
 	}
-	kept := spanrill.LayerRange{From: max(held.From, target.From), To: min(held.To, target.To)}
+	kept := spanrill.LayerRange{From: max(held.From, target.Layers.From), To: min(held.To, target.Layers.To)}
 	if kept.To <= kept.From {
 		return spanrill.LayerRange{}
 	}
@@ -62,7 +73,7 @@
 
 // SetTarget notes what the engine is being ordered to hold, or nil, and reports
 // whether that is news.
-func (u *Upstream) SetTarget(target *spanrill.LayerRange) bool {
+func (u *Upstream) SetTarget(target *Target) bool {
 	old := u.target.Swap(target)
 	if old == nil || target == nil {
 		return old != target
@@ -70,6 +81,34 @@
 	return *old != *target
 }
 
+// Refused notes that the upstream has refused a new request, and keeps new
+// ones away for a while, longer each time until one is taken again. An engine
+// that leaves without a word refuses what is new and serves what runs.
+func (u *Upstream) Refused(now spanrill.Millis) {
+	times := min(u.refusals.Add(1), maxRefusals)
+	u.Avoid(now, now+firstRefusal<<(times-1))
+}
+
+// Refusing reports whether the upstream has refused several new requests in a
+// row, the last one not long ago.
+func (u *Upstream) Refusing(now spanrill.Millis) bool {
+	return u.refusals.Load() >= refusingTimes && u.Avoided(now)
+}
+
+// Accepted notes that the upstream works on a new request.
+func (u *Upstream) Accepted() { u.refusals.Store(0) }
+
+const (
+	// firstRefusal is how long a first refusal keeps requests away: an engine
+	// that was full for a moment has room again after a few tokens.
+	firstRefusal spanrill.Millis = 60
+	// maxRefusals bounds the growth: two seconds.
+	maxRefusals = 6
+	// refusingTimes is how many refusals in a row mean that the engine is not
+	// just full: they span 200 ms.
+	refusingTimes = 3
+)
+
 // Service returns the name of the service.
 func (u *Upstream) Service() string { return u.Entry().Service }
 
