Repair chains for the most room, with the fewest loads, and relieve tight engines

A chain that closed up waited up to 8 s for requests on layers that it gave up; a second loss while it changed let it fall apart; nobody held the lease for 4 s after its holder was turned away; a spare with room for 41,000 tokens bounded a chain of 153,000.

Change: repairs of chains whose requests are lost cut what is left there; holes are filled for the most room, chains close up with the fewest loads; a spare takes over a part of the tightest engine in two steps; a lease whose holder has said when it lapses is taken then; retries are shared by what daemons count; streams are poked when an engine is found dead.

--- a/coordination/chainrouting/path.go
+++ b/coordination/chainrouting/path.go
@@ -33,6 +33,16 @@
 	released atomic.Bool
 	expected float64 // milliseconds that the whole request is expected to take
 	pipes    *pipes
+	seen     []considered
+}
+
+// Considered returns what the paths that were compared looked like, for logs.
+func (p *Path) Considered() []string {
+	out := make([]string, len(p.seen))
+	for i, c := range p.seen {
+		out[i] = c.String()
+	}
+	return out
 }
 
 func (r *Router) newPath(parts []Part, tokens int64, expected float64) *Path {
@@ -80,6 +90,17 @@
 	p.pipes.add(p.parts, -1)
 }
 
+// HasDead reports whether an engine of the path did not answer when it was
+// asked last.
+func (p *Path) HasDead() bool {
+	for _, part := range p.parts {
+		if part.Upstream.Dead() {
+			return true
+		}
+	}
+	return false
+}
+
 // Wire returns the path as engines are told it.
 func (p *Path) Wire() []spanrill.PathPart {
 	out := make([]spanrill.PathPart, len(p.parts))
--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -26,6 +26,7 @@
 	"spanrill/coordination/chain"
 	"spanrill/coordination/cost"
 	"spanrill/events"
+	"spanrill/rng"
 	"spanrill/state/fleet"
 )
 
@@ -44,6 +45,7 @@
 	Zone   string          // availability zone of this daemon
 	Avoid  map[string]bool // ids of engines that must not be used
 	Urgent bool            // may use the last part of the memory
+	Spread bool            // many choose at the same moment, and must not all choose the same
 }
 
 // tokens is what is reserved: the prompt, and the part of the answer that a
@@ -68,6 +70,8 @@
 	otherZoneMillis = 20.0
 	// riskWeight makes a path longer by the share of failures of its engines.
 	riskWeight = 3.0
+	// spread varies the estimates of choices that all daemons make at once.
+	spread = 1.0
 	// bridgeFactor makes a path with bridges a second choice.
 	bridgeFactor = 1.3
 )
@@ -78,6 +82,8 @@
 	clock spanrill.Clock
 	log   logrus.FieldLogger
 
+	random *rng.Source
+
 	mu    sync.Mutex
 	cache map[string]*layouts
 	pipes pipes
@@ -92,8 +98,8 @@
 }
 
 // New returns a router over a table.
-func New(table *fleet.Table, clock spanrill.Clock, log logrus.FieldLogger) *Router {
-	return &Router{table: table, clock: clock, log: log, cache: map[string]*layouts{}}
+func New(table *fleet.Table, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source) *Router {
+	return &Router{table: table, clock: clock, log: log, random: random, cache: map[string]*layouts{}}
 }
 
 // chains returns the chains of a service as the newest view shows them.
@@ -137,6 +143,7 @@
 	v := r.table.View()
 	s := &search{view: v, service: service, model: m, need: need, now: r.clock.Now(), pipes: &r.pipes}
 	var best []Part
+	var seen []considered
 	bestCost, covered := math.Inf(1), false
 	for _, c := range r.chains(service, m, v) {
 		parts, bridged, ok := s.complete(c)
@@ -145,12 +152,17 @@
 		}
 		covered = true
 		estimate, base := s.estimate(parts)
-		if !s.roomFor(parts) || !s.pipesFor(parts, base) {
+		room, pipe := s.roomFor(parts), s.pipesFor(parts, base)
+		seen = append(seen, considered{first: parts[0].Upstream, estimate: estimate, base: base, room: room, pipe: pipe, now: s.now})
+		if !room || !pipe {
 			continue
 		}
 		if bridged {
 			estimate *= bridgeFactor
 		}
+		if need.Spread {
+			estimate *= 1 + spread*r.random.Float64()
+		}
 		if estimate < bestCost {
 			best, bestCost = parts, estimate
 		}
@@ -165,7 +177,23 @@
 		return nil, ErrNoPath
 	}
 	_, base := s.estimate(best)
-	return r.newPath(best, int64(need.tokens()), base), nil
+	path := r.newPath(best, int64(need.tokens()), base)
+	path.seen = seen
+	return path, nil
+}
+
+// considered is a path that was compared, for logs.
+type considered struct {
+	first          *fleet.Upstream
+	estimate, base float64
+	room, pipe     bool
+	now            spanrill.Millis
+}
+
+// String returns what decided about the path.
+func (c considered) String() string {
+	return fmt.Sprintf("%s est=%.0f base=%.0f tokens=%d lag=%.1f risk=%.2f room=%t pipe=%t", c.first.ID(), c.estimate, c.base,
+		c.first.Tokens(), c.first.Lag(c.now), c.first.Risk(c.now), c.room, c.pipe)
 }
 
 // SetDaemons sets how many daemons share the pipes between availability zones.
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -21,6 +21,8 @@
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
+	"spanrill/coordination/lease"
+	"spanrill/coordination/retry"
 	"spanrill/events"
 	"spanrill/protocol/peermsg"
 	"spanrill/rng"
@@ -44,6 +46,8 @@
 	Fleet     *fleet.Table
 	Placement func() bool // holds the lease of placement
 	Leaving   func() bool
+	Budgets   *retry.Budgets
+	Lease     *lease.Lease // of placement
 	// Targets returns what this daemon is ordering engines to hold, by id.
 	Targets func() map[string]fleet.Target
 	// Decode decodes a configuration as it lies in the store.
@@ -128,6 +132,9 @@
 	e.mu.Lock()
 	e.heard[m.Name] = heard{news: news, at: sent}
 	e.mu.Unlock()
+	if news.LeaseLeft > 0 {
+		e.state.Lease.Heard(news.LeaseVersion, news.LeaseLeft)
+	}
 	if news.Revision > e.state.Config.Revision() {
 		if err := e.fetch(ctx, m); err != nil {
 			return err
@@ -180,6 +187,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
+	e.shareBudgets(now)
 	type sum struct{ tokens, calls int64 }
 	sums := map[uint32]sum{}
 	for name, h := range e.heard {
@@ -207,6 +215,27 @@
 	}
 }
 
+// shareBudgets hands on what other daemons have counted for the retry budgets.
+// The caller holds the lock.
+func (e *Exchange) shareBudgets(now spanrill.Millis) {
+	others := map[string]retry.Count{}
+	heard := 1
+	for _, h := range e.heard {
+		if now-h.at > budgetFresh {
+			continue
+		}
+		heard++
+		for _, c := range h.news.Retries {
+			sum := others[c.Service]
+			others[c.Service] = retry.Count{Requests: sum.Requests + c.Requests, Retries: sum.Retries + c.Retries}
+		}
+	}
+	e.state.Budgets.Round(others, heard, max(heard, 1+len(e.peers.Others())))
+}
+
+// budgetFresh is how old the counts of a daemon may be: a few rounds.
+const budgetFresh spanrill.Millis = 900
+
 // targetsNow returns what engines are being ordered to hold, as this daemon
 // does it or the holder of the lease has said. The caller holds the lock.
 func (e *Exchange) targetsNow(now spanrill.Millis) map[uint32]fleet.Target {
@@ -249,6 +278,7 @@
 		Name: e.state.Name, Revision: e.state.Config.Revision(), ProofAge: e.state.Config.Age(),
 		Placement: e.state.Placement(), Leaving: e.state.Leaving(),
 	}
+	n.LeaseVersion, n.LeaseLeft = e.state.Lease.Left()
 	n.UpstreamsAt, n.UpstreamsChange, n.UpstreamsAge = e.state.Fleet.Proof()
 	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
 		tokens, calls := u.OwnTokens(), u.OwnCalls()
@@ -256,6 +286,9 @@
 			n.Uses = append(n.Uses, peermsg.Use{Upstream: hash(u.ID()), Tokens: tokens, Calls: calls})
 		}
 	})
+	for service, c := range e.state.Budgets.Own() {
+		n.Retries = append(n.Retries, peermsg.RetryCount{Service: service, Requests: c.Requests, Retries: c.Retries})
+	}
 	for id, t := range e.state.Targets() {
 		n.Targets = append(n.Targets, peermsg.Target{Upstream: hash(id), From: t.Layers.From, To: t.Layers.To, Done: t.Done})
 	}
--- a/coordination/layout/layout.go
+++ b/coordination/layout/layout.go
@@ -28,6 +28,7 @@
 	Kind   string
 	Layers spanrill.LayerRange // held, or ordered and on the way
 	Fixed  bool                // takes no order now: it loads, or is not well
+	Leaves bool                // serves what runs, and takes nothing new
 }
 
 // Move gives an engine a range.
@@ -35,6 +36,7 @@
 	Engine string
 	Layers spanrill.LayerRange
 	Why    string
+	Cut    bool // what runs on layers that are given up is lost already
 }
 
 // String returns the move for logs.
@@ -51,6 +53,9 @@
 func candidates(m *spanrill.EngineModel, engines []Engine) []candidate {
 	out := make([]candidate, 0, len(engines))
 	for _, e := range engines {
+		if e.Leaves {
+			continue
+		}
 		if k, ok := m.Kinds[e.Kind]; ok && cost.Fit(m, k) > 0 {
 			out = append(out, candidate{Engine: e, kind: k})
 		}
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -12,6 +12,11 @@
 func Repair(m *spanrill.EngineModel, engines []Engine) []Move {
 	all := candidates(m, engines)
 	r := &repair{model: m, byID: map[string]candidate{}, taken: map[string]bool{}}
+	for _, e := range engines {
+		if e.Leaves {
+			r.leaving = append(r.leaving, e)
+		}
+	}
 	for _, e := range all {
 		r.byID[e.ID] = e
 		if e.Layers.Len() == 0 && !e.Fixed {
@@ -24,6 +29,7 @@
 	}
 	r.spares(spares)
 	r.fill(chains)
+	r.relieve(chains)
 	r.grow()
 	return append(r.moves, duplicates(m, r.free(r.empty), r.taken, r.held(all), zoneByID(all))...)
 }
@@ -55,6 +61,24 @@
 	spare []candidate // hold layers that no chain needs
 	taken map[string]bool
 	moves []Move
+
+	leaving []Engine
+	cut     bool // the moves that follow may cut requests
+}
+
+// lost reports whether requests on a chain are lost because of its holes: an
+// engine that leaves serves on what runs.
+func (r *repair) lost(c *chain.Chain) bool {
+	for _, hole := range c.Holes() {
+		served := false
+		for _, e := range r.leaving {
+			served = served || e.Zone == c.Zone() && e.Layers.From <= hole.From && hole.To <= e.Layers.To
+		}
+		if !served {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *repair) spares(holders []chain.Holder) {
@@ -67,40 +91,70 @@
 
 func (r *repair) give(e candidate, layers spanrill.LayerRange, why string) {
 	r.taken[e.ID] = true
-	r.moves = append(r.moves, Move{Engine: e.ID, Layers: layers, Why: why})
+	r.moves = append(r.moves, Move{Engine: e.ID, Layers: layers, Why: why, Cut: r.cut})
 }
 
 // fill fills the holes of chains, those of the fullest chain first. Engines in
-// the chain's own availability zone go first: those that hold nothing, spares,
-// and then the chain itself, whose engines move closer together. After that come
-// engines of other zones, and in the end the chain that misses most gives up its
-// engines, if at least two chains have holes: one whole chain is worth more than
-// two broken ones.
+// the chain's own availability zone go first; see fillNear. While some of them
+// are still changing, a chain waits for them. Only a chain that its zone cannot
+// restore gets engines of other zones, and in the end the chain that misses most
+// gives up its engines, if at least two chains have holes: one whole chain is
+// worth more than two broken ones.
 func (r *repair) fill(chains []*chain.Chain) {
 	broken := brokenOf(chains)
+	defer func() { r.cut = false }()
 	for i, c := range broken {
-		if r.fillNear(c) || r.closeUp(c) {
+		r.cut = r.lost(c)
+		if r.fillNear(c) || r.changing(c) {
 			continue
 		}
 		for _, hole := range c.Holes() {
-			if r.fillFrom(r.free(r.empty), c, hole, "hole of a chain") || r.fillFrom(r.free(r.spare), c, hole, "hole of a chain, from a spare") {
+			if r.fillFrom(r.free(r.empty), c, hole, leastRequests, "hole of a chain") || r.fillFrom(r.free(r.spare), c, hole, leastRequests, "hole of a chain, from a spare") {
 				continue
 			}
 			if i < len(broken)-1 {
-				r.fillFrom(r.free(r.partsOf(broken[len(broken)-1])), c, hole, "hole of a chain, from one that misses more")
+				r.fillFrom(r.free(r.partsOf(broken[len(broken)-1])), c, hole, leastRequests, "hole of a chain, from one that misses more")
 			}
 		}
 	}
 }
 
-// fillNear fills all holes of a chain from free engines of its own zone, or
-// none of them.
+// changing reports whether an engine of the chain or of its zone is still
+// changing.
+func (r *repair) changing(c *chain.Chain) bool {
+	for _, p := range c.Parts() {
+		if r.byID[p.ID].Fixed {
+			return true
+		}
+	}
+	for _, e := range r.byID {
+		if e.Fixed && e.Zone == c.Zone() {
+			return true
+		}
+	}
+	return false
+}
+
+// fillNear restores a chain by engines of its own zone. For each room, from the
+// most, it tries engines that hold nothing, then spares, both, and then the chain
+// itself, whose engines move closer together.
 func (r *repair) fillNear(c *chain.Chain) bool {
+	for _, requests := range rooms {
+		if r.fillHoles(c, requests) || !r.changing(c) && r.closeUp(c, requests) {
+			return true
+		}
+	}
+	return false
+}
+
+// fillHoles fills all holes of a chain from free engines of its zone that keep
+// memory for that many requests, or none of them.
+func (r *repair) fillHoles(c *chain.Chain, requests float64) bool {
 	moves := len(r.moves)
 	for _, hole := range c.Holes() {
 		empty, spare := r.inZone(r.free(r.empty), c.Zone()), r.inZone(r.free(r.spare), c.Zone())
-		if r.fillFrom(empty, c, hole, "hole of a chain") || r.fillFrom(spare, c, hole, "hole of a chain, from a spare") ||
-			r.fillFrom(append(empty, spare...), c, hole, "hole of a chain, from several") {
+		if r.fillFrom(empty, c, hole, requests, "hole of a chain") || r.fillFrom(spare, c, hole, requests, "hole of a chain, from a spare") ||
+			r.fillFrom(append(empty, spare...), c, hole, requests, "hole of a chain, from several") {
 			continue
 		}
 		r.takeBack(moves)
@@ -118,18 +172,28 @@
 }
 
 // closeUp divides all layers anew among a chain's engines and free engines of
-// its zone. The engines keep their order, so that each loads few layers, and
-// requests that run are not disturbed: layers that are given up wait for them.
-func (r *repair) closeUp(c *chain.Chain) bool {
-	parts := r.partsOf(c)
-	if len(parts) < len(c.Parts()) {
-		return false // some part takes no order now
+// its zone, which go where the hole is. Requests that run are not disturbed:
+// layers that are given up wait for them.
+func (r *repair) closeUp(c *chain.Chain, requests float64) bool {
+	hole := c.Holes()[0]
+	var parts []candidate
+	added := false
+	add := func() {
+		if !added {
+			parts = append(parts, r.inZone(r.free(r.empty), c.Zone())...)
+			parts = append(parts, r.inZone(r.free(r.spare), c.Zone())...)
+			added = true
+		}
 	}
-	for _, e := range append(r.inZone(r.free(r.empty), c.Zone()), r.inZone(r.free(r.spare), c.Zone())...) {
-		parts = append(parts, e)
+	for _, p := range c.Parts() {
+		if p.Layers.From >= hole.To {
+			add()
+		}
+		parts = append(parts, r.byID[p.ID])
 	}
-	ranges := divide(r.model, parts, spanrill.LayerRange{From: 0, To: r.model.Layers})
-	if ranges == nil || !r.roomy(parts, ranges) {
+	add()
+	ranges := closeUp(r.model, parts, requests)
+	if ranges == nil {
 		return false
 	}
 	for i, part := range ranges {
@@ -181,20 +245,21 @@
 	return out
 }
 
-// fillFrom fills a hole with one engine, or with several if none can hold it.
-func (r *repair) fillFrom(from []candidate, c *chain.Chain, hole spanrill.LayerRange, why string) bool {
-	free := r.ranked(from, c.Zone(), hole)
+// fillFrom fills a hole with one engine, or with several if none can hold it
+// beside memory for that many requests.
+func (r *repair) fillFrom(from []candidate, c *chain.Chain, hole spanrill.LayerRange, requests float64, why string) bool {
+	free := r.ranked(from, c.Zone(), hole, requests)
 	if len(free) == 0 {
 		return false
 	}
-	if cost.Most(r.model, free[0].kind, leastRequests*cost.Tokens(r.model)) >= hole.Len() {
+	if cost.Most(r.model, free[0].kind, requests*cost.Tokens(r.model)) >= hole.Len() {
 		r.give(free[0], hole, why)
 		return true
 	}
 	var group []candidate
 	for _, e := range free {
 		group = append(group, e)
-		if ranges := divide(r.model, group, hole); ranges != nil && r.roomy(group, ranges) {
+		if ranges := divide(r.model, group, hole); ranges != nil && r.roomy(group, ranges, requests) {
 			for i, part := range ranges {
 				if part.Len() > 0 {
 					r.give(group[i], part, why)
@@ -206,10 +271,10 @@
 	return false
 }
 
-// roomy reports whether engines keep memory for a fair number of requests.
-func (r *repair) roomy(group []candidate, ranges []spanrill.LayerRange) bool {
+// roomy reports whether engines keep memory for that many requests.
+func (r *repair) roomy(group []candidate, ranges []spanrill.LayerRange, requests float64) bool {
 	for i, e := range group {
-		if n := ranges[i].Len(); n > 0 && cost.Capacity(r.model, e.kind, n) < leastRequests*cost.Tokens(r.model) {
+		if n := ranges[i].Len(); n > 0 && cost.Capacity(r.model, e.kind, n) < requests*cost.Tokens(r.model) {
 			return false
 		}
 	}
@@ -219,9 +284,9 @@
 // ranked returns engines, the best for a hole first: those
 // that can hold it whole, then the same availability zone, then the tightest
 // fit, so that large engines stay for large holes.
-func (r *repair) ranked(from []candidate, zone string, hole spanrill.LayerRange) []candidate {
+func (r *repair) ranked(from []candidate, zone string, hole spanrill.LayerRange, requests float64) []candidate {
 	free := append([]candidate(nil), from...)
-	tokens := leastRequests * cost.Tokens(r.model)
+	tokens := requests * cost.Tokens(r.model)
 	score := func(e candidate) int {
 		n := cost.Most(r.model, e.kind, tokens)
 		s := 0
@@ -249,12 +314,11 @@
 // availability zone. What is left stays as spares.
 func (r *repair) grow() {
 	free := r.free(append(append([]candidate(nil), r.empty...), r.spare...))
-	tokens := growRequests * cost.Tokens(r.model)
 	for _, zone := range zonesOf(free) {
-		for {
-			c := take(r.model, free, tokens, func(e *candidate) bool { return e.Zone == zone })
+		for _, requests := range rooms[:growRooms] {
+			c := take(r.model, free, requests*cost.Tokens(r.model), func(e *candidate) bool { return e.Zone == zone })
 			if c == nil {
-				break
+				continue
 			}
 			for i, part := range cut(r.model, c) {
 				if part.Len() > 0 {
@@ -262,12 +326,14 @@
 				}
 			}
 			free = without(free, c)
+			break
 		}
 	}
 }
 
-// growRequests is the room, in usual requests, that a further chain must have.
-const growRequests = 48
+// growRooms is how many of the rooms are tried for a further
+// chain: one with little room is worth less than spares.
+const growRooms = 4
 
 // held returns what the engines will hold after the moves so far.
 func (r *repair) held(all []candidate) []Move {
--- a/coordination/layoutrun/carrier.go
+++ b/coordination/layoutrun/carrier.go
@@ -44,7 +44,8 @@
 // engine has not taken it is it given again, for the same count of orders, so
 // that one of the two is void.
 func (c *carrier) run(ctx context.Context) {
-	if takesAway(c.upstream.Entry().Layers, c.order.move.Layers) && !c.pause(ctx, tellTime) {
+	tell := takesAway(c.upstream.Entry().Layers, c.order.move.Layers) && !c.order.move.Cut
+	if tell && !c.pause(ctx, tellTime) {
 		c.placer.end(c.order, false)
 		return
 	}
@@ -111,7 +112,7 @@
 	c.given++
 	callCtx, cancel := context.WithTimeout(ctx, callWait.Duration())
 	defer cancel()
-	order := spanrill.PlaceOrder{Layers: c.order.move.Layers, Term: term, Sequence: report.Sequence}
+	order := spanrill.PlaceOrder{Layers: c.order.move.Layers, Term: term, Sequence: report.Sequence, Cut: c.order.move.Cut}
 	state, err := c.placer.engines.Place(callCtx, c.upstream.Addr(), c.upstream.ID(), order)
 	fields := logrus.Fields{"sequence": report.Sequence, "held": report.Layers, "term": term, "given": c.given}
 	if err != nil {
@@ -150,6 +151,6 @@
 
 func (c *carrier) log(e events.Event, fields logrus.Fields) {
 	fields["upstream"], fields["layers"], fields["why"] = c.upstream.ID(), c.order.move.Layers, c.order.move.Why
-	fields["service"] = c.service.Name
+	fields["service"], fields["cut"] = c.service.Name, c.order.move.Cut
 	e.Log(c.placer.log, fields)
 }
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -143,11 +143,14 @@
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	for _, u := range p.table.View().Of(s.Name) {
-		if !u.Takes() || u.Dead() || u.Refusing(now) {
+		if u.Removed() || u.Dead() {
 			continue
 		}
 		entry := u.Entry()
-		e := layout.Engine{ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers}
+		e := layout.Engine{
+			ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers,
+			Leaves: !u.Takes() || u.Refusing(now),
+		}
 		if o, ok := p.ordered[e.ID]; ok {
 			e.Layers, e.Fixed = o.move.Layers, !o.done
 		}
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -59,6 +59,8 @@
 	seenAt  spanrill.Millis // when the object was first seen at that version
 	current record
 	writes  uint64
+	heard   spanrill.Version // what the holder has said of its lease
+	lapses  spanrill.Millis  // when that lease lapses at the latest
 }
 
 // Option changes a default of New.
@@ -119,6 +121,27 @@
 	return l.term, true
 }
 
+// Left returns the version of a lease that is held, and how long it holds from
+// now, for other daemons.
+func (l *Lease) Left() (v spanrill.Version, left spanrill.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left = l.until - l.clock.Now()
+	if l.term == 0 || left <= 0 {
+		return "", 0
+	}
+	return l.seen, left
+}
+
+// Heard takes a holder's own word for how long its lease holds. When it has
+// lapsed and was not renewed since, this daemon need not watch it for its whole
+// time first.
+func (l *Lease) Heard(v spanrill.Version, left spanrill.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard, l.lapses = v, l.clock.Now()+left+left/margin
+}
+
 // Settled reports whether the lease has been held for longer than an order of
 // the holder before can take. Orders to an upstream that does not check fences
 // wait for it.
@@ -152,6 +175,9 @@
 // Step renews the lease, or takes it if it is free. An error of the platform
 // changes nothing: a lease that cannot be renewed lapses.
 func (l *Lease) Step(ctx context.Context) {
+	if l.renew(ctx) {
+		return
+	}
 	obj, err := l.store.Get(ctx, l.key())
 	if errors.Is(err, spanrill.ErrNotFound) {
 		obj, err = spanrill.Object{}, nil
@@ -171,6 +197,27 @@
 	l.write(ctx, r, obj.Version)
 }
 
+// renew writes a lease that is held without reading it first, and reports
+// whether that has worked.
+func (l *Lease) renew(ctx context.Context) bool {
+	l.mu.Lock()
+	held := l.term != 0 && l.clock.Now() < l.until && l.current.Holder == l.holder && l.current.Term == l.term
+	r, v := l.current, l.seen
+	l.mu.Unlock()
+	if !held {
+		return false
+	}
+	until := l.untilNow()
+	l.write(ctx, r, v)
+	return l.untilNow() > until
+}
+
+func (l *Lease) untilNow() spanrill.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.until
+}
+
 // mayWrite reports whether the lease is this daemon's to renew or to take.
 func (l *Lease) mayWrite(r record, v spanrill.Version) bool {
 	l.mu.Lock()
@@ -186,6 +233,9 @@
 	if v == "" || r.Holder == "" {
 		return true
 	}
+	if v == l.heard && now > l.lapses {
+		return true
+	}
 	return now-l.seenAt > r.Time+r.Time/margin
 }
 
--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -5,8 +5,8 @@
 // and an answer is used for a while, since each question is paid for.
 //
 // An engine that refuses the connection is dead at once. One that says nothing
-// is asked a second time first, on a new connection, because a lost packet is
-// sent again only after a fifth of a second.
+// is asked a second time meanwhile, because a lost packet is sent again only
+// after a fifth of a second; it is dead when neither question was answered.
 //
 // # Usage
 //
@@ -29,14 +29,14 @@
 
 const (
 	// answerWait is how long an engine may take to answer. A report takes a
-	// millisecond or two; a retransmission takes 200.
-	answerWait spanrill.Millis = 110
+	// millisecond or two.
+	answerWait spanrill.Millis = 40
+	// hedgeAfter is when the question is asked a second time.
+	hedgeAfter spanrill.Millis = 15
 	// reuse is how long an answer is used.
 	reuse spanrill.Millis = 250
 	// againAfter is when an engine that did not answer is asked again.
 	againAfter spanrill.Millis = 500
-	// tries before an engine that says nothing counts as dead.
-	tries = 2
 )
 
 // Prober asks engines for their reports.
@@ -98,19 +98,36 @@
 
 func (p *Prober) answer(ctx context.Context, u *fleet.Upstream, q *question) {
 	defer close(q.done)
-	for try := 1; ; try++ {
-		q.report, q.err = p.once(ctx, u.Addr())
-		if q.err == nil || refused(q.err) || try == tries {
-			break
+	ctx, cancel := context.WithTimeout(ctx, answerWait.Duration())
+	defer cancel()
+	answers := make(chan answer, 2)
+	go func() { answers <- p.once(ctx, u.Addr()) }()
+	asked, hedge := 1, p.clock.After(hedgeAfter)
+	for got := 0; got < asked; {
+		select {
+		case <-hedge:
+			asked, hedge = asked+1, nil
+			go func() { answers <- p.once(ctx, u.Addr()) }()
+		case a := <-answers:
+			got++
+			q.report, q.err = a.report, a.err
+			if a.err == nil || refused(a.err) {
+				got = asked
+			}
 		}
 	}
 	p.note(u, q)
 }
 
-func (p *Prober) once(ctx context.Context, addr string) (spanrill.EngineReport, error) {
-	ctx, cancel := context.WithTimeout(ctx, answerWait.Duration())
-	defer cancel()
-	return p.engines.Report(ctx, addr)
+// answer is what one question brought.
+type answer struct {
+	report spanrill.EngineReport
+	err    error
+}
+
+func (p *Prober) once(ctx context.Context, addr string) answer {
+	report, err := p.engines.Report(ctx, addr)
+	return answer{report: report, err: err}
 }
 
 // refused reports whether the other end said itself that nothing listens.
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"sync/atomic"
+
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
@@ -24,14 +26,22 @@
 	quiet   spanrill.Millis // since when nothing has come from the path
 	askAt   spanrill.Millis // silence at which the engines are asked next
 	moves   int
-	reached int  // engines that the request was sent to, without those lost since
-	unknown bool // an attempt may have run
+	poke    atomic.Pointer[func()]
+	current atomic.Pointer[chainrouting.Path] // for other goroutines
+	reached int                               // engines that the request was sent to, without those lost since
+	unknown bool                              // an attempt may have run
 }
 
 // serveChained finds a path, sends the request and leaves the events to the
 // body of the answer.
 func (q *request) serveChained() {
 	g := &generation{request: q, avoid: map[string]bool{}}
+	leave := q.relay.streams.add(g)
+	end := q.finish
+	q.finish = func() {
+		leave()
+		end()
+	}
 	if refusal := g.start(); refusal != nil {
 		g.release()
 		q.refuse(refusal)
@@ -70,10 +80,18 @@
 	}
 	if g.path != nil {
 		g.path.Release()
-		g.path = nil
+		g.setPath(nil)
 	}
 }
 
+// setPath changes the path of the request.
+func (g *generation) setPath(p *chainrouting.Path) {
+	g.path = p
+	g.current.Store(p)
+}
+
+func (g *generation) setPoke(poke func()) { g.poke.Store(&poke) }
+
 // need is what the request needs of a path.
 func (g *generation) need(urgent bool) chainrouting.Need {
 	answer := g.head.GuessTokens
@@ -85,7 +103,7 @@
 	}
 	return chainrouting.Need{
 		Prompt: g.head.PromptTokens, Answer: answer, Zone: g.relay.bounds.Zone, Avoid: g.avoid,
-		Urgent: urgent || g.priority() == 0,
+		Urgent: urgent || g.priority() == 0, Spread: g.begun,
 	}
 }
 
@@ -146,7 +164,8 @@
 			return spanrill.NewRefusal(spanrill.ReasonInternal, "path %s does not run every layer once", path)
 		}
 		if err == nil {
-			g.path, g.first = path, path.First()
+			g.setPath(path)
+			g.first = path.First()
 			return nil
 		}
 		now := g.relay.Clock.Now()
@@ -192,13 +211,13 @@
 // *sendError.
 func (g *generation) send(lastEvent string) error {
 	r := g.relay
-	req := g.upstreamRequest(spanrill.UpstreamSend{EngineID: g.first.ID(), Path: g.path.Wire(), LastEvent: lastEvent})
+	req := g.upstreamRequest(spanrill.UpstreamSend{EngineID: g.first.ID(), Path: g.path.Wire(), LastEvent: lastEvent, Priority: g.urgency()})
 	defer fasthttp.ReleaseRequest(req)
 	g.sends++
 	g.reached++
 	g.quiet = r.Clock.Now()
 	g.logSent(g.first, g.path, lastEvent)
-	answer, err := r.HTTP.DoWatched(g.ctx, g.first.Addr(), req, g.reuse(), watchGap, g.onSilence)
+	answer, err := r.HTTP.DoWatched(g.ctx, g.first.Addr(), req, g.reuse(), watchGap, g.onSilence, g.setPoke)
 	if err != nil {
 		return g.callFailed(err)
 	}
@@ -216,6 +235,15 @@
 	return nil
 }
 
+// urgency is the priority for the engines. A stream that is taken up goes
+// first: its caller has waited already.
+func (g *generation) urgency() int {
+	if g.begun {
+		return 0
+	}
+	return g.priority()
+}
+
 // callFailed judges a call without an answer.
 func (g *generation) callFailed(err error) error {
 	now := g.relay.Clock.Now()
--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -39,7 +39,7 @@
 		f["upstream"], f["calls"] = u.ID(), u.Calls()
 		f["view"] = q.relay.Fleet.View().Version()
 		if path != nil {
-			f["path"], f["tokens"], f["prompt"] = path.String(), u.Tokens(), q.head.PromptTokens
+			f["path"], f["prompt"], f["considered"] = path.String(), q.head.PromptTokens, path.Considered()
 		}
 		if lastEvent != "" {
 			f["behind_event"] = lastEvent
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -68,6 +68,7 @@
 	Parts
 	bounds   Bounds
 	running  *callers
+	streams  *streams
 	inFlight atomic.Int64
 	closing  atomic.Bool // answers end their connections
 	refusing atomic.Bool // new requests are refused
@@ -85,7 +86,7 @@
 // New returns a relay.
 func New(parts Parts, bounds Bounds) *Relay {
 	return &Relay{
-		Parts: parts, bounds: bounds, running: newCallers(),
+		Parts: parts, bounds: bounds, running: newCallers(), streams: newStreams(),
 		good: events.NewLimiter(parts.Clock, goodLines), bad: events.NewLimiter(parts.Clock, badLines),
 	}
 }
@@ -281,7 +282,6 @@
 		send.Account = q.account.Name
 	}
 	send.Remaining = q.left()
-	send.Priority = q.priority()
 	req := fasthttp.AcquireRequest()
 	q.http.Request.Header.CopyTo(&req.Header)
 	q.relay.Codec.WriteSend(&req.Header, send)
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -24,6 +24,8 @@
 	in      []byte
 	last    spanrill.Millis // when the last event came
 	events  int
+	first   spanrill.Millis // from the request to the first event
+	pause   spanrill.Millis // the longest between two events
 	ended   bool
 	taken   int // times that the stream was taken up
 	failure error
@@ -80,7 +82,9 @@
 	seconds := float64(now-b.last) / float64(spanrill.Second)
 	if g.begun {
 		g.relay.Meters.BetweenTokens.Update(seconds)
+		b.pause = max(b.pause, now-b.last)
 	} else {
+		b.first = now - g.request.start
 		g.relay.Meters.FirstToken.Update(float64(now-g.request.start) / float64(spanrill.Second))
 		g.first.NoteLag(now, float64(now-g.quiet)/g.expectedFirst()/slowFirst)
 		g.begun = true
@@ -189,7 +193,10 @@
 func (b *eventBody) logEnd(whole bool) {
 	g := b.g
 	extra := func() logrus.Fields {
-		f := logrus.Fields{"events": b.events, "last_event": b.framer.lastID, "taken_up": b.taken, "moves": g.moves, "whole": whole}
+		f := logrus.Fields{
+			"events": b.events, "last_event": b.framer.lastID, "taken_up": b.taken, "moves": g.moves, "whole": whole,
+			"first_ms": b.first, "longest_pause_ms": b.pause,
+		}
 		if g.first != nil {
 			f["upstream"] = g.first.ID()
 		}
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -15,8 +15,12 @@
 
 const (
 	// watchGap is how long nothing comes from a path before the request looks
-	// at its engines. Two tokens take about 40 ms on the slowest chain.
-	watchGap spanrill.Millis = 80
+	// at its engines. Two tokens take 40 to 60 ms; an engine through which
+	// other requests of this daemon got something meanwhile is not asked.
+	watchGap spanrill.Millis = 65
+	// pathGap is how long nothing has come through an engine for any request
+	// before one that hears nothing asks it.
+	pathGap spanrill.Millis = 60
 	// firstGap is the same before the first event, when a prompt is read.
 	firstGap spanrill.Millis = 240
 	// stalledGap is how long nothing comes before the first engine's own list
@@ -50,12 +54,8 @@
 	} else {
 		g.noteWait()
 	}
-	if silent < gap {
-		return nil
-	}
-	if silent >= g.askAt {
+	if silent >= gap && silent >= g.askAt && g.askSuspects(silent) {
 		g.askAt = silent * askAgainFactor
-		g.askSuspects(silent)
 	}
 	if g.first.Dead() {
 		return errFirstLost
@@ -95,10 +95,10 @@
 	firstPart = 5.0
 )
 
-// askSuspects asks those engines of the path from which nothing has come since
-// this request has heard nothing.
-func (g *generation) askSuspects(silent spanrill.Millis) {
-	since := g.relay.Clock.Now() - silent
+// askSuspects asks those engines of the path through which nothing has come for
+// any request of this daemon for a while, and reports whether there were any.
+func (g *generation) askSuspects(silent spanrill.Millis) bool {
+	since := g.relay.Clock.Now() - pathGap
 	var suspects []*fleet.Upstream
 	for _, p := range g.path.Parts() {
 		if !p.Upstream.Dead() && p.Upstream.LastOK() < since {
@@ -109,13 +109,17 @@
 		suspects = append(suspects, g.first)
 	}
 	if len(suspects) == 0 {
-		return
+		return false
 	}
 	reports := g.relay.Prober.Check(g.ctx, suspects)
+	if g.hasDead() {
+		g.relay.streams.pokeDead()
+	}
 	if silent >= stalledGap {
 		g.believeStalled(reports[g.first.ID()])
 		g.logQuiet(silent, reports)
 	}
+	return true
 }
 
 // quietLog is how long nothing has come before that is worth a line.
@@ -155,14 +159,7 @@
 	}
 }
 
-func (g *generation) hasDead() bool {
-	for _, p := range g.path.Parts() {
-		if p.Upstream.Dead() {
-			return true
-		}
-	}
-	return false
-}
+func (g *generation) hasDead() bool { return g.path.HasDead() }
 
 // move gives the running request another path with the same first engine. When
 // no other engine can take the part, the request waits on.
@@ -188,7 +185,7 @@
 	}
 	g.logMove(events.RequestMoved, next, nil)
 	g.path.Release()
-	g.path = next
+	g.setPath(next)
 	return nil
 }
 
--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -6,86 +6,178 @@
 	"spanrill"
 )
 
-// Shared is this daemon's part of a budget that all daemons of a fleet share.
+// Shared is a retry budget that all daemons of a fleet keep together.
 //
-// The budget of a service in a window is a ratio of its requests and a slack.
-// Each daemon earns the ratio for its own requests and takes an equal part of
-// the slack, so that the sum stays within the budget without any exchange, and
-// a daemon that is cut off keeps to its part. A part is half saved up and half
-// earned over the window, so that no window holds more than the whole.
+// In any window a service may get retries up to a ratio of its requests and a
+// slack, over all daemons. Daemons tell one another what they have counted. In
+// each round of news a daemon may spend its part of what is left: the parts add
+// up to no more than that, and a daemon that needs more than others gets more
+// in the next round. A daemon of which nothing is heard is taken to have spent
+// its whole part.
 type Shared struct {
 	mu     sync.Mutex
 	clock  spanrill.Clock
-	ratio  float64
-	slack  float64
-	window spanrill.Millis
-	parts  int
+	limits Limits
 
-	balance float64
-	at      spanrill.Millis
+	own     window
+	others  Count // of the daemons heard of, in the window
+	heard   int   // daemons heard of, this one included
+	daemons int
+	left    float64 // that may be spent until the next round
 }
 
-// ratioMargin is the part of the ratio that is spent: the window over which
-// requests are counted is not quite that of the retries.
-const ratioMargin = 0.7
+// Limits is a retry budget.
+type Limits struct {
+	Ratio  float64 // retries for each request
+	Slack  float64 // retries beyond that in a window
+	Window spanrill.Millis
+}
+
+// Count is what was counted in a window.
+type Count struct {
+	Requests int64
+	Retries  int64
+}
 
-// savedShare is the part of a daemon's slack that can be spent at once.
-const savedShare = 0.5
+// margin is the part of the budget that is used: the windows in which daemons
+// count do not begin at the same moment, and news are a quarter of a second old.
+const margin = 0.75
 
-// NewShared returns a part of a budget of ratio times the requests and slack in
-// a window, for a fleet of that many daemons.
-func NewShared(clock spanrill.Clock, ratio, slack float64, window spanrill.Millis, daemons int) *Shared {
-	s := &Shared{clock: clock, ratio: ratio * ratioMargin, slack: slack, window: window, parts: max(1, daemons), at: clock.Now()}
-	s.balance = s.most()
+// NewShared returns a budget for a fleet of that many daemons.
+func NewShared(clock spanrill.Clock, limits Limits, daemons int) *Shared {
+	s := &Shared{clock: clock, limits: limits, heard: 1, daemons: max(1, daemons)}
+	s.own.width = limits.Window / buckets
+	s.left = s.part(Count{})
 	return s
 }
 
-func (s *Shared) most() float64 { return s.slack / float64(s.parts) * savedShare }
+// part is what this daemon may spend of the budget that is left.
+func (s *Shared) part(own Count) float64 {
+	requests := float64(own.Requests + s.others.Requests)
+	total := margin * (s.limits.Ratio*requests + s.limits.Slack)
+	missing := max(0, s.daemons-s.heard)
+	spent := float64(own.Retries+s.others.Retries) + float64(missing)*total/float64(s.daemons)
+	return max(0, total-spent) / float64(s.daemons)
+}
 
-// SetDaemons sets how many daemons share the budget.
-func (s *Shared) SetDaemons(n int) {
+// Round takes what other daemons have counted and begins a new round. Heard
+// counts the daemons of which something is known, this one included.
+func (s *Shared) Round(others Count, heard, daemons int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.parts = max(1, n)
+	s.others, s.heard, s.daemons = others, heard, max(1, daemons)
+	s.left = s.part(s.own.count(s.clock.Now()))
 }
 
-// Request earns the ratio for one request.
-func (s *Shared) Request() {
+// Own returns what this daemon has counted in the window.
+func (s *Shared) Own() Count {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.earn()
-	s.balance = min(s.balance+s.ratio, s.most()+s.ratio*earnedRequests)
+	return s.own.count(s.clock.Now())
 }
 
-// earnedRequests bounds what can be saved up from requests: a daemon sees
-// about ten a second at the size of today.
-const earnedRequests = 100
-
-func (s *Shared) earn() {
-	now := s.clock.Now()
-	earned := s.most() * float64(now-s.at) / float64(max(1, s.window))
-	s.at = now
-	if s.balance < s.most() {
-		s.balance = min(s.most(), s.balance+earned)
-	}
+// Request counts a request.
+func (s *Shared) Request() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.own.at(s.clock.Now()).Requests++
 }
 
 // Take spends one retry and reports whether there was one to spend.
 func (s *Shared) Take() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.earn()
-	if s.balance < 1 {
+	if s.left < 1 {
 		return false
 	}
-	s.balance--
+	s.left--
+	s.own.at(s.clock.Now()).Retries++
 	return true
 }
 
-// Left returns how many retries can be spent now.
+// Left returns how many retries can be spent in this round.
 func (s *Shared) Left() float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.earn()
-	return s.balance
+	return s.left
+}
+
+// buckets is into how many parts a window is divided.
+const buckets = 10
+
+// window counts in a sliding window: one bucket more than the window holds, so
+// that it never counts less than the window.
+type window struct {
+	width  spanrill.Millis
+	counts [buckets + 1]Count
+	number [buckets + 1]spanrill.Millis // of the bucket's time
+}
+
+func (w *window) at(now spanrill.Millis) *Count {
+	n := now / max(1, w.width)
+	i := n % (buckets + 1)
+	if w.number[i] != n {
+		w.number[i], w.counts[i] = n, Count{}
+	}
+	return &w.counts[i]
+}
+
+func (w *window) count(now spanrill.Millis) Count {
+	n := now / max(1, w.width)
+	var c Count
+	for i, number := range w.number {
+		if n-number <= buckets {
+			c.Requests += w.counts[i].Requests
+			c.Retries += w.counts[i].Retries
+		}
+	}
+	return c
+}
+
+// Budgets holds the retry budget of each service.
+type Budgets struct {
+	mu       sync.Mutex
+	clock    spanrill.Clock
+	limits   Limits
+	daemons  int
+	services map[string]*Shared
+}
+
+// NewBudgets returns budgets for a fleet of that many daemons.
+func NewBudgets(clock spanrill.Clock, limits Limits, daemons int) *Budgets {
+	return &Budgets{clock: clock, limits: limits, daemons: daemons, services: map[string]*Shared{}}
+}
+
+// Of returns the budget of a service.
+func (b *Budgets) Of(service string) *Shared {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.services[service]
+	if s == nil {
+		s = NewShared(b.clock, b.limits, b.daemons)
+		b.services[service] = s
+	}
+	return s
+}
+
+// Own returns what this daemon has counted, by service.
+func (b *Budgets) Own() map[string]Count {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	own := make(map[string]Count, len(b.services))
+	for name, s := range b.services {
+		own[name] = s.Own()
+	}
+	return own
+}
+
+// Round takes what other daemons have counted, by service, and begins a new
+// round.
+func (b *Budgets) Round(others map[string]Count, heard, daemons int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.daemons = daemons
+	for name, s := range b.services {
+		s.Round(others[name], heard, daemons)
+	}
 }
--- /dev/null
+++ b/coordination/retry/shared_test.go
@@ -0,0 +1,99 @@
+package retry
+
+import (
+	"testing"
+
+	"spanrill"
+	"spanrill/clock"
+)
+
+var testLimits = Limits{Ratio: 0.2, Slack: 200, Window: 10 * spanrill.Second}
+
+// However daemons spend, and whatever they have heard of one another one round
+// ago, no window holds more retries than the budget.
+func TestFleetStaysWithinBudget(t *testing.T) {
+	const daemons = 8
+	c := clock.NewManual()
+	all := make([]*Shared, daemons)
+	for i := range all {
+		all[i] = NewShared(c, testLimits, daemons)
+	}
+	type spend struct {
+		at spanrill.Millis
+		n  int64
+	}
+	var spent, asked []spend
+	for round := range 240 {
+		for i, s := range all {
+			if i%2 == 0 {
+				s.Request()
+				asked = append(asked, spend{c.Now(), 1})
+			}
+			for s.Take() { // a daemon that wants as many as it can get
+				spent = append(spent, spend{c.Now(), 1})
+			}
+		}
+		counts := make([]Count, daemons)
+		for i, s := range all {
+			counts[i] = s.Own()
+		}
+		c.Advance(250)
+		for i, s := range all {
+			var others Count
+			for k := range counts {
+				if k != i {
+					others.Requests += counts[k].Requests
+					others.Retries += counts[k].Retries
+				}
+			}
+			s.Round(others, daemons, daemons)
+		}
+		in := func(list []spend) (n int64) {
+			for _, x := range list {
+				if x.at > c.Now()-testLimits.Window {
+					n += x.n
+				}
+			}
+			return n
+		}
+		if limit := testLimits.Ratio*float64(in(asked)) + testLimits.Slack; float64(in(spent)) > limit {
+			t.Fatalf("round %d: %d retries in a window, the budget is %.0f", round, in(spent), limit)
+		}
+	}
+}
+
+// A daemon that needs retries when others do not gets more than an equal part.
+func TestOneDaemonGetsWhatOthersLeave(t *testing.T) {
+	const daemons = 8
+	c := clock.NewManual()
+	s := NewShared(c, testLimits, daemons)
+	n := 0
+	for range 8 {
+		for s.Take() {
+			n++
+		}
+		c.Advance(250)
+		s.Round(Count{Requests: 500}, daemons, daemons)
+	}
+	if n < 100 {
+		t.Fatalf("it got %d retries in two seconds, want at least 100 of 300", n)
+	}
+}
+
+// A daemon that hears of nobody keeps to its part.
+func TestLoneDaemonKeepsToItsPart(t *testing.T) {
+	const daemons = 8
+	c := clock.NewManual()
+	s := NewShared(c, testLimits, daemons)
+	n := 0
+	for range 36 {
+		for s.Take() {
+			n++
+		}
+		c.Advance(250)
+		s.Round(Count{}, 1, daemons)
+	}
+	if limit := int(testLimits.Slack / daemons); n > limit {
+		t.Fatalf("it took %d retries, its part is %d", n, limit)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,7 @@
 	freshnessMargin spanrill.Millis = 700
 	// leaseTime is how long the lease of placement holds from each write. When
 	// its holder is lost, another daemon orders a quarter more than this later.
-	leaseTime spanrill.Millis = 3000
+	leaseTime spanrill.Millis = 2000
 	// proofGoal is the age of the proof of the configuration at which the first
 	// daemon in rank asks the store again. All daemons learn of it within a
 	// quarter of a second, since they ask one another, so that the fleet makes
@@ -170,19 +170,19 @@
 	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log))
 	g.prober = probe.New(g.adapter.Engines, g.clock, g.log)
 	b := g.settings.Bounds
-	g.budgets = retry.NewBudgets(g.clock, b.RetryRatio, b.RetrySlack, b.RetryWindow, firstDaemons)
+	g.budgets = retry.NewBudgets(g.clock, retry.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}, firstDaemons)
 	var err error
 	if g.peers, err = newPeers(g); err != nil {
 		return fmt.Errorf("build peers: %w", err)
 	}
+	g.lease = lease.New(g.adapter.Store, g.clock, "placement", g.peers.name, lease.WithTime(leaseTime),
+		lease.WithLogger(g.log), lease.WithContends(g.contends))
 	g.exchange = exchange.New(g.peers, exchange.State{
 		Name: g.peers.name, Config: g.config, Fleet: g.fleet, Decode: g.adapter.DecodeConfig,
-		Placement: g.holdsLease, Leaving: g.draining.Load, Targets: g.targets,
+		Placement: g.holdsLease, Leaving: g.draining.Load, Targets: g.targets, Budgets: g.budgets, Lease: g.lease,
 	}, g.clock, g.log, g.random)
-	g.lease = lease.New(g.adapter.Store, g.clock, "placement", g.peers.name, lease.WithTime(leaseTime),
-		lease.WithLogger(g.log), lease.WithContends(g.contends))
 	g.placer = layoutrun.New(g.mayPlace, g.adapter.Engines, g.fleet, g.models, g.clock, g.log)
-	g.router = chainrouting.New(g.fleet, g.clock, g.log)
+	g.router = chainrouting.New(g.fleet, g.clock, g.log, g.random)
 	g.relay = relay.New(relay.Parts{
 		Config: g.config, Fleet: g.fleet, Router: g.router, Prober: g.prober,
 		Engines: g.adapter.Engines, Codec: g.adapter.Codec, HTTP: g.http, Budgets: g.budgets,
@@ -394,7 +394,6 @@
 		g.prober.Recheck(ctx, g.fleet.View())
 		g.noteFreshness()
 		daemons := len(g.peers.list.Live())
-		g.budgets.SetDaemons(daemons)
 		g.router.SetDaemons(daemons)
 		select {
 		case <-ctx.Done():
--- a/layerengine.go
+++ b/layerengine.go
@@ -46,6 +46,7 @@
 	Layers   LayerRange
 	Term     uint64 // fencing token of the lease
 	Sequence uint64 // orders that the engine has taken so far
+	Cut      bool   // requests that run on layers given up are cut, not waited for
 }
 
 // OrderState is an engine's answer to an order.
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -194,11 +194,24 @@
 	Leaving   bool
 	Targets   []Target // what engines are being ordered to hold, from the holder of the lease
 
+	LeaseVersion spanrill.Version // of the lease of placement, if this daemon holds it
+	LeaseLeft    spanrill.Millis
+
+	Retries []RetryCount // of this daemon's own requests, in the window of the retry budget
+
 	UpstreamsAt     uint64          // revision of the store up to which all upstreams are known
 	UpstreamsChange uint64          // revision up to which there were changes of them
 	UpstreamsAge    spanrill.Millis // of that knowledge, when the answer was made
 }
 
+// RetryCount is what a daemon has counted for the retry budget of a service.
+type RetryCount struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Service  string
+	Requests int64
+	Retries  int64
+}
+
 // Entries is all entries of upstreams as they stood at a revision of the store.
 type Entries struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -111,15 +111,16 @@
 // Do sends req to addr and returns as soon as the headers of the answer are
 // there. The context ends the call and, later, the reading of its body.
 func (c *Client) Do(ctx context.Context, addr string, req *fasthttp.Request, reuse Reuse) (*Answer, error) {
-	return c.DoWatched(ctx, addr, req, reuse, 0, nil)
+	return c.DoWatched(ctx, addr, req, reuse, 0, nil, nil)
 }
 
 // DoWatched is Do with a function that runs whenever nothing has arrived for
 // another every milliseconds, while the head or the body of the answer is
 // awaited. It is told for how long nothing has arrived. An error of it ends the
-// call.
+// call. Poke is given a function that makes it run at once, which any goroutine
+// may call.
 func (c *Client) DoWatched(ctx context.Context, addr string, req *fasthttp.Request, reuse Reuse,
-	every spanrill.Millis, onSilence func(silent spanrill.Millis) error,
+	every spanrill.Millis, onSilence func(silent spanrill.Millis) error, poke func(func()),
 ) (*Answer, error) {
 	cn, err := c.connect(ctx, addr, reuse)
 	if err != nil {
@@ -127,6 +128,7 @@
 	}
 	if onSilence != nil {
 		cn.silence = &silence{every: every, do: onSilence}
+		poke(cn.poke)
 	}
 	stop := context.AfterFunc(ctx, cn.interrupt)
 	a := &Answer{client: c, addr: addr, conn: cn, stop: stop}
@@ -176,20 +178,23 @@
 	do    func(silent spanrill.Millis) error
 }
 
+// poke makes a watched read that waits call its silence function now. A read
+// that is just about to begin may miss it.
+func (cn *conn) poke() { _ = cn.SetReadDeadline(past) }
+
 // Read waits for bytes. While none arrive, the silence function runs every so
 // often. No deadline interrupts a reader above in the middle of a message.
 func (cn *conn) Read(b []byte) (int, error) {
 	if cn.silence == nil {
 		return cn.Conn.Read(b)
 	}
-	for silent := spanrill.Millis(0); ; {
+	for begun := time.Now(); ; {
 		cn.setReadWait(cn.silence.every)
 		n, err := cn.Conn.Read(b)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || cn.interrupted.Load() {
 			return n, err
 		}
-		silent += cn.silence.every
-		if err := cn.silence.do(silent); err != nil {
+		if err := cn.silence.do(spanrill.MillisOf(time.Since(begun))); err != nil {
 			return 0, err
 		}
 	}
