Count engines that a request was sent to, and remember what engines answered

An engine that was cut by an order or answered late counted as ended. And a daemon that took the lease over planned from entries that were 8 s old.

Change: only engines whose entry is gone count as ended; once the limit is reached a request may only go on from engines that it was sent to. What engines answered is remembered for 15 s or until their entries show it, the last holder of the lease goes on while nobody reaches the store, an engine that does not answer the placer counts as dead.

--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -45,6 +45,7 @@
 	Zone   string          // availability zone of this daemon
 	Avoid  map[string]bool // ids of engines that must not be used
 	Urgent bool            // may use the last part of the memory
+	First  map[string]bool // ids that may be the first engine, or nil for any
 	Spread bool            // many choose at the same moment, and must not all choose the same
 }
 
@@ -147,7 +148,7 @@
 	bestCost, covered := math.Inf(1), false
 	for _, c := range r.chains(service, m, v) {
 		parts, bridged, ok := s.complete(c)
-		if !ok {
+		if !ok || need.First != nil && !need.First[parts[0].Upstream.ID()] {
 			continue
 		}
 		covered = true
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -77,6 +77,7 @@
 
 	mu    sync.Mutex
 	heard map[string]heard // by name of the peer
+	told  map[uint32]told  // by hash of the engine's id
 }
 
 // heard is the last news of a peer.
@@ -87,7 +88,7 @@
 
 // New returns an exchange.
 func New(peers Peers, state State, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source) *Exchange {
-	return &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}}
+	return &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}}
 }
 
 // Run asks for news until the context ends.
@@ -200,6 +201,7 @@
 			sums[u.Upstream] = sum{tokens: s.tokens + u.Tokens, calls: s.calls + u.Calls}
 		}
 	}
+	e.state.Fleet.View().Each(e.forgetShown)
 	targets, changed := e.targetsNow(now), false
 	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
 		s := sums[hash(u.ID())]
@@ -237,23 +239,63 @@
 const budgetFresh spanrill.Millis = 900
 
 // targetsNow returns what engines are being ordered to hold, as this daemon
-// does it or the holder of the lease has said. The caller holds the lock.
+// does it or a holder of the lease has said. What a holder has said is believed
+// for a while after it is no longer heard of: its orders are carried out, and
+// entries follow them late, or not at all while the store is away. The caller
+// holds the lock.
 func (e *Exchange) targetsNow(now spanrill.Millis) map[uint32]fleet.Target {
-	targets := map[uint32]fleet.Target{}
 	for _, h := range e.heard {
 		if !h.news.Placement || now-h.at > placementFresh {
 			continue
 		}
 		for _, t := range h.news.Targets {
-			targets[t.Upstream] = fleet.Target{Layers: spanrill.LayerRange{From: t.From, To: t.To}, Done: t.Done}
+			e.remember(t.Upstream, fleet.Target{Layers: spanrill.LayerRange{From: t.From, To: t.To}, Done: t.Done}, h.at)
 		}
 	}
 	for id, target := range e.state.Targets() {
-		targets[hash(id)] = target
+		e.remember(hash(id), target, now)
+	}
+	targets := make(map[uint32]fleet.Target, len(e.told))
+	for id, t := range e.told {
+		if now >= t.until {
+			delete(e.told, id)
+			continue
+		}
+		targets[id] = t.target
 	}
 	return targets
 }
 
+// told is a target and until when it is believed.
+type told struct {
+	target fleet.Target
+	until  spanrill.Millis
+}
+
+const (
+	// pendingTime is how long an order is believed to be on its way after it was
+	// last heard of: an order, a load and a report take about as long.
+	pendingTime spanrill.Millis = 2500
+	// doneTime is how long an engine's own answer goes before its entry, which
+	// follows within a heartbeat once the store is back.
+	doneTime = 15 * spanrill.Second
+)
+
+func (e *Exchange) remember(id uint32, target fleet.Target, at spanrill.Millis) {
+	until := at + pendingTime
+	if target.Done {
+		until = at + doneTime
+	}
+	e.told[id] = told{target: target, until: until}
+}
+
+// forgetShown forgets targets that the entries show.
+func (e *Exchange) forgetShown(u *fleet.Upstream) {
+	if t, ok := e.told[hash(u.ID())]; ok && t.target.Done && u.Entry().Layers == t.target.Layers {
+		delete(e.told, hash(u.ID()))
+	}
+}
+
 // PlacementHeld reports whether a peer has said lately that it holds the lease
 // of placement.
 func (e *Exchange) PlacementHeld() bool {
--- a/coordination/layoutrun/carrier.go
+++ b/coordination/layoutrun/carrier.go
@@ -57,6 +57,7 @@
 	for ctx.Err() == nil && c.placer.clock.Now() < limit && c.upstream.Takes() {
 		report, err := c.report(ctx)
 		if err != nil {
+			c.upstream.SetDead(true) // it is asked again by the upkeep, which notes its return
 			c.log(events.OrderFailed, logrus.Fields{"error": err, "asked": "report"})
 			return false
 		}
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -151,6 +151,9 @@
 			ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers,
 			Leaves: !u.Takes() || u.Refusing(now),
 		}
+		if t := u.Target(); t != nil {
+			e.Layers, e.Fixed = t.Layers, !t.Done
+		}
 		if o, ok := p.ordered[e.ID]; ok {
 			e.Layers, e.Fixed = o.move.Layers, !o.done
 		}
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -28,14 +28,14 @@
 	moves   int
 	poke    atomic.Pointer[func()]
 	current atomic.Pointer[chainrouting.Path] // for other goroutines
-	reached int                               // engines that the request was sent to, without those lost since
+	sentTo  map[string]bool                   // first engines that the request was sent to
 	unknown bool                              // an attempt may have run
 }
 
 // serveChained finds a path, sends the request and leaves the events to the
 // body of the answer.
 func (q *request) serveChained() {
-	g := &generation{request: q, avoid: map[string]bool{}}
+	g := &generation{request: q, avoid: map[string]bool{}, sentTo: map[string]bool{}}
 	leave := q.relay.streams.add(g)
 	end := q.finish
 	q.finish = func() {
@@ -103,7 +103,7 @@
 	}
 	return chainrouting.Need{
 		Prompt: g.head.PromptTokens, Answer: answer, Zone: g.relay.bounds.Zone, Avoid: g.avoid,
-		Urgent: urgent || g.priority() == 0, Spread: g.begun,
+		Urgent: urgent || g.priority() == 0, Spread: g.begun, First: g.mayFirst(),
 	}
 }
 
@@ -214,7 +214,7 @@
 	req := g.upstreamRequest(spanrill.UpstreamSend{EngineID: g.first.ID(), Path: g.path.Wire(), LastEvent: lastEvent, Priority: g.urgency()})
 	defer fasthttp.ReleaseRequest(req)
 	g.sends++
-	g.reached++
+	g.sentTo[g.first.ID()] = true
 	g.quiet = r.Clock.Now()
 	g.logSent(g.first, g.path, lastEvent)
 	answer, err := r.HTTP.DoWatched(g.ctx, g.first.Addr(), req, g.reuse(), watchGap, g.onSilence, g.setPoke)
@@ -252,7 +252,7 @@
 	if errors.As(err, &call) {
 		failure.outcome = call.Outcome()
 		if call.Phase == spanrill.PhaseDial {
-			g.reached--
+			delete(g.sentTo, g.first.ID())
 			failure.retry = meter.RetryDial
 		}
 	}
@@ -317,7 +317,7 @@
 	if failure.retry == meter.RetryDial {
 		return len(g.avoid) <= dialTries
 	}
-	if g.reached >= g.route.MaxAttempts+g.lost() {
+	if g.sends >= g.route.MaxAttempts+extraSends {
 		return false
 	}
 	if g.relay.Budgets.Of(g.service.Name).Take() {
@@ -330,17 +330,26 @@
 // dialTries bounds how many engines are tried that take no connection.
 const dialTries = 3
 
-// lost counts the engines that failed this request and have ended since: the
-// operator's limit does not count those.
-func (g *generation) lost() int {
+// extraSends bounds how often a request is sent beyond its route's limit on
+// engines: once more to the same engine on another path, or to another one
+// after one that has ended.
+const extraSends = 2
+
+// mayFirst returns the engines that may be the first of the next path, or nil
+// for any: once the request was sent to as many engines as its route allows,
+// only these. Those whose entries are gone have ended and do not count.
+func (g *generation) mayFirst() map[string]bool {
 	n := 0
 	view := g.relay.Fleet.View()
-	for id := range g.avoid {
-		if u := view.ByID(id); u == nil || u.Dead() {
+	for id := range g.sentTo {
+		if view.ByID(id) != nil {
 			n++
 		}
 	}
-	return n
+	if n < g.route.MaxAttempts {
+		return nil
+	}
+	return g.sentTo
 }
 
 func (g *generation) giveUp(failure *sendError) *spanrill.Refusal {
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -217,7 +217,7 @@
 // canGoElsewhere reports whether another path has room for the request and the
 // retry budget allows it.
 func (g *generation) canGoElsewhere() bool {
-	if g.route.Repeat != spanrill.RepeatResume || g.reached >= g.route.MaxAttempts+g.lost() {
+	if g.route.Repeat != spanrill.RepeatResume || g.sends >= g.route.MaxAttempts+extraSends {
 		return false
 	}
 	if g.relay.Budgets.Of(g.service.Name).Left() < 1 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,7 @@
 	metrics  net.Listener
 	draining atomic.Bool
 	wasFresh atomic.Bool
+	heldAt   atomic.Int64 // when this daemon last held the lease of placement
 	done     chan struct{}
 }
 
@@ -150,6 +151,7 @@
 		settings: s, clock: clock.NewSystem(), log: logrus.NewEntry(logrus.StandardLogger()),
 		meters: meter.New(), random: rng.New(uint64(time.Now().UnixNano())), done: make(chan struct{}),
 	}
+	g.heldAt.Store(-int64(heldMemory))
 	for _, o := range opts {
 		o(g)
 	}
@@ -220,19 +222,33 @@
 }
 
 // mayPlace reports whether this daemon may order engines: it holds the lease,
-// or the store cannot be reached by any daemon and this one is the first in
-// rank.
+// or no daemon can reach the store and this one held the lease last, or is the
+// first in rank when nobody did.
 func (g *Gateway) mayPlace() (term uint64, ok bool) {
+	now := g.clock.Now()
 	if term, ok = g.lease.Held(); ok {
+		g.heldAt.Store(int64(now))
 		return term, true
 	}
+	if g.draining.Load() || g.exchange.PlacementHeld() {
+		return 0, false
+	}
 	_, _, age := g.fleet.Proof()
-	return 0, age > storeAway && !g.draining.Load() && !g.exchange.PlacementHeld() && g.peers.rank("placement") == 0
+	heldLast := now-spanrill.Millis(g.heldAt.Load()) < heldMemory
+	return 0, age > storeAway && heldLast || age > storeLong && g.peers.rank("placement") == 0
 }
 
-// storeAway is the age of what all daemons know together after which nobody
-// can reach the store: longer than the lease holds.
-const storeAway = leaseTime + 500
+const (
+	// storeAway is the age of what all daemons know together after which nobody
+	// can reach the store: several daemons have asked by then.
+	storeAway spanrill.Millis = 1200
+	// storeLong is the same for a daemon that did not hold the lease: longer
+	// than the lease holds.
+	storeLong = leaseTime + 500
+	// heldMemory is how long a daemon goes on that held the lease before the
+	// store went away: the store's outages last seconds.
+	heldMemory = 30 * spanrill.Second
+)
 
 func (g *Gateway) holdsLease() bool {
 	_, ok := g.mayPlace()
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -71,6 +71,9 @@
 	return kept
 }
 
+// Target returns what the engine is being ordered to hold, or nil.
+func (u *Upstream) Target() *Target { return u.target.Load() }
+
 // SetTarget notes what the engine is being ordered to hold, or nil, and reports
 // whether that is news.
 func (u *Upstream) SetTarget(target *Target) bool {
