--- /dev/null
+++ b/coordination/exchange/exchange_test.go
@@ -0,0 +1,202 @@
+package exchange
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/clock"
+	"spanrill/coordination/lease"
+	"spanrill/coordination/retry"
+	"spanrill/protocol/peermsg"
+	"spanrill/rng"
+	"spanrill/state/fleet"
+	"spanrill/state/routes"
+)
+
+// peer is one other daemon that answers from its own exchange.
+type peer struct {
+	clock    *clock.Manual
+	exchange *Exchange
+	takes    spanrill.Millis // time that an answer is on its way
+	silent   bool
+}
+
+var errSilent = errors.New("no answer")
+
+func (p *peer) Others() []peermsg.Member { return []peermsg.Member{{Name: "peer", PeerAddr: "peer"}} }
+
+func (p *peer) Ask(_ context.Context, _ string, kind uint8, _, reply any) error {
+	if p.silent {
+		return errSilent
+	}
+	var answer any
+	switch kind {
+	case uint8(peermsg.KindNews):
+		answer = p.exchange.News()
+	case uint8(peermsg.KindRouteConfig):
+		answer = p.exchange.RouteConfig()
+	case uint8(peermsg.KindEntries):
+		answer = p.exchange.Entries()
+	}
+	p.clock.Advance(p.takes)
+	data, err := peermsg.Encode(answer)
+	if err != nil {
+		return err
+	}
+	return peermsg.Decode(data, reply)
+}
+
+// daemon is the state that an exchange works with.
+type daemon struct {
+	config    *routes.Current
+	table     *fleet.Table
+	exchange  *Exchange
+	targets   map[string]fleet.Target
+	placement bool
+	budgets   *retry.Budgets
+}
+
+func decodeConfig(value []byte) (*spanrill.RouteConfig, error) {
+	c := &spanrill.RouteConfig{}
+	return c, json.Unmarshal(value, c)
+}
+
+func newDaemon(c *clock.Manual, peers Peers) *daemon {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := &daemon{config: routes.NewCurrent(c), targets: map[string]fleet.Target{}}
+	d.table = fleet.New(c, func(item spanrill.Item) (e spanrill.EngineEntry, err error) {
+		err = json.Unmarshal(item.Value, &e)
+		return e, err
+	}, fleet.WithLogger(log))
+	d.budgets = retry.NewBudgets(c, retry.Limits{Ratio: 0.2, Slack: 200, Window: 10000}, 2)
+	d.exchange = New(peers, State{
+		Name: "d", Config: d.config, Fleet: d.table, Decode: decodeConfig, Budgets: d.budgets,
+		Placement: func() bool { return d.placement }, Leaving: func() bool { return false },
+		Targets: func() map[string]fleet.Target { return d.targets },
+		Lease:   lease.New(nil, c, "placement", "d"),
+	}, c, log, rng.New(1))
+	return d
+}
+
+func pair(takes spanrill.Millis) (c *clock.Manual, here, there *daemon, wire *peer) {
+	c = clock.NewManual()
+	c.Advance(100_000)
+	wire = &peer{clock: c, takes: takes}
+	here, there = newDaemon(c, wire), newDaemon(c, wire)
+	wire.exchange = there.exchange
+	return c, here, there, wire
+}
+
+func (d *daemon) take(version int64, revision uint64, at spanrill.Millis) {
+	config := &spanrill.RouteConfig{Version: version}
+	value, err := json.Marshal(config)
+	if err != nil {
+		panic(err)
+	}
+	d.config.Take(routes.New(config), value, revision)
+	d.config.Prove(revision, at)
+}
+
+// A daemon that the store turns away takes a newer configuration from a peer,
+// with its proof, which counts from before the question was asked.
+func TestConfigOfPeer(t *testing.T) {
+	c, here, there, _ := pair(120)
+	there.take(5, 50, c.Now()-400)
+	here.take(4, 40, c.Now()-3000)
+	asked := c.Now()
+	here.exchange.Round(context.Background())
+	if got := here.config.Table().Version(); got != 5 {
+		t.Fatalf("version %d is in force, want 5", got)
+	}
+	if got := here.config.ProvedAt(); got != asked-400 {
+		t.Fatalf("proved at %d, want %d: 400 ms before it was asked", got, asked-400)
+	}
+}
+
+// A peer that is behind proves nothing and changes nothing.
+func TestConfigOfPeerThatIsBehind(t *testing.T) {
+	c, here, there, _ := pair(1)
+	there.take(4, 40, c.Now())
+	here.take(5, 50, c.Now()-3000)
+	proved := here.config.ProvedAt()
+	here.exchange.Round(context.Background())
+	if here.config.Table().Version() != 5 || here.config.ProvedAt() != proved {
+		t.Fatalf("version %d, proved at %d", here.config.Table().Version(), here.config.ProvedAt())
+	}
+}
+
+func entries(c *clock.Manual, d *daemon, at uint64, layers spanrill.LayerRange) {
+	value, err := json.Marshal(spanrill.EngineEntry{ID: "e", Service: "s", Addr: "1:1", Layers: layers, Revision: at})
+	if err != nil {
+		panic(err)
+	}
+	d.table.Listed([]spanrill.Item{{Name: "e", Value: value}}, at, c.Now())
+}
+
+// Entries of upstreams come from a peer too, and what its requests hold there is
+// counted, until nothing was heard of it for a while.
+func TestUpstreamsOfPeer(t *testing.T) {
+	c, here, there, wire := pair(1)
+	entries(c, there, 9, spanrill.LayerRange{From: 0, To: 4})
+	there.table.View().ByID("e").Reserve(700)
+	here.exchange.Round(context.Background())
+	here.exchange.Round(context.Background())
+	u := here.table.View().ByID("e")
+	if u == nil || u.Tokens() != 700 {
+		t.Fatalf("upstream %v", u)
+	}
+	wire.silent = true
+	c.Advance(keep + 1)
+	here.exchange.Round(context.Background())
+	if got := u.Tokens(); got != 0 {
+		t.Fatalf("%d tokens of a silent peer are counted", got)
+	}
+}
+
+// What an engine has answered to the holder of the lease goes before its entry,
+// also after another daemon holds the lease, until the entry shows it.
+func TestTargetsOutliveTheHolder(t *testing.T) {
+	c, here, there, _ := pair(1)
+	old, next := spanrill.LayerRange{From: 0, To: 4}, spanrill.LayerRange{From: 4, To: 8}
+	entries(c, there, 9, old)
+	entries(c, here, 9, old)
+	there.placement, there.targets["e"] = true, fleet.Target{Layers: next, Done: true}
+	here.exchange.Round(context.Background())
+	u := here.table.View().ByID("e")
+	if u.Layers() != next {
+		t.Fatalf("layers %v, want %v", u.Layers(), next)
+	}
+	there.placement, there.targets = false, nil
+	c.Advance(3000)
+	here.exchange.Round(context.Background())
+	if u.Layers() != next {
+		t.Fatalf("layers %v after the holder changed, want %v", u.Layers(), next)
+	}
+	entries(c, here, 12, next)
+	here.exchange.Round(context.Background())
+	if here.table.View().ByID("e").Target() != nil {
+		t.Fatal("the target is kept although the entry shows it")
+	}
+}
+
+// The retries that a peer has made are taken off what may be spent here: half
+// of what is left of 0.75 x 200.
+func TestRetriesOfPeer(t *testing.T) {
+	_, here, there, _ := pair(1)
+	spent := 0
+	for there.budgets.Of("s").Take() {
+		spent++
+	}
+	here.budgets.Of("s")
+	here.exchange.Round(context.Background())
+	if got, want := here.budgets.Of("s").Left(), (150-float64(spent))/2; got != want || spent == 0 {
+		t.Fatalf("%v retries may be spent after a peer made %d, want %v", got, spent, want)
+	}
+}
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -194,3 +194,39 @@
 		t.Fatal("not settled after the longest order")
 	}
 }
+
+// A daemon that has heard from the holder for how long its lease holds takes it
+// when that time is over, without watching it for the whole time first, and not
+// before.
+func TestHeardLeaseIsTakenWhenItLapses(t *testing.T) {
+	w, c, ctx := newWorld(t), clock.NewManual(), context.Background()
+	a, b := w.lease("a", c), w.lease("b", c)
+	a.Step(ctx)
+	c.Advance(testTime / 2)
+	v, left := a.Left()
+	b.Heard(v, left)
+	b.Step(ctx)
+	held(t, b, false)
+	c.Advance(left)
+	held(t, a, false)
+	b.Step(ctx)
+	held(t, b, false) // the margin is not over
+	c.Advance(left/margin + 1)
+	b.Step(ctx)
+	held(t, b, true)
+}
+
+// A lease that was renewed since it was heard of is not taken.
+func TestRenewedLeaseIsNotTaken(t *testing.T) {
+	w, c, ctx := newWorld(t), clock.NewManual(), context.Background()
+	a, b := w.lease("a", c), w.lease("b", c)
+	a.Step(ctx)
+	v, left := a.Left()
+	b.Heard(v, left)
+	c.Advance(testTime - 1)
+	a.Step(ctx)
+	c.Advance(testTime/margin + 2)
+	b.Step(ctx)
+	held(t, b, false)
+	held(t, a, true)
+}
--- /dev/null
+++ b/coordination/relay/framing_test.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func TestFraming(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		last    string
+		pieces  []string
+		want    string
+		partial bool
+		lastID  string
+	}{
+		{"one event", "", []string{"id: 1\ndata: a\n\n"}, "id: 1\ndata: a\n\n", false, "1"},
+		{"in pieces", "", []string{"id: 1\nda", "ta: a\n", "\nid: 2\n"}, "id: 1\ndata: a\n\n", true, "1"},
+		{"carriage returns", "", []string{"id: 1\r\ndata: a\r\n\r\n"}, "id: 1\r\ndata: a\r\n\r\n", false, "1"},
+		{"repeats are left out", "3", []string{"id: 3\ndata: a\n\nid: 4\ndata: b\n\n"}, "id: 4\ndata: b\n\n", false, "4"},
+		{"a version line goes along", "1", []string{"versions: 2\nid: 2\ndata: b\n\n"}, "versions: 2\nid: 2\ndata: b\n\n", false, "2"},
+		{"ids that are no numbers", "x", []string{"id: y\ndata: b\n\n"}, "id: y\ndata: b\n\n", false, "y"},
+		{"no id", "5", []string{"data: b\n\n"}, "data: b\n\n", false, "5"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFramer(c.last)
+			var out []byte
+			for _, p := range c.pieces {
+				out, _ = f.feed(out, []byte(p))
+			}
+			if string(out) != c.want || f.partial() != c.partial || f.lastID != c.lastID {
+				t.Fatalf("%q, partial %t, last id %q; want %q, %t, %q", out, f.partial(), f.lastID, c.want, c.partial, c.lastID)
+			}
+		})
+	}
+}
+
+// However a stream is cut into pieces, and wherever it breaks off and is taken
+// up behind its last event, the caller gets each event once and in order.
+func FuzzTakeUp(f *testing.F) {
+	f.Add(uint8(10), uint8(3), uint16(25))
+	f.Add(uint8(40), uint8(1), uint16(0))
+	f.Add(uint8(2), uint8(200), uint16(999))
+	f.Fuzz(func(t *testing.T, events, piece uint8, cut uint16) {
+		want := stream(1, int(events))
+		fr := newFramer("")
+		var out []byte
+		first := []byte(want)
+		if int(cut) < len(first) {
+			first = first[:cut]
+		}
+		out = feedPieces(fr, out, first, int(piece))
+		fr.dropPartial()
+		from := 1
+		if fr.number > 0 {
+			from = int(fr.number) // the new run repeats the last event
+		}
+		out = feedPieces(fr, out, []byte(stream(from, int(events))), int(piece))
+		if string(out) != want {
+			t.Fatalf("got %q, want %q", out, want)
+		}
+	})
+}
+
+func stream(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+func feedPieces(f *framer, out, data []byte, size int) []byte {
+	for len(data) > 0 {
+		n := min(len(data), size+1)
+		out, _ = f.feed(out, bytes.Clone(data[:n]))
+		data = data[n:]
+	}
+	return out
+}
--- a/events/events.go
+++ b/events/events.go
@@ -120,8 +120,7 @@
 	StreamTaken     = define(626, logrus.InfoLevel, "stream taken up on another path behind its last event")
 	CallerGone      = define(627, logrus.InfoLevel, "caller left, upstream cancelled")
 	RequestWaits    = define(628, logrus.InfoLevel, "request waits for room on a chain")
-	AnswerForeign   = define(629, logrus.WarnLevel, "answer belongs to another request")
-	RequestQuiet    = define(631, logrus.WarnLevel, "nothing has come from a path for long, although its engines answer")
+	RequestQuiet    = define(629, logrus.WarnLevel, "nothing has come from a path for long, although its engines answer")
 	LogsDropped     = define(630, logrus.WarnLevel, "log lines dropped because they were not read in time")
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,8 @@
 	draining atomic.Bool
 	wasFresh atomic.Bool
 	heldAt   atomic.Int64 // when this daemon last held the lease of placement
+	dropped  func() uint64
+	toldDrop uint64 // of these were logged
 	done     chan struct{}
 }
 
@@ -113,6 +115,11 @@
 	return func(g *Gateway) { g.clock = c }
 }
 
+// WithDropped sets where the count of log lines that were dropped is read.
+func WithDropped(dropped func() uint64) Option {
+	return func(g *Gateway) { g.dropped = dropped }
+}
+
 const (
 	// freshnessMargin is taken off the time after which no request may run
 	// under a withdrawn key. It covers the way of a request from the check to
@@ -150,6 +157,7 @@
 	g := &Gateway{
 		settings: s, clock: clock.NewSystem(), log: logrus.NewEntry(logrus.StandardLogger()),
 		meters: meter.New(), random: rng.New(uint64(time.Now().UnixNano())), done: make(chan struct{}),
+		dropped: func() uint64 { return 0 },
 	}
 	g.heldAt.Store(-int64(heldMemory))
 	for _, o := range opts {
@@ -190,6 +198,9 @@
 		Engines: g.adapter.Engines, Codec: g.adapter.Codec, HTTP: g.http, Budgets: g.budgets,
 		Clock: g.clock, Log: g.log, Meters: g.meters, Random: g.random,
 	}, relay.Bounds{Zone: g.settings.Zone, Freshness: g.freshness()})
+	g.meters.Gauge("spanrill_log_lines_dropped", func() float64 { return float64(g.dropped()) })
+	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
+	g.meters.Gauge("spanrill_config_proof_age_seconds", func() float64 { return float64(g.config.Age()) / float64(spanrill.Second) })
 	g.callers = callerhttp.New(g.relay.Serve, g.limits)
 	jitter := follow.WithJitter(g.random.Float64)
 	g.configs = follow.New(g.adapter.Config, g.clock, configSink{g}, follow.WithDue(g.proofDue), jitter,
@@ -400,6 +411,17 @@
 	return err
 }
 
+// noteDropped logs how many log lines were dropped, once some can be written
+// again.
+func (g *Gateway) noteDropped() {
+	n := g.dropped()
+	if n == g.toldDrop {
+		return
+	}
+	events.LogsDropped.Log(g.log, logrus.Fields{"dropped": n - g.toldDrop, "in_all": n})
+	g.toldDrop = n
+}
+
 // upkeepGap is how often what has become due is looked for.
 const upkeepGap spanrill.Millis = 100
 
@@ -409,6 +431,7 @@
 		g.fleet.Tend()
 		g.prober.Recheck(ctx, g.fleet.View())
 		g.noteFreshness()
+		g.noteDropped()
 		daemons := len(g.peers.list.Live())
 		g.router.SetDaemons(daemons)
 		select {
--- /dev/null
+++ b/state/fleet/fleet_test.go
@@ -0,0 +1,158 @@
+package fleet
+
+import (
+	"encoding/json"
+	"testing"
+
+	"spanrill"
+	"spanrill/clock"
+)
+
+func decode(item spanrill.Item) (spanrill.EngineEntry, error) {
+	var e spanrill.EngineEntry
+	if err := json.Unmarshal(item.Value, &e); err != nil {
+		return e, err
+	}
+	e.ID, e.Revision = item.Name, item.Revision
+	return e, nil
+}
+
+func item(t *testing.T, id, addr string, revision uint64, leaving bool) spanrill.Item {
+	t.Helper()
+	value, err := json.Marshal(spanrill.EngineEntry{Service: "s", Addr: addr, Leaving: leaving})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return spanrill.Item{Name: id, Revision: revision, Value: value}
+}
+
+func gone(id string) spanrill.Change { return spanrill.Change{Item: spanrill.Item{Name: id}, Gone: true} }
+
+// newTable returns a table with two upstreams, long after any outage.
+func newTable(t *testing.T) (*Table, *clock.Manual) {
+	t.Helper()
+	c := clock.NewManual()
+	table := New(c, decode)
+	table.Listed([]spanrill.Item{item(t, "a", "1:1", 1, false), item(t, "b", "1:2", 2, false)}, 2, 0)
+	return table, c
+}
+
+func TestEntryThatGoes(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		outage spanrill.Millis // before the entry goes, or -1 for none
+		after  spanrill.Millis // time until the look
+		want   bool            // whether the upstream still takes requests
+	}{
+		{"no outage: it has left", -1, 0, false},
+		{"an outage long ago: it has left", outageMemory + 1, 0, false},
+		{"an outage: it may come back", 500, 0, true},
+		{"an outage, just before the end of the wait", 500, HoldTime - 1, true},
+		{"an outage, and it did not come back", 500, HoldTime, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table, manual := newTable(t)
+			if c.outage >= 0 {
+				table.NoteOutage()
+				manual.Advance(c.outage)
+			}
+			table.Changed([]spanrill.Change{gone("a")}, 3, manual.Now())
+			manual.Advance(c.after)
+			table.Tend()
+			u := table.View().ByID("a")
+			if got := u != nil && u.Takes(); got != c.want {
+				t.Fatalf("it takes requests: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// An engine that had said that it leaves is not kept when its entry goes.
+func TestLeavingEntryIsNotKept(t *testing.T) {
+	table, manual := newTable(t)
+	table.Changed([]spanrill.Change{{Item: item(t, "a", "1:1", 3, true)}}, 3, manual.Now())
+	table.NoteOutage()
+	table.Changed([]spanrill.Change{gone("a")}, 4, manual.Now())
+	if table.View().ByID("a") != nil {
+		t.Fatal("it is still there")
+	}
+}
+
+// An upstream whose address another one has is gone.
+func TestAddressIsUsedAgain(t *testing.T) {
+	table, manual := newTable(t)
+	table.Changed([]spanrill.Change{{Item: item(t, "c", "1:1", 3, false)}}, 3, manual.Now())
+	if u := table.View().ByAddr("1:1"); u == nil || u.ID() != "c" || table.View().ByID("a") != nil {
+		t.Fatal("the old upstream is still there")
+	}
+}
+
+// A daemon whose own reads stand still learns from a peer that an upstream is
+// leaving, and older knowledge never replaces newer.
+func TestKnowledgeOfPeers(t *testing.T) {
+	peer, _ := newTable(t)
+	peer.Changed([]spanrill.Change{{Item: item(t, "a", "1:1", 7, true)}}, 7, 0)
+	table, manual := newTable(t)
+	manual.Advance(1000)
+	if table.Prove(7, 7, manual.Now()) {
+		t.Fatal("a change that is not known here was proved")
+	}
+	if !table.Merge(peer.Knowledge(), manual.Now()) || table.View().ByID("a").Takes() {
+		t.Fatal("the leaving upstream still takes requests")
+	}
+	if !table.Prove(9, 7, manual.Now()) {
+		t.Fatal("knowledge without later changes was not proved")
+	}
+	old, _ := newTable(t)
+	if table.Merge(old.Knowledge(), manual.Now()) || table.View().ByID("a").Takes() {
+		t.Fatal("older knowledge replaced newer")
+	}
+	table.Changed([]spanrill.Change{{Item: item(t, "a", "1:1", 2, false)}}, 3, manual.Now())
+	if table.View().ByID("a").Takes() {
+		t.Fatal("an older answer of the store replaced newer knowledge")
+	}
+}
+
+// What an engine is being ordered to give up gets nothing new before its entry
+// shows it, and what it has said after an order goes before its entry.
+func TestTargets(t *testing.T) {
+	r := func(from, to int) spanrill.LayerRange { return spanrill.LayerRange{From: from, To: to} }
+	for _, c := range []struct {
+		name   string
+		held   spanrill.LayerRange
+		target *Target
+		want   spanrill.LayerRange
+	}{
+		{"no order", r(0, 10), nil, r(0, 10)},
+		{"shrinks", r(0, 10), &Target{Layers: r(0, 6)}, r(0, 6)},
+		{"shifts", r(4, 10), &Target{Layers: r(6, 12)}, r(6, 10)},
+		{"moves away", r(0, 4), &Target{Layers: r(6, 12)}, r(0, 0)},
+		{"is done", r(0, 4), &Target{Layers: r(6, 12), Done: true}, r(6, 12)},
+	} {
+		u := newUpstream(spanrill.EngineEntry{Layers: c.held})
+		u.SetTarget(c.target)
+		if got := u.Layers(); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Refusals in a row keep requests away for longer each time.
+func TestRefusalsInARow(t *testing.T) {
+	u := newUpstream(spanrill.EngineEntry{})
+	var now, last spanrill.Millis
+	for range maxRefusals {
+		u.Refused(now)
+		wait := spanrill.Millis(0)
+		for u.Avoided(now + wait) {
+			wait += 10
+		}
+		if wait <= last {
+			t.Fatalf("kept away for %d ms after %d ms", wait, last)
+		}
+		last, now = wait, now+wait
+	}
+	if u.Accepted(); u.Refusing(now) {
+		t.Fatal("it still counts as refusing after a request was taken")
+	}
+}
--- /dev/null
+++ b/state/routes/routes_test.go
@@ -0,0 +1,112 @@
+package routes
+
+import (
+	"testing"
+
+	"spanrill"
+	"spanrill/clock"
+)
+
+func table(version int64, keys ...string) *Table {
+	return New(&spanrill.RouteConfig{
+		Version: version,
+		Routes: []spanrill.Route{
+			{Name: "all", Host: "h.example", Prefix: "/"},
+			{Name: "a", Host: "h.example", Prefix: "/a/"},
+			{Name: "ab", Host: "H.example", Prefix: "/a/b/"},
+			{Name: "other", Host: "o.example", Prefix: "/a/"},
+		},
+		Accounts: []spanrill.Account{{Name: "x", Keys: keys}},
+	})
+}
+
+func TestFind(t *testing.T) {
+	s := table(1)
+	for _, c := range []struct{ host, path, want string }{
+		{"h.example", "/a/b/c", "ab"},
+		{"h.example", "/a/bc", "a"},
+		{"h.example", "/a", "all"},
+		{"H.EXAMPLE:8080", "/a/x", "a"},
+		{"o.example", "/a/b/c", "other"},
+		{"o.example", "/b/", ""},
+		{"n.example", "/", ""},
+	} {
+		got := ""
+		if r, ok := s.Find(c.host, c.path); ok {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestAccount(t *testing.T) {
+	s := table(1, "k")
+	if a, ok := s.Account("k"); !ok || a.Name != "x" {
+		t.Fatal("the key is not known")
+	}
+	for _, key := range []string{"", "K", "other"} {
+		if _, ok := s.Account(key); ok {
+			t.Errorf("key %q is known", key)
+		}
+	}
+}
+
+func TestChoose(t *testing.T) {
+	r := &spanrill.Route{Shares: []spanrill.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	for _, c := range []struct {
+		draw float64
+		want string
+	}{{0, "a"}, {0.89, "a"}, {0.9, "b"}, {0.999, "b"}, {1, "b"}} {
+		if got := Choose(r, c.draw); got != c.want {
+			t.Errorf("draw %v: %s, want %s", c.draw, got, c.want)
+		}
+	}
+	if got := Choose(&spanrill.Route{}, 0.5); got != "" {
+		t.Errorf("a route without services: %q", got)
+	}
+}
+
+// Whatever the order in which versions arrive, over the store or over peers, a
+// process never goes back.
+func TestNeverBackwards(t *testing.T) {
+	c := NewCurrent(clock.NewManual())
+	for _, step := range []struct {
+		version  int64
+		revision uint64
+		want     bool
+	}{
+		{3, 30, true}, {2, 20, false}, {3, 30, false}, {2, 31, false}, {5, 50, true}, {4, 40, false},
+	} {
+		if got := c.Take(table(step.version), nil, step.revision); got != step.want {
+			t.Errorf("version %d at revision %d was taken: %t, want %t", step.version, step.revision, got, step.want)
+		}
+	}
+}
+
+// A proof counts from the time given, only for the revision held, and an older
+// proof does not replace a newer one.
+func TestProof(t *testing.T) {
+	manual := clock.NewManual()
+	manual.Advance(10_000)
+	c := NewCurrent(manual)
+	c.Prove(1, manual.Now())
+	if c.Age() < 10_000 {
+		t.Fatal("nothing is held and it is proved")
+	}
+	c.Take(table(1), nil, 7)
+	c.Prove(6, manual.Now())
+	if c.Age() < 10_000 {
+		t.Fatal("a proof of another revision counts")
+	}
+	c.Prove(7, manual.Now()-300)
+	c.Prove(7, manual.Now()-900)
+	if got := c.Age(); got != 300 {
+		t.Fatalf("the proof is %d ms old, want 300", got)
+	}
+	manual.Advance(5000)
+	if got := c.Age(); got != 5300 {
+		t.Fatalf("after a pause of 5 s the proof is %d ms old, want 5300", got)
+	}
+}
