--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -26,7 +26,9 @@
 	return spanrill.Item{Name: id, Revision: revision, Value: value}
 }
 
-func gone(id string) spanrill.Change { return spanrill.Change{Item: spanrill.Item{Name: id}, Gone: true} }
+func gone(id string) spanrill.Change {
+	return spanrill.Change{Item: spanrill.Item{Name: id}, Gone: true}
+}
 
 // newTable returns a table with two upstreams, long after any outage.
 func newTable(t *testing.T) (*Table, *clock.Manual) {
--- a/state/follow/follow_test.go
+++ b/state/follow/follow_test.go
@@ -40,7 +40,9 @@
 	sent            spanrill.Millis
 }
 
-func (s *sink) Listed(_ []spanrill.Item, _ uint64, sent spanrill.Millis) { s.listed, s.sent = s.listed+1, sent }
+func (s *sink) Listed(_ []spanrill.Item, _ uint64, sent spanrill.Millis) {
+	s.listed, s.sent = s.listed+1, sent
+}
 
 func (s *sink) Changed(_ []spanrill.Change, _ uint64, sent spanrill.Millis) {
 	s.changed, s.sent = s.changed+1, sent
