Let no silent peer hold up the news of the others

The first daemon in rank was cut off; each round of news waited for its answer and for its dial, up to 0.9 s, on top of the rank's 1.05 s.

Ruled out: lost changes (the entry was there as soon as it was asked for).

Change: a round waits 60 ms; a question that is still out is not asked again.

TestSilentPeerHoldsUpNothing hangs without it.

--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -78,6 +79,9 @@
 	mu    sync.Mutex
 	heard map[string]heard // by name of the peer
 	told  map[uint32]told  // by hash of the engine's id
+
+	asking map[string]bool // peers with a question under way
+	asks   task.Group
 }
 
 // heard is the last news of a peer.
@@ -88,7 +92,7 @@
 
 // New returns an exchange.
 func New(peers Peers, state State, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source) *Exchange {
-	return &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}}
+	return &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}, asking: map[string]bool{}}
 }
 
 // Run asks for news until the context ends.
@@ -100,19 +104,58 @@
 		case <-e.clock.After(gap*9/10 + spanrill.Millis(e.random.Float64()*float64(gap)/5)):
 		}
 	}
+	_ = e.asks.Wait() // a peer that did not answer was asked again
 	return ctx.Err()
 }
 
-// Round asks some peers at the same time and takes what they say.
+// Round asks some peers at the same time and takes what they say. It waits a
+// little for their answers, and not for a peer that is cut off: that one is
+// asked again when its question has ended, and what others say goes on.
 func (e *Exchange) Round(ctx context.Context) {
-	var tasks task.Group
+	var asked sync.WaitGroup
 	for _, m := range e.targets() {
-		tasks.Start(ctx, "ask for news", func(ctx context.Context) error { return e.ask(ctx, m) })
+		if !e.begin(m.Name) {
+			continue
+		}
+		asked.Add(1)
+		e.asks.Start(ctx, "ask for news", func(ctx context.Context) error {
+			defer asked.Done()
+			defer e.end(m.Name)
+			return e.ask(ctx, m)
+		})
+	}
+	all := make(chan struct{})
+	go func() {
+		asked.Wait()
+		close(all)
+	}()
+	select {
+	case <-all:
+	case <-time.After(answerWait.Duration()):
 	}
-	_ = tasks.Wait() // a peer that does not answer is asked again in the next round
 	e.apply()
 }
 
+// answerWait is how long a round waits for answers: many times a round trip.
+const answerWait spanrill.Millis = 60
+
+// begin notes that a peer is being asked, and reports false if it already is.
+func (e *Exchange) begin(name string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.asking[name] {
+		return false
+	}
+	e.asking[name] = true
+	return true
+}
+
+func (e *Exchange) end(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.asking, name)
+}
+
 func (e *Exchange) targets() []peermsg.Member {
 	others := e.peers.Others()
 	for i := len(others) - 1; i > 0; i-- {
--- a/coordination/exchange/exchange_test.go
+++ b/coordination/exchange/exchange_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -200,3 +201,44 @@
 		t.Fatalf("%v retries may be spent after a peer made %d, want %v", got, spent, want)
 	}
 }
+
+// stuck is two peers, of which one never answers until it is let go.
+type stuck struct {
+	*peer
+	let chan struct{}
+}
+
+func (s stuck) Others() []peermsg.Member {
+	return []peermsg.Member{{Name: "stuck", PeerAddr: "stuck"}, {Name: "peer", PeerAddr: "peer"}}
+}
+
+func (s stuck) Ask(ctx context.Context, addr string, kind uint8, req, reply any) error {
+	if addr == "stuck" {
+		<-s.let
+		return errSilent
+	}
+	return s.peer.Ask(ctx, addr, kind, req, reply)
+}
+
+// A peer that is cut off does not hold up the news of the others.
+func TestSilentPeerHoldsUpNothing(t *testing.T) {
+	c, _, there, wire := pair(1)
+	both := stuck{peer: wire, let: make(chan struct{})}
+	here := newDaemon(c, both)
+	there.take(5, 50, c.Now())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for here.config.Table() == nil {
+			here.exchange.Round(context.Background())
+		}
+	}()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("the round waits for the silent peer")
+	}
+	close(both.let)
+	<-ended
+
+}
