--- a/cli/spanrilldcmd/main.go
+++ b/cli/spanrilldcmd/main.go
@@ -89,7 +89,11 @@
 	log := logrus.New()
 	log.SetLevel(level)
 	if l.Format == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	}
 	return log, nil
 }
+
+// timeFormat shows milliseconds: several lines about one request fall into one
+// of them, and daemons are told apart by them.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
--- a/coordination/cost/cost.go
+++ b/coordination/cost/cost.go
@@ -160,7 +160,7 @@
 // have room at once (Little's law), and no more than its pipes take.
 func Rate(m *spanrill.EngineModel, stages []Stage) float64 {
 	room := usableRoom * Room(m, stages)
-	requests := min(room/Tokens(m), float64(max(1, m.Slots)))
+	requests := min(room/Tokens(m), float64(max(1, m.Slots)), usefulRequests)
 	if requests < 1 {
 		return 0
 	}
@@ -172,6 +172,11 @@
 	return rate
 }
 
+// usefulRequests is how many requests at once one chain is planned for at most.
+// Chains of today run 50 to 70, and 100 when one of three is lost; engines that
+// are not needed for more room are worth more as spares.
+const usefulRequests = 105
+
 // crossingWorth is what a chain over several availability zones is worth of one
 // inside a zone: its tokens wait behind prompts in the pipe, and slow links
 // reach it. In trials a fourth chain over two zones beside three inside zones
--- a/coordination/layout/closeup.go
+++ b/coordination/layout/closeup.go
@@ -12,6 +12,9 @@
 // A chain of today runs 50 to 70 requests.
 var rooms = []float64{110, 90, 72, 56, 40, 28, leastRequests}
 
+// goodRooms is how many of the rooms let a chain serve its part of the traffic.
+const goodRooms = 4
+
 // closeUp divides a model's layers among engines that keep their order and
 // their memory for that many requests, so that as few layers as possible have
 // to be loaded, and returns nil if they cannot hold all layers.
--- a/coordination/layout/layout.go
+++ b/coordination/layout/layout.go
@@ -193,13 +193,16 @@
 	total := 0.0
 	for _, c := range chains {
 		ranges := cut(m, c)
-		exposed := 0
+		exposed := 0.0
 		for i, e := range c {
-			if ranges[i].Len() > layers[e.Zone] {
-				exposed++
+			switch n := ranges[i].Len(); {
+			case n > layers[e.Zone]:
+				exposed += exposure
+			case 2*n > layers[e.Zone]:
+				exposed += exposure / 2 // the spares make good one loss, not two
 			}
 		}
-		total += cost.Rate(m, stages(c, ranges)) * (1 - exposure*float64(exposed)/float64(len(c)))
+		total += cost.Rate(m, stages(c, ranges)) * (1 - exposed/float64(len(c)))
 	}
 	return total
 }
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -135,12 +135,24 @@
 	return false
 }
 
-// fillNear restores a chain by engines of its own zone. For each room, from the
-// most, it tries engines that hold nothing, then spares, both, and then the chain
-// itself, whose engines move closer together.
+// fillNear restores a chain by engines of its own zone. Free engines go first,
+// as long as they keep a good room, since nothing that runs is touched; then the
+// chain itself, whose engines move closer together; and then either with less
+// room, from the most.
 func (r *repair) fillNear(c *chain.Chain) bool {
-	for _, requests := range rooms {
-		if r.fillHoles(c, requests) || !r.changing(c) && r.closeUp(c, requests) {
+	for _, requests := range rooms[:goodRooms] {
+		if r.fillHoles(c, requests) {
+			return true
+		}
+	}
+	closing := !r.changing(c)
+	for _, requests := range rooms[:goodRooms] {
+		if closing && r.closeUp(c, requests) {
+			return true
+		}
+	}
+	for _, requests := range rooms[goodRooms:] {
+		if r.fillHoles(c, requests) || closing && r.closeUp(c, requests) {
 			return true
 		}
 	}
@@ -315,7 +327,7 @@
 func (r *repair) grow() {
 	free := r.free(append(append([]candidate(nil), r.empty...), r.spare...))
 	for _, zone := range zonesOf(free) {
-		for _, requests := range rooms[:growRooms] {
+		for _, requests := range rooms[:goodRooms] {
 			c := take(r.model, free, requests*cost.Tokens(r.model), func(e *candidate) bool { return e.Zone == zone })
 			if c == nil {
 				continue
@@ -331,10 +343,6 @@
 	}
 }
 
-// growRooms is how many of the rooms are tried for a further
-// chain: one with little room is worth less than spares.
-const growRooms = 4
-
 // held returns what the engines will hold after the moves so far.
 func (r *repair) held(all []candidate) []Move {
 	held := append([]Move(nil), r.moves...)
