--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -128,20 +128,19 @@
 	return next.chains
 }
 
-// replaced reports whether an engine is slow and another one of its availability
-// zone holds all of its layers.
+// replaced reports whether an engine is slow and other ones of its availability
+// zone hold its layers.
 func replaced(v *fleet.View, slow *fleet.Upstream) bool {
 	if !slow.Slow() {
 		return false
 	}
-	l := slow.Layers()
+	var others []spanrill.LayerRange
 	for _, u := range v.Of(slow.Service()) {
-		other := u.Layers()
-		if u != slow && u.Zone() == slow.Zone() && u.Takes() && !u.Dead() && !u.Slow() && other.From <= l.From && l.To <= other.To {
-			return true
+		if u != slow && u.Zone() == slow.Zone() && u.Takes() && !u.Dead() && !u.Slow() {
+			others = append(others, u.Layers())
 		}
 	}
-	return false
+	return slow.Layers().CoveredBy(others)
 }
 
 // shapeOf describes chains for logs: their availability zone, engines and
--- a/coordination/layout/slow.go
+++ b/coordination/layout/slow.go
@@ -1,6 +1,9 @@
 package layout
 
-import "spanrill/coordination/chain"
+import (
+	"spanrill"
+	"spanrill/coordination/chain"
+)
 
 // replaceSlow gives the layers of slow engines to free engines of their zone,
 // if these can hold them with a good room. The slow engine keeps them: requests
@@ -11,37 +14,31 @@
 			continue
 		}
 		for _, p := range c.Parts() {
-			e := r.byID[p.ID]
-			if !e.Slow || r.doubled(e) {
-				continue
-			}
-			free := r.inZone(r.free(append(append([]candidate(nil), r.empty...), r.spare...)), e.Zone)
-			for _, requests := range rooms[:goodRooms] {
-				if r.fillWhole(free, c, e, requests) {
-					break
-				}
+			if e := r.byID[p.ID]; e.Slow && !r.doubled(e) {
+				r.replace(c, e)
 			}
 		}
 	}
 }
 
-// doubled reports whether another engine of the zone that is not slow holds, or
-// will hold, all layers of a slow one.
+// doubled reports whether other engines of the zone that are not slow hold, or
+// will hold, the layers of a slow one.
 func (r *repair) doubled(slow candidate) bool {
+	var others []spanrill.LayerRange
 	for _, e := range r.byID {
-		if e.ID != slow.ID && e.Zone == slow.Zone && !e.Slow && e.Layers.From <= slow.Layers.From && slow.Layers.To <= e.Layers.To {
-			return true
+		if e.ID != slow.ID && e.Zone == slow.Zone && !e.Slow {
+			others = append(others, e.Layers)
 		}
 	}
-	return false
+	return slow.Layers.CoveredBy(others)
 }
 
-// fillWhole gives the layers of a slow engine to one free engine.
-func (r *repair) fillWhole(free []candidate, c *chain.Chain, slow candidate, requests float64) bool {
-	ranked := r.ranked(free, c.Zone(), slow.Layers, requests)
-	if len(ranked) == 0 || !r.fits(ranked[0], slow.Layers, requests) {
-		return false
+// replace gives the layers of a slow engine to free engines.
+func (r *repair) replace(c *chain.Chain, slow candidate) {
+	free := r.inZone(r.free(append(append([]candidate(nil), r.empty...), r.spare...)), slow.Zone)
+	for _, requests := range rooms[:goodRooms] {
+		if r.fillFrom(free, c, slow.Layers, requests, "in place of a slow engine") {
+			return
+		}
 	}
-	r.give(ranked[0], slow.Layers, "in place of a slow engine")
-	return true
 }
--- a/upstream.go
+++ b/upstream.go
@@ -52,6 +52,24 @@
 // Len returns the number of layers.
 func (r LayerRange) Len() int { return r.To - r.From }
 
+// CoveredBy reports whether the ranges given hold every layer of r among them,
+// each as a series without overlaps, so that a path can run r on them.
+func (r LayerRange) CoveredBy(ranges []LayerRange) bool {
+	for at := r.From; at < r.To; {
+		next := at
+		for _, o := range ranges {
+			if o.From <= at && o.To > at && o.From >= r.From && o.To <= r.To {
+				next = max(next, o.To)
+			}
+		}
+		if next == at {
+			return false
+		}
+		at = next
+	}
+	return true
+}
+
 // UpstreamStatus is what an upstream reports of itself. Load lags.
 type UpstreamStatus struct {
 	Name       string     `json:"name"`
