--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -212,6 +212,17 @@
 		c.first.Tokens(), c.first.Lag(c.now), c.first.Risk(c.now), c.room, c.pipe)
 }
 
+// HasRoom reports whether an engine has memory and slots to spare, as far as is
+// known here.
+func (r *Router) HasRoom(m *spanrill.EngineModel, u *fleet.Upstream) bool {
+	capacity := cost.Capacity(m, m.Kinds[u.Entry().Kind], u.Layers().Len())
+	slots := u.Entry().Slots
+	return float64(u.Tokens()) < roomy*capacity && (slots == 0 || float64(u.Calls()) < roomy*float64(slots))
+}
+
+// roomy is the part of an engine's memory and slots up to which it has room.
+const roomy = 0.7
+
 // SetDaemons sets how many daemons share the pipes between availability zones.
 func (r *Router) SetDaemons(n int) { r.pipes.daemons.Store(int64(max(1, n))) }
 
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -246,6 +246,7 @@
 	}
 	e.state.Fleet.View().Each(e.forgetShown)
 	e.applyPaces(now)
+	e.applyRefusals(now)
 	targets, changed := e.targetsNow(now), false
 	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
 		s := sums[hash(u.ID())]
@@ -261,6 +262,32 @@
 	}
 }
 
+// applyRefusals takes from other daemons which upstreams refuse their requests,
+// so that not every daemon finds out by requests of its own. The caller holds
+// the lock.
+func (e *Exchange) applyRefusals(now spanrill.Millis) {
+	refusing := map[uint32]bool{}
+	for _, h := range e.heard {
+		if now-h.at > refusalFresh {
+			continue
+		}
+		for _, id := range h.news.Refusing {
+			refusing[id] = true
+		}
+	}
+	if len(refusing) == 0 {
+		return
+	}
+	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
+		if refusing[hash(u.ID())] {
+			u.Told(now)
+		}
+	})
+}
+
+// refusalFresh is how old such news may be: two rounds.
+const refusalFresh spanrill.Millis = 500
+
 // applyPaces takes from the holder of the lease, which asks all engines now and
 // then, which of them are slow. The caller holds the lock.
 func (e *Exchange) applyPaces(now spanrill.Millis) {
@@ -399,6 +426,12 @@
 	for service, c := range e.state.Budgets.Own() {
 		n.Retries = append(n.Retries, peermsg.RetryCount{Service: service, Requests: c.Requests, Retries: c.Retries})
 	}
+	now := e.clock.Now()
+	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
+		if u.RefusedHere(now) {
+			n.Refusing = append(n.Refusing, hash(u.ID()))
+		}
+	})
 	if n.Placement {
 		e.state.Fleet.View().Each(func(u *fleet.Upstream) {
 			if u.Slow() {
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -273,7 +273,7 @@
 		fault = u
 	}
 	g.avoid[fault.ID()] = true
-	fault.Refused(now)
+	fault.Refused(now, g.relay.Router.HasRoom(g.service.Model, fault))
 	if status == fasthttp.StatusMisdirectedRequest {
 		fault.Avoid(now, now+misdirectedAvoid)
 	}
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -194,6 +194,8 @@
 	Leaving   bool
 	Targets   []Target // what engines are being ordered to hold, from the holder of the lease
 
+	Refusing []uint32 // hashes of upstreams that have refused this daemon's requests lately
+
 	Slow []Pace // engines that are slow, from the holder of the lease
 
 	LeaseVersion spanrill.Version // of the lease of placement, if this daemon holds it
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -144,7 +144,7 @@
 	u := newUpstream(spanrill.EngineEntry{})
 	var now, last spanrill.Millis
 	for range maxRefusals {
-		u.Refused(now)
+		u.Refused(now, false)
 		wait := spanrill.Millis(0)
 		for u.Avoided(now + wait) {
 			wait += 10
@@ -158,3 +158,12 @@
 		t.Fatal("it still counts as refusing after a request was taken")
 	}
 }
+
+// One that refuses although it has room is left alone for longer at once.
+func TestRefusalWithRoom(t *testing.T) {
+	u := newUpstream(spanrill.EngineEntry{})
+	u.Refused(0, true)
+	if !u.Avoided(roomyRefusal-1) || u.Avoided(roomyRefusal) {
+		t.Fatal("it is not left alone for roomyRefusal")
+	}
+}
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -20,11 +20,13 @@
 	avoidUntil atomic.Int64 // on the daemon's clock; takes no new requests until then
 	avoided    atomic.Int32 // times in a row
 	refusals   atomic.Int32 // of new requests, in a row
-	dead       atomic.Bool  // did not answer when it was asked
-	risk       risk
-	lag        lag
-	pace       atomic.Int64 // reported slowness in thousandths, 0 if not known
-	lastOK     atomic.Int64 // when it last answered or produced something
+
+	leavesUnsaid atomic.Bool // has refused although it has room
+	dead         atomic.Bool // did not answer when it was asked
+	risk         risk
+	lag          lag
+	pace         atomic.Int64 // reported slowness in thousandths, 0 if not known
+	lastOK       atomic.Int64 // when it last answered or produced something
 }
 
 func newUpstream(e spanrill.EngineEntry) *Upstream {
@@ -85,26 +87,54 @@
 }
 
 // Refused notes that the upstream has refused a new request, and keeps new
-// ones away for a while, longer each time until one is taken again. An engine
-// that leaves without a word refuses what is new and serves what runs.
-func (u *Upstream) Refused(now spanrill.Millis) {
+// ones away for a while, longer each time until one is taken again. One that
+// refuses although it has room is leaving without a word, or gives up layers: it
+// serves what runs, and is left alone for longer from the first time.
+func (u *Upstream) Refused(now spanrill.Millis, hasRoom bool) {
 	times := min(u.refusals.Add(1), maxRefusals)
-	u.Avoid(now, now+firstRefusal<<(times-1))
+	wait := firstRefusal << (times - 1)
+	if hasRoom {
+		wait = max(wait, roomyRefusal)
+		u.leavesUnsaid.Store(true)
+	}
+	u.Avoid(now, now+wait)
+}
+
+// Told takes another daemon's word that the upstream refuses new requests.
+func (u *Upstream) Told(now spanrill.Millis) {
+	if !u.Avoided(now) {
+		u.leavesUnsaid.Store(true)
+		u.Avoid(now, now+toldRefusal)
+	}
 }
 
-// Refusing reports whether the upstream has refused several new requests in a
-// row, the last one not long ago.
+// toldRefusal is how long another daemon's word goes: two rounds of news.
+const toldRefusal spanrill.Millis = 500
+
+// Refusing reports whether the upstream has refused new requests not long ago,
+// and not just because it was full for a moment.
 func (u *Upstream) Refusing(now spanrill.Millis) bool {
-	return u.refusals.Load() >= refusingTimes && u.Avoided(now)
+	return (u.leavesUnsaid.Load() || u.refusals.Load() >= refusingTimes) && u.Avoided(now)
+}
+
+// RefusedHere reports whether it was this daemon that found it refusing.
+func (u *Upstream) RefusedHere(now spanrill.Millis) bool {
+	return u.refusals.Load() > 0 && u.Refusing(now)
 }
 
 // Accepted notes that the upstream works on a new request.
-func (u *Upstream) Accepted() { u.refusals.Store(0) }
+func (u *Upstream) Accepted() {
+	u.refusals.Store(0)
+	u.leavesUnsaid.Store(false)
+}
 
 const (
 	// firstRefusal is how long a first refusal keeps requests away: an engine
 	// that was full for a moment has room again after a few tokens.
 	firstRefusal spanrill.Millis = 60
+	// roomyRefusal is how long an upstream is left alone that refuses although
+	// it has room: about a heartbeat, after which its entry says why.
+	roomyRefusal spanrill.Millis = 1200
 	// maxRefusals bounds the growth: two seconds.
 	maxRefusals = 6
 	// refusingTimes is how many refusals in a row mean that the engine is not
