Plan chains without taking large engines first, and no moves without a change

Mended: a spare that held a hole's layers already was planned for them in every round (112 times in 10 s). TestNoMoveWithoutChange fails without it.

--- a/coordination/layout/layout.go
+++ b/coordination/layout/layout.go
@@ -107,7 +107,6 @@
 	func(a, b *candidate) bool { return a.kind.Pace < b.kind.Pace },
 	func(a, b *candidate) bool { return a.kind.Pace > b.kind.Pace },
 	func(a, b *candidate) bool { return a.kind.MemoryMB < b.kind.MemoryMB },
-	func(a, b *candidate) bool { return a.kind.MemoryMB > b.kind.MemoryMB },
 }
 
 // group divides engines into chains that have memory for that many tokens.
--- a/coordination/layout/layout_test.go
+++ b/coordination/layout/layout_test.go
@@ -249,3 +249,32 @@
 		t.Fatalf("%d whole chains", whole)
 	}
 }
+
+// No move brings an engine to what it holds: such a move would be planned again
+// in every round.
+func TestNoMoveWithoutChange(t *testing.T) {
+	m := testModel()
+	for seed := range int64(40) {
+		r := rand.New(rand.NewSource(seed))
+		engines := apply(testFleet(), Plan(m, testFleet()))
+		for range 30 {
+			i := r.Intn(len(engines))
+			if r.Intn(2) == 0 && len(engines) > 20 {
+				engines = append(engines[:i:i], engines[i+1:]...)
+			} else {
+				engines[i].Layers = spanrill.LayerRange{}
+			}
+			held := map[string]spanrill.LayerRange{}
+			for _, e := range engines {
+				held[e.ID] = e.Layers
+			}
+			moves := Repair(m, engines)
+			for _, move := range moves {
+				if held[move.Engine] == move.Layers {
+					t.Fatalf("seed %d: %v holds that already", seed, move)
+				}
+			}
+			engines = apply(engines, moves)
+		}
+	}
+}
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -63,6 +63,7 @@
 	taken map[string]bool
 	moves []Move
 
+	outside []chain.Holder // belong to no chain
 	leaving []Engine
 	cut     bool // the moves that follow may cut requests
 }
@@ -83,6 +84,7 @@
 }
 
 func (r *repair) spares(holders []chain.Holder) {
+	r.outside = holders
 	for _, h := range holders {
 		if e := r.byID[h.ID]; !e.Fixed && !e.Slow {
 			r.spare = append(r.spare, e)
@@ -90,8 +92,12 @@
 	}
 }
 
+// give brings an engine to a range.
 func (r *repair) give(e candidate, layers spanrill.LayerRange, why string) {
 	r.taken[e.ID] = true
+	if e.Layers == layers {
+		return // it holds them: nothing to order
+	}
 	r.moves = append(r.moves, Move{Engine: e.ID, Layers: layers, Why: why, Cut: r.cut})
 }
 
@@ -110,6 +116,9 @@
 			continue
 		}
 		for _, hole := range c.Holes() {
+			if r.bridged(hole) {
+				continue
+			}
 			if r.fillFrom(r.free(r.empty), c, hole, leastRequests, "hole of a chain") || r.fillFrom(r.free(r.spare), c, hole, leastRequests, "hole of a chain, from a spare") {
 				continue
 			}
@@ -120,6 +129,22 @@
 	}
 }
 
+// bridged reports whether engines that belong to no chain hold a hole's layers,
+// or are being brought to them. They may be of another availability zone, and
+// then the chain is not read as whole: requests reach them by bridges.
+func (r *repair) bridged(hole spanrill.LayerRange) bool {
+	var ranges []spanrill.LayerRange
+	for _, h := range r.outside {
+		if !r.taken[h.ID] {
+			ranges = append(ranges, h.Layers)
+		}
+	}
+	for _, m := range r.moves {
+		ranges = append(ranges, m.Layers)
+	}
+	return hole.CoveredBy(ranges)
+}
+
 // changing reports whether an engine of the chain or of its zone is still
 // changing.
 func (r *repair) changing(c *chain.Chain) bool {
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -116,7 +116,7 @@
 		if len(moves) == 0 {
 			continue
 		}
-		events.LayoutMade.Log(p.log, logrus.Fields{"service": s.Name, "engines": len(engines), "moves": len(moves), "view": p.table.View().Version()})
+		events.LayoutMade.Log(p.log, logrus.Fields{"service": s.Name, "engines": len(engines), "moves": len(moves), "first": moves[0].String(), "why": moves[0].Why, "view": p.table.View().Version()})
 		for _, m := range moves {
 			p.give(ctx, s, m)
 		}
