--- a/coordination/layoutrun/pace.go
+++ b/coordination/layoutrun/pace.go
@@ -13,7 +13,7 @@
 // paceGap is the pause between two rounds of questions to all engines that hold
 // layers. Each question is paid for; an engine that turns slow does so for
 // several seconds.
-const paceGap = 3 * spanrill.Second
+const paceGap = 5 * spanrill.Second
 
 // askPaces asks engines now and then how slow they are, while this daemon may
 // give orders. The answers reach the other daemons with the news.
