--- a/coordination/exchange/exchange_test.go
+++ b/coordination/exchange/exchange_test.go
@@ -240,5 +240,4 @@
 	}
 	close(both.let)
 	<-ended
-
 }
--- a/coordination/layoutrun/placer_test.go
+++ b/coordination/layoutrun/placer_test.go
@@ -73,8 +73,8 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	real := clock.NewSystem()
-	table := fleet.New(real, func(item spanrill.Item) (e spanrill.EngineEntry, err error) {
+	system := clock.NewSystem()
+	table := fleet.New(system, func(item spanrill.Item) (e spanrill.EngineEntry, err error) {
 		err = json.Unmarshal(item.Value, &e)
 		return e, err
 	}, fleet.WithLogger(log))
@@ -89,7 +89,7 @@
 	}
 	table.Listed(items, 1, 0)
 	models := func() []spanrill.ServiceInfo { return []spanrill.ServiceInfo{{Name: "s", Model: model}} }
-	p := New(may, c, table, models, real, log)
+	p := New(may, c, table, models, system, log)
 	p.known["s"], p.grewAt["s"] = n, -settleMost // all engines have been there for long
 	return p, table
 }
