--- /dev/null
+++ b/coordination/relay/attempts.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"spanrill"
+	"spanrill/meter"
+)
+
+// sendError is why an attempt has brought no events.
+type sendError struct {
+	outcome spanrill.Outcome
+	retry   meter.Retry
+	cause   error
+}
+
+// Error returns the cause.
+func (e *sendError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *sendError) Unwrap() error { return e.cause }
+
+// callFailed judges a call without an answer.
+func (g *generation) callFailed(err error) error {
+	now := g.relay.Clock.Now()
+	failure := &sendError{outcome: spanrill.OutcomeUnknown, retry: meter.RetryCut, cause: err}
+	var call *spanrill.CallError
+	if errors.As(err, &call) {
+		failure.outcome = call.Outcome()
+		if call.Phase == spanrill.PhaseDial {
+			delete(g.sentTo, g.first.ID())
+			failure.retry = meter.RetryDial
+		}
+	}
+	if g.ctx.Err() == nil {
+		g.avoid[g.first.ID()] = true
+		g.first.Failed(now)
+		g.first.Avoid(now, now+failedAvoid)
+	}
+	return failure
+}
+
+// refusedBy judges an engine's own word that it did not run the request. The
+// engine at fault may be a later one of the path.
+func (g *generation) refusedBy(head spanrill.UpstreamHead, status int) error {
+	now := g.relay.Clock.Now()
+	fault := g.first
+	if u := g.relay.Fleet.View().ByAddr(head.AtFault); u != nil && head.AtFault != "" {
+		fault = u
+	}
+	g.avoid[fault.ID()] = true
+	fault.Refused(now, g.relay.Router.HasRoom(g.service.Model, fault))
+	if status == fasthttp.StatusMisdirectedRequest {
+		fault.Avoid(now, now+misdirectedAvoid)
+	}
+	return &sendError{
+		outcome: spanrill.OutcomeNotRun, retry: meter.RetryRefused,
+		cause: errors.Errorf("engine %s refused with status %d", fault.ID(), status),
+	}
+}
+
+// misdirectedAvoid is how long an engine is left alone that does not hold what
+// its entry says: the entry follows within a heartbeat.
+const misdirectedAvoid spanrill.Millis = 600
+
+// afterFailure decides whether a failed attempt is followed by another one.
+func (g *generation) afterFailure(err error) *spanrill.Refusal {
+	var failure *sendError
+	if !errors.As(err, &failure) {
+		failure = &sendError{outcome: spanrill.OutcomeUnknown, cause: err}
+	}
+	failed := g.first
+	g.release()
+	if failure.outcome != spanrill.OutcomeNotRun {
+		g.unknown = true
+	}
+	if g.ctx.Err() != nil {
+		return g.ended(g.unknown)
+	}
+	if !g.mayRepeat(failure) {
+		return g.giveUp(failure)
+	}
+	g.relay.Meters.Retried(failure.retry)
+	g.logRetry(failed, failure.retry.String(), failure.outcome, failure.cause)
+	return nil
+}
+
+// mayRepeat reports whether another attempt is allowed.
+func (g *generation) mayRepeat(failure *sendError) bool {
+	if failure.outcome != spanrill.OutcomeNotRun && g.route.Repeat == spanrill.RepeatNever {
+		return false
+	}
+	if failure.retry == meter.RetryDial {
+		return len(g.avoid) <= dialTries
+	}
+	if g.sends >= g.route.MaxAttempts+extraSends {
+		return false
+	}
+	if g.relay.Budgets.Of(g.service.Name).Take() {
+		return true
+	}
+	g.relay.Meters.Refused(spanrill.ReasonRetryBudget)
+	return false
+}
+
+// dialTries bounds how many engines are tried that take no connection.
+const dialTries = 3
+
+// extraSends bounds how often a request is sent beyond its route's limit on
+// engines: once more to the same engine on another path, or to another one
+// after one that has ended.
+const extraSends = 2
+
+// mayFirst returns the engines that may be the first of the next path, or nil
+// for any: once the request was sent to as many engines as its route allows,
+// only these. Those whose entries are gone have ended and do not count.
+func (g *generation) mayFirst() map[string]bool {
+	n := 0
+	view := g.relay.Fleet.View()
+	for id := range g.sentTo {
+		if view.ByID(id) != nil {
+			n++
+		}
+	}
+	if n < g.route.MaxAttempts {
+		return nil
+	}
+	return g.sentTo
+}
+
+func (g *generation) giveUp(failure *sendError) *spanrill.Refusal {
+	if g.unknown {
+		return spanrill.NewRefusal(spanrill.ReasonUpstreamFailed, "%v", failure.cause).
+			WithOutcome(spanrill.OutcomeUnknown)
+	}
+	return spanrill.NewRefusal(spanrill.ReasonUpstreamRefused, "%v", failure.cause).WithRetryAfter(fullRetry)
+}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -10,9 +10,11 @@
 //	refuse.go    final answers of spanrill's own
 //	plain.go     services whose answers are read whole
 //	chained.go   generations over a path of engines: the first event
+//	attempts.go  attempts that failed, and whether another one follows
 //	stream.go    the events behind it
 //	framing.go   whole events in a series of bytes
 //	watch.go     engines that die under a running request
+//	streams.go   all generations that run, to tell them of a dead engine
 //	gone.go      callers that leave
 //	log.go       one line for each decision
 //
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -117,15 +117,7 @@
 
 // Ask sends a request and decodes its reply.
 func (p *peers) Ask(ctx context.Context, addr string, kind uint8, req, reply any) error {
-	payload, err := peermsg.Encode(req)
-	if err != nil {
-		return err
-	}
-	answer, err := p.net.Ask(ctx, addr, peernet.Kind(kind), payload)
-	if err != nil {
-		return fmt.Errorf("ask peer: %w", err)
-	}
-	return peermsg.Decode(answer, reply)
+	return peermsg.Ask(ctx, p.net, addr, peernet.Kind(kind), req, reply)
 }
 
 // Owner returns the peer address of the daemon that gathers a slot's claims.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 // a lease and orders the engines which layers to hold.
 //
 //	gateway.go   the parts and their life
+//	due.go       what this daemon has to do now, by its rank and the lease
 //	config.go    the configuration of routes
 //	peers.go     messages of other daemons
 //	ready.go     readiness and metrics
@@ -232,83 +233,9 @@
 	return nil
 }
 
-// mayPlace reports whether this daemon may order engines: it holds the lease,
-// or no daemon can reach the store and this one held the lease last, or is the
-// first in rank when nobody did.
-func (g *Gateway) mayPlace() (term uint64, ok bool) {
-	now := g.clock.Now()
-	if term, ok = g.lease.Held(); ok {
-		g.heldAt.Store(int64(now))
-		return term, true
-	}
-	if g.draining.Load() || g.exchange.PlacementHeld() {
-		return 0, false
-	}
-	_, _, age := g.fleet.Proof()
-	heldLast := now-spanrill.Millis(g.heldAt.Load()) < heldMemory
-	return 0, age > storeAway && heldLast || age > storeLong && g.peers.rank("placement") == 0
-}
-
-const (
-	// storeAway is the age of what all daemons know together after which nobody
-	// can reach the store: several daemons have asked by then.
-	storeAway spanrill.Millis = 1200
-	// storeLong is the same for a daemon that did not hold the lease: longer
-	// than the lease holds.
-	storeLong = leaseTime + 500
-	// heldMemory is how long a daemon goes on that held the lease before the
-	// store went away: the store's outages last seconds.
-	heldMemory = 30 * spanrill.Second
-)
-
-func (g *Gateway) holdsLease() bool {
-	_, ok := g.mayPlace()
-	return ok
-}
-
 // targets returns what this daemon is ordering engines to hold.
 func (g *Gateway) targets() map[string]fleet.Target { return g.placer.Targets() }
 
-// contends reports whether this daemon should try to take the lease: it is not
-// stopping, knows what to place, and no peer says that it has the lease.
-func (g *Gateway) contends() bool {
-	return !g.draining.Load() && g.config.Table() != nil && !g.exchange.PlacementHeld()
-}
-
-// proofDue returns when to look again whether the configuration has to be
-// proved, or 0 if it has to be now.
-func (g *Gateway) proofDue() spanrill.Millis {
-	return g.due("configuration", g.config.Age(), proofGoal)
-}
-
-// upstreamsDue is the same for the entries of upstreams.
-func (g *Gateway) upstreamsDue() spanrill.Millis {
-	_, _, age := g.fleet.Proof()
-	return g.due("upstreams", age, upstreamsGoal)
-}
-
-// due compares the age of knowledge with the age at which a daemon of this rank
-// asks the store.
-func (g *Gateway) due(what string, age, goal spanrill.Millis) spanrill.Millis {
-	if age < goal {
-		return proofPoll
-	}
-	if rank := g.peers.rank(what); rank > 0 {
-		goal += rankDelay + rankStep*spanrill.Millis(rank-1) + spanrill.Millis(g.random.Float64()*float64(rankStep))
-	}
-	if age >= goal {
-		return 0
-	}
-	return proofPoll
-}
-
-// storeCalled notes calls of the store that failed.
-func (g *Gateway) storeCalled(_ string, err error) {
-	if err != nil {
-		g.fleet.NoteOutage()
-	}
-}
-
 func (g *Gateway) listen() error {
 	var err error
 	if g.listener, err = net.Listen("tcp", g.settings.Listen); err != nil {
@@ -411,17 +338,6 @@
 	return err
 }
 
-// noteDropped logs how many log lines were dropped, once some can be written
-// again.
-func (g *Gateway) noteDropped() {
-	n := g.dropped()
-	if n == g.toldDrop {
-		return
-	}
-	events.LogsDropped.Log(g.log, logrus.Fields{"dropped": n - g.toldDrop, "in_all": n})
-	g.toldDrop = n
-}
-
 // upkeepGap is how often what has become due is looked for.
 const upkeepGap spanrill.Millis = 100
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -80,15 +80,7 @@
 
 // Ask sends a request to a peer and decodes its reply.
 func (p *peers) Ask(ctx context.Context, addr string, kind uint8, req, reply any) error {
-	payload, err := peermsg.Encode(req)
-	if err != nil {
-		return err
-	}
-	answer, err := p.net.Ask(ctx, addr, peernet.Kind(kind), payload)
-	if err != nil {
-		return fmt.Errorf("ask peer: %w", err)
-	}
-	return peermsg.Decode(answer, reply)
+	return peermsg.Ask(ctx, p.net, addr, peernet.Kind(kind), req, reply)
 }
 
 // handle takes a message of a peer. One that cannot be decoded is refused; its
--- /dev/null
+++ b/protocol/peermsg/ask.go
@@ -0,0 +1,21 @@
+package peermsg
+
+import (
+	"context"
+	"fmt"
+
+	"spanrill/transport/peernet"
+)
+
+// Ask sends a request to a peer and decodes its reply.
+func Ask(ctx context.Context, n *peernet.Net, addr string, kind peernet.Kind, req, reply any) error {
+	payload, err := Encode(req)
+	if err != nil {
+		return err
+	}
+	answer, err := n.Ask(ctx, addr, kind, payload)
+	if err != nil {
+		return fmt.Errorf("ask peer: %w", err)
+	}
+	return Decode(answer, reply)
+}
