Say unknown of every stream that may have run, and try failed starts elsewhere

Cause: read as a newcomer: a resumable stream whose first attempt may have run was refused with 503 when no second chain took it, which promises that it has not run. And an engine's own 500 ended a stream that another chain could have served.

--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -117,6 +117,9 @@
 			return g.orUnknown(refusal)
 		}
 		err := g.send(g.head.LastEvent)
+		if err == nil {
+			err = g.failedStart()
+		}
 		if err == nil {
 			return nil
 		}
@@ -126,10 +129,22 @@
 	}
 }
 
-// orUnknown marks a refusal of a request that an earlier attempt may have run.
-// A stream that may be resumed can be repeated, so that nothing hangs on it.
+// failedStart returns the failure of an answer that is one of the engine's own,
+// if the request may go on elsewhere instead of handing that on.
+func (g *generation) failedStart() error {
+	status := g.answer.Status()
+	if status < fasthttp.StatusInternalServerError || g.route.Repeat != spanrill.RepeatResume || !g.canGoElsewhere() {
+		return nil
+	}
+	g.avoid[g.first.ID()] = true
+	g.first.Failed(g.relay.Clock.Now())
+	return &sendError{outcome: spanrill.OutcomeRan, retry: meter.RetryStageLost, cause: errors.Errorf("engine %s answered %d", g.first.ID(), status)}
+}
+
+// orUnknown marks a refusal of a request that an earlier attempt may have run,
+// also where it does no harm if it runs again: what is said must be true.
 func (g *generation) orUnknown(refusal *spanrill.Refusal) *spanrill.Refusal {
-	if g.unknown && g.route.Repeat == spanrill.RepeatNever {
+	if g.unknown {
 		return refusal.WithOutcome(spanrill.OutcomeUnknown)
 	}
 	return refusal
