Bring chains over several zones back into one in calm

Change: when all chains are whole and nothing changes, a chain over zones is formed anew in one, with the fewest loads.

--- a/coordination/layout/layout_test.go
+++ b/coordination/layout/layout_test.go
@@ -279,3 +279,30 @@
 		}
 	}
 }
+
+// Chains over zones come back into one zone, when all are whole and nothing is
+// changing, and then stay.
+func TestChainsComeBackIntoTheirZone(t *testing.T) {
+	m := testModel()
+	m.Kinds["huge"] = spanrill.KindModel{Name: "huge", MemoryMB: 200000, Pace: 1, ReadFactor: 1}
+	half := func(id, zone string, from int) Engine {
+		return Engine{ID: id, Zone: zone, Kind: "huge", Layers: spanrill.LayerRange{From: from, To: from + 40}}
+	}
+	engines := []Engine{half("a1", "a", 0), half("a2", "a", 0), half("b1", "b", 40), half("b2", "b", 40)}
+	for range 6 {
+		engines = apply(engines, Repair(m, engines))
+		check(t, m, engines)
+	}
+	chains, _ := chainsOf(m, candidates(m, engines))
+	if len(chains) < 2 {
+		t.Fatalf("%d chains", len(chains))
+	}
+	for _, c := range chains {
+		if !c.Whole() || crosses(c) {
+			t.Fatalf("chain %v, holes %v", c.Parts(), c.Holes())
+		}
+	}
+	if moves := Repair(m, engines); len(moves) != 0 {
+		t.Fatalf("still moving: %v", moves)
+	}
+}
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -30,6 +30,7 @@
 	r.spares(spares)
 	r.fill(chains)
 	r.replaceSlow(chains)
+	r.bringHome(chains)
 	r.relieve(chains)
 	r.grow()
 	return append(r.moves, duplicates(m, r.free(r.empty), r.taken, r.held(all), zoneByID(all))...)
