--- /dev/null
+++ b/cli/spanrillcmd/plan.go
@@ -0,0 +1,122 @@
+package spanrillcmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"spanrill"
+	"spanrill/coordination/layout"
+	"spanrill/platform"
+	"spanrill/transport/httpcall"
+)
+
+func planCommand() *cli.Command {
+	return &cli.Command{
+		Name: "plan", Usage: "print the chains of engines on the users' platform, what they can serve, and what a loss costs",
+		Description: "spanrill --platform 10.200.1.7:8107 plan\n\n" +
+			"Reads the configuration and the engines from the platform's store and changes nothing.\n" +
+			"Where no engine holds layers, the first layout is planned and shown.",
+		Action: runPlan,
+	}
+}
+
+// servicePlan is what is printed of one service.
+type servicePlan struct {
+	Service string             `json:"service"`
+	Planned bool               `json:"planned"` // nothing is held yet
+	Engines int                `json:"engines"`
+	Rate    float64            `json:"requests_per_second"`
+	Chains  []layout.ChainInfo `json:"chains"`
+	Losses  []layout.Loss      `json:"losses"`
+}
+
+func runPlan(ctx context.Context, c *cli.Command) error {
+	addr := c.String(flagPlatform)
+	if addr == "" {
+		return cli.Exit("name the platform's store with --platform ADDR or SPANRILL_PLATFORM", exitBadInput)
+	}
+	plans, err := readPlans(ctx, platform.NewStore(addr, httpcall.New()))
+	if err != nil {
+		return err
+	}
+	if c.Bool(flagJSON) {
+		return json.NewEncoder(c.Root().Writer).Encode(plans)
+	}
+	for _, p := range plans {
+		p.print(c.Root().Writer)
+	}
+	return nil
+}
+
+func readPlans(ctx context.Context, store *platform.Store) ([]servicePlan, error) {
+	configs, _, err := store.Collection(platform.KindConfig).List(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	items, _, err := store.Collection(platform.KindEngines).List(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("read engines: %w", err)
+	}
+	plans := []servicePlan{}
+	for _, item := range configs {
+		config, err := platform.DecodeConfig(item.Value)
+		if err != nil {
+			return nil, err
+		}
+		for _, s := range config.Services {
+			if s.Model == nil {
+				continue
+			}
+			p, err := planOf(s, items)
+			if err != nil {
+				return nil, err
+			}
+			plans = append(plans, p)
+		}
+	}
+	return plans, nil
+}
+
+func planOf(s spanrill.ServiceInfo, items []spanrill.Item) (servicePlan, error) {
+	p := servicePlan{Service: s.Name, Planned: true}
+	var engines []layout.Engine
+	for _, item := range items {
+		e, err := platform.DecodeEngine(item)
+		if err != nil {
+			return p, err
+		}
+		if e.Service != s.Name {
+			continue
+		}
+		p.Planned = p.Planned && e.Layers.Len() == 0
+		engines = append(engines, layout.Engine{ID: e.ID, Zone: e.Zone, Kind: e.Kind, Layers: e.Layers, Leaves: e.Leaving})
+	}
+	if p.Planned {
+		engines = layout.Apply(engines, layout.Plan(s.Model, engines))
+	}
+	p.Engines, p.Rate = len(engines), layout.Rate(s.Model, engines)
+	p.Chains, p.Losses = layout.Describe(s.Model, engines), layout.Losses(s.Model, engines)
+	return p, nil
+}
+
+func (p servicePlan) print(w io.Writer) {
+	state := "as engines hold it"
+	if p.Planned {
+		state = "as it would be planned"
+	}
+	fmt.Fprintf(w, "service %s, %d engines, %s: %.1f usual requests a second\n", p.Service, p.Engines, state, p.Rate)
+	for i, c := range p.Chains {
+		fmt.Fprintf(w, "  chain %d in %s: %d engines, %d crossings, room for %.0f tokens, %.1f requests a second, missing %v\n",
+			i+1, c.Zone, len(c.Engines), c.Crossings, c.Room, c.Rate, c.Holes)
+		for _, e := range c.Engines {
+			fmt.Fprintf(w, "    %-14s %-8s %-12s %d to %d\n", e.ID, e.Kind, e.Zone, e.Layers.From, e.Layers.To)
+		}
+	}
+	for _, l := range p.Losses {
+		fmt.Fprintf(w, "  without %-14s %.1f at once, %.1f after %d loads\n", l.Engine, l.At, l.Repaired, l.Loads)
+	}
+}
--- a/coordination/layout/layout.go
+++ b/coordination/layout/layout.go
@@ -23,13 +23,13 @@
 
 // Engine is an engine as the planner sees it.
 type Engine struct {
-	ID     string
-	Zone   string
-	Kind   string
-	Layers spanrill.LayerRange // held, or ordered and on the way
-	Fixed  bool                // takes no order now: it loads, or is not well
-	Leaves bool                // serves what runs, and takes nothing new
-	Slow   bool                // serves, but holds up its chain
+	ID     string              `json:"id"`
+	Zone   string              `json:"availability_zone"`
+	Kind   string              `json:"kind"`
+	Layers spanrill.LayerRange `json:"layers"`           // held, or ordered and on the way
+	Fixed  bool                `json:"fixed,omitempty"`  // takes no order now: it loads, or is not well
+	Leaves bool                `json:"leaves,omitempty"` // serves what runs, and takes nothing new
+	Slow   bool                `json:"slow,omitempty"`   // serves, but holds up its chain
 }
 
 // Move gives an engine a range.
--- a/coordination/layout/layout_test.go
+++ b/coordination/layout/layout_test.go
@@ -56,17 +56,7 @@
 	return engines
 }
 
-func apply(engines []Engine, moves []Move) []Engine {
-	out := append([]Engine(nil), engines...)
-	for _, m := range moves {
-		for i := range out {
-			if out[i].ID == m.Engine {
-				out[i].Layers = m.Layers
-			}
-		}
-	}
-	return out
-}
+func apply(engines []Engine, moves []Move) []Engine { return Apply(engines, moves) }
 
 func read(m *spanrill.EngineModel, engines []Engine) (whole, broken int) {
 	var holders []chain.Holder
