End the avoidance of a refusing engine only when it takes a new request

Cause: found on reading. Worked is called for each event on every engine of a path, and ended any avoidance, also one after a refusal. Change: refusals are kept apart from failures (state/fleet/refusal.go). Worked ends the avoidance after failures, as before; Accepted ends that after refusals, if the request was sent after the last one. Plain services use the same refusals in place of 60 ms of their own. TestRunningStreamsDoNotEndARefusal was red before.

--- a/coordination/relay/attempts.go
+++ b/coordination/relay/attempts.go
@@ -36,7 +36,7 @@
 	if g.ctx.Err() == nil {
 		g.avoid[g.first.ID()] = true
 		g.first.Failed(now)
-		g.first.Avoid(now, now+failedAvoid)
+		g.first.Avoid(now + failedAvoid)
 	}
 	return failure
 }
@@ -52,7 +52,7 @@
 	g.avoid[fault.ID()] = true
 	fault.Refused(now, g.relay.Router.HasRoom(g.service.Model, fault))
 	if status == fasthttp.StatusMisdirectedRequest {
-		fault.Avoid(now, now+misdirectedAvoid)
+		fault.Avoid(now + misdirectedAvoid)
 	}
 	return &sendError{
 		outcome: spanrill.OutcomeNotRun, retry: meter.RetryRefused,
--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -52,6 +52,7 @@
 	outcome  spanrill.Outcome
 	reached  bool // any byte may have left
 	sends    int  // attempts so far that reached an upstream
+	sentAt   spanrill.Millis
 	unknown  bool // an earlier attempt may have run
 	retry    meter.Retry
 	err      error
@@ -127,7 +128,7 @@
 // tryPlain makes one attempt.
 func (q *request) tryPlain(u *fleet.Upstream, before attempt) attempt {
 	r := q.relay
-	a := attempt{upstream: u, sends: before.sends, unknown: before.unknown || before.reached && before.outcome != spanrill.OutcomeNotRun}
+	a := attempt{upstream: u, sends: before.sends, sentAt: r.Clock.Now(), unknown: before.unknown || before.reached && before.outcome != spanrill.OutcomeNotRun}
 	u.Begin()
 	defer u.End()
 	ctx, cancel := q.attemptContext(before.sends)
@@ -188,7 +189,7 @@
 		a.retry = meter.RetryStalled
 	}
 	a.upstream.Failed(now)
-	a.upstream.Avoid(now, now+failedAvoid)
+	a.upstream.Avoid(now + failedAvoid)
 }
 
 // failedAvoid is how long an upstream gets nothing after a call without an
@@ -232,19 +233,17 @@
 	case head.NotRun:
 		a.notRun, a.outcome, a.retry = true, spanrill.OutcomeNotRun, meter.RetryRefused
 		a.err = errors.Errorf("refused with status %d", a.resp.StatusCode())
-		a.upstream.Avoid(now, now+refusedAvoid)
+		a.upstream.Refused(now, false)
 	case a.resp.StatusCode() >= fasthttp.StatusInternalServerError:
 		a.retry = meter.RetryStageLost
 		a.err = errors.Errorf("status %d", a.resp.StatusCode())
 		a.upstream.Failed(now)
 	default:
 		a.upstream.Succeeded(now)
+		a.upstream.Accepted(a.sentAt)
 	}
 }
 
-// refusedAvoid is how long an upstream that is full gets nothing.
-const refusedAvoid spanrill.Millis = 60
-
 // genuine checks that an answer belongs to this request and is the upstream's.
 func (q *request) genuine(head spanrill.UpstreamHead, h *fasthttp.ResponseHeader) error {
 	if head.RequestID != "" && head.RequestID != q.head.ID {
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -84,12 +84,12 @@
 		g.relay.Meters.BetweenTokens.Update(seconds)
 		b.pause = max(b.pause, now-b.last)
 	} else {
-		b.first = now - g.request.start
-		g.relay.Meters.FirstToken.Update(float64(now-g.request.start) / float64(spanrill.Second))
+		b.first = now - g.start
+		g.relay.Meters.FirstToken.Update(float64(now-g.start) / float64(spanrill.Second))
 		g.first.NoteLag(now, float64(now-g.quiet)/g.expectedFirst()/slowFirst)
 		g.begun = true
 		for _, p := range g.path.Parts() {
-			p.Upstream.Accepted()
+			p.Upstream.Accepted(g.quiet)
 		}
 	}
 	b.last, g.askAt = now, 0
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -154,8 +154,20 @@
 		}
 		last, now = wait, now+wait
 	}
-	if u.Accepted(); u.Refusing(now) {
-		t.Fatal("it still counts as refusing after a request was taken")
+	if u.Accepted(now - last - 1); !u.Refusing(now - 1) {
+		t.Fatal("a request sent before the last refusal ended the avoidance")
+	}
+	if u.Accepted(now); u.Refusing(now-1) || u.Avoided(now-1) {
+		t.Fatal("it is still avoided after a request was taken")
+	}
+}
+
+// Streams that run on an engine say nothing of whether it takes new requests.
+func TestRunningStreamsDoNotEndARefusal(t *testing.T) {
+	u := newUpstream(spanrill.EngineEntry{})
+	u.Refused(100, true)
+	if u.Worked(110); !u.Avoided(120) {
+		t.Fatal("a running stream ended the avoidance")
 	}
 }
 
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -17,16 +17,13 @@
 	ownCalls   atomic.Int64 // requests of this daemon that run
 	peerCalls  atomic.Int64
 
-	avoidUntil atomic.Int64 // on the daemon's clock; takes no new requests until then
-	avoided    atomic.Int32 // times in a row
-	refusals   atomic.Int32 // of new requests, in a row
-
-	leavesUnsaid atomic.Bool // has refused although it has room
-	dead         atomic.Bool // did not answer when it was asked
-	risk         risk
-	lag          lag
-	pace         atomic.Int64 // reported slowness in thousandths, 0 if not known
-	lastOK       atomic.Int64 // when it last answered or produced something
+	avoidUntil atomic.Int64 // on the daemon's clock; has failed, gets no new requests until then
+	refusal    refusal
+	dead       atomic.Bool // did not answer when it was asked
+	risk       risk
+	lag        lag
+	pace       atomic.Int64 // reported slowness in thousandths, 0 if not known
+	lastOK     atomic.Int64 // when it last answered or produced something
 }
 
 func newUpstream(e spanrill.EngineEntry) *Upstream {
@@ -86,62 +83,6 @@
 	return *old != *target
 }
 
-// Refused notes that the upstream has refused a new request, and keeps new
-// ones away for a while, longer each time until one is taken again. One that
-// refuses although it has room is leaving without a word, or gives up layers: it
-// serves what runs, and is left alone for longer from the first time.
-func (u *Upstream) Refused(now spanrill.Millis, hasRoom bool) {
-	times := min(u.refusals.Add(1), maxRefusals)
-	wait := firstRefusal << (times - 1)
-	if hasRoom {
-		wait = max(wait, roomyRefusal)
-		u.leavesUnsaid.Store(true)
-	}
-	u.Avoid(now, now+wait)
-}
-
-// Told takes another daemon's word that the upstream refuses new requests.
-func (u *Upstream) Told(now spanrill.Millis) {
-	if !u.Avoided(now) {
-		u.leavesUnsaid.Store(true)
-		u.Avoid(now, now+toldRefusal)
-	}
-}
-
-// toldRefusal is how long another daemon's word goes: two rounds of news.
-const toldRefusal spanrill.Millis = 500
-
-// Refusing reports whether the upstream has refused new requests not long ago,
-// and not just because it was full for a moment.
-func (u *Upstream) Refusing(now spanrill.Millis) bool {
-	return (u.leavesUnsaid.Load() || u.refusals.Load() >= refusingTimes) && u.Avoided(now)
-}
-
-// RefusedHere reports whether it was this daemon that found it refusing.
-func (u *Upstream) RefusedHere(now spanrill.Millis) bool {
-	return u.refusals.Load() > 0 && u.Refusing(now)
-}
-
-// Accepted notes that the upstream works on a new request.
-func (u *Upstream) Accepted() {
-	u.refusals.Store(0)
-	u.leavesUnsaid.Store(false)
-}
-
-const (
-	// firstRefusal is how long a first refusal keeps requests away: an engine
-	// that was full for a moment has room again after a few tokens.
-	firstRefusal spanrill.Millis = 60
-	// roomyRefusal is how long an upstream is left alone that refuses although
-	// it has room: about a heartbeat, after which its entry says why.
-	roomyRefusal spanrill.Millis = 1200
-	// maxRefusals bounds the growth: two seconds.
-	maxRefusals = 6
-	// refusingTimes is how many refusals in a row mean that the engine is not
-	// just full: they span 200 ms.
-	refusingTimes = 3
-)
-
 // Service returns the name of the service.
 func (u *Upstream) Service() string { return u.Entry().Service }
 
@@ -152,32 +93,22 @@
 // Removed reports whether the entry is gone.
 func (u *Upstream) Removed() bool { return u.removed.Load() }
 
-// Avoided reports whether the upstream is to be avoided because of failures.
-func (u *Upstream) Avoided(now spanrill.Millis) bool { return int64(now) < u.avoidUntil.Load() }
-
-// Avoid keeps new requests away until then, and reports whether it was not
-// avoided before.
-func (u *Upstream) Avoid(now, until spanrill.Millis) bool {
-	before := u.avoidUntil.Swap(int64(until))
-	fresh := before <= int64(now)
-	if fresh {
-		u.avoided.Add(1)
-	}
-	return fresh
+// Avoided reports whether the upstream is to be avoided because of failures or
+// refusals.
+func (u *Upstream) Avoided(now spanrill.Millis) bool {
+	return int64(now) < u.avoidUntil.Load() || u.refusal.holds(now)
 }
 
-// AvoidedTimes returns how often the upstream was avoided since it last worked.
-func (u *Upstream) AvoidedTimes() int32 { return u.avoided.Load() }
+// Avoid keeps new requests away until then, because of a failure.
+func (u *Upstream) Avoid(until spanrill.Millis) { u.avoidUntil.Store(int64(until)) }
 
-// Worked notes that the upstream has produced something, which ends an
-// avoidance, and reports whether there was one.
-func (u *Upstream) Worked(now spanrill.Millis) bool {
+// Worked notes that the upstream has produced something, which ends an avoidance
+// because of failures. It says nothing of whether it takes new requests.
+func (u *Upstream) Worked(now spanrill.Millis) {
 	u.lastOK.Store(int64(now))
-	if u.avoided.Load() == 0 {
-		return false
+	if u.avoidUntil.Load() != 0 {
+		u.avoidUntil.Store(0)
 	}
-	u.avoided.Store(0)
-	return u.avoidUntil.Swap(0) > int64(now)
 }
 
 // Dead reports whether the upstream did not answer when it was asked last.
