--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -42,7 +42,7 @@
 		leave()
 		end()
 	}
-	if refusal := g.start(); refusal != nil {
+	if refusal := g.open(); refusal != nil {
 		g.release()
 		q.refuse(refusal)
 		q.finish()
@@ -107,8 +107,8 @@
 	}
 }
 
-// start sends the request until an engine has begun its answer.
-func (g *generation) start() *spanrill.Refusal {
+// open sends the request until an engine has begun its answer.
+func (g *generation) open() *spanrill.Refusal {
 	for {
 		if refusal := g.findPath(g.holdLimit()); refusal != nil {
 			return g.orUnknown(refusal)
@@ -153,7 +153,7 @@
 // holdLimit is how long a new request may wait for room: a quarter of its
 // target, after which the caller is told to come back.
 func (g *generation) holdLimit() spanrill.Millis {
-	return g.request.start + g.route.Target/holdPart
+	return g.start + g.route.Target/holdPart
 }
 
 const (
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -15,16 +15,6 @@
 // errCallerGone ends a request whose caller has closed its connection.
 var errCallerGone = errors.New("caller left")
 
-// refusalBody is the body of a final answer of spanrill's own.
-type refusalBody struct {
-	Error struct {
-		Code    string `json:"code"`
-		Type    string `json:"type"`
-		Message string `json:"message"`
-		Outcome string `json:"outcome"`
-	} `json:"error"`
-}
-
 // refuse gives the final answer to a request that is given up.
 //
 // A status of 429 or 503 promises that the request has not run. A refusal
@@ -35,19 +25,17 @@
 	r.Meters.Ended(refusal.Outcome())
 	status := statusOf(refusal)
 	q.logRefusal(refusal, status)
+	body, err := json.Marshal(refusal)
+	if err != nil {
+		r.Log.WithError(err).Error("body of a refusal")
+		body = nil // the status and the headers say the same
+	}
 	resp := &q.http.Response
 	resp.Reset()
 	resp.SetStatusCode(status)
 	resp.Header.SetContentType("application/json")
 	r.Codec.WriteRefusal(&resp.Header, q.head.ID, retryAfter(refusal, status))
-	var body refusalBody
-	body.Error.Code, body.Error.Type = refusal.Reason().Code(), refusal.Reason().Kind()
-	body.Error.Message, body.Error.Outcome = refusal.Detail(), refusal.Outcome().String()
-	data, err := json.Marshal(body)
-	if err != nil {
-		data = []byte(`{"error":{"code":"internal_error"}}`)
-	}
-	resp.SetBodyRaw(data)
+	resp.SetBodyRaw(body)
 	if r.closing.Load() {
 		q.http.SetConnectionClose()
 	}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -26,6 +26,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
@@ -180,7 +181,7 @@
 // be in a newer configuration, unless the one held is proved fresh.
 func (q *request) match() *spanrill.Refusal {
 	header := &q.http.Request.Header
-	path, _, _ := cutQuery(string(header.RequestURI()))
+	path, _, _ := strings.Cut(string(header.RequestURI()), "?")
 	route, ok := q.table.Find(string(header.Host()), path)
 	if !ok {
 		return q.unknown(spanrill.ReasonUnknownRoute, "no such route")
@@ -205,15 +206,6 @@
 	return spanrill.NewRefusal(reason, "%s", text)
 }
 
-func cutQuery(uri string) (path, query string, found bool) {
-	for i := range len(uri) {
-		if uri[i] == '?' {
-			return uri[:i], uri[i+1:], true
-		}
-	}
-	return uri, "", false
-}
-
 // fresh reports whether the configuration is proved fresh enough for a request
 // with a key.
 func (q *request) fresh() bool { return q.relay.Config.Age() <= q.relay.bounds.Freshness }
--- a/coordination/retry/shared_test.go
+++ b/coordination/retry/shared_test.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// takeAll takes retries until there are none, and returns how many there were.
+func takeAll(s *Shared) int {
+	n := 0
+	for s.Take() {
+		n++
+	}
+	return n
+}
+
 // A daemon that needs retries when others do not gets more than an equal part.
 func TestOneDaemonGetsWhatOthersLeave(t *testing.T) {
 	const daemons = 8
@@ -69,9 +78,7 @@
 	s := NewShared(c, testLimits, daemons)
 	n := 0
 	for range 8 {
-		for s.Take() {
-			n++
-		}
+		n += takeAll(s)
 		c.Advance(250)
 		s.Round(Count{Requests: 500}, daemons, daemons)
 	}
@@ -87,9 +94,7 @@
 	s := NewShared(c, testLimits, daemons)
 	n := 0
 	for range 36 {
-		for s.Take() {
-			n++
-		}
+		n += takeAll(s)
 		c.Advance(250)
 		s.Round(Count{}, 1, daemons)
 	}
--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"net"
 
 	"github.com/pkg/errors"
@@ -54,7 +56,7 @@
 }
 
 func serveHTTP(ctx context.Context, ln net.Listener, handler fasthttp.RequestHandler) error {
-	s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, Logger: silent{}}
+	s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, Logger: log.New(io.Discard, "", 0)}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	if err := s.Serve(ln); err != nil && ctx.Err() == nil {
@@ -62,9 +64,3 @@
 	}
 	return nil
 }
-
-// silent drops the log lines of the HTTP library.
-type silent struct{}
-
-// Printf drops a line.
-func (silent) Printf(string, ...any) {}
--- a/protocol/callerapi/call.go
+++ b/protocol/callerapi/call.go
@@ -85,7 +85,7 @@
 	c.setOutcome(r.Outcome())
 	c.setRetryAfter(r.RetryAfter())
 	c.ctx.SetStatusCode(r.Reason().Status())
-	c.writeJSON(errorOf(r))
+	c.writeJSON(r)
 }
 
 func (c *call) count(r *spanrill.Refusal) {
--- a/protocol/callerapi/server.go
+++ b/protocol/callerapi/server.go
@@ -19,6 +19,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -107,18 +109,11 @@
 		IdleTimeout:           2 * time.Minute,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		Logger:                silent{},
+		Logger:                log.New(io.Discard, "", 0),
 	}
 	return s
 }
 
-// silent drops the log lines of fasthttp; what matters is counted and logged
-// as an event here.
-type silent struct{}
-
-// Printf drops a line.
-func (silent) Printf(string, ...any) {}
-
 // Serve serves until the listener is closed by Shutdown. The context cancels
 // the requests that run.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
--- a/protocol/callerapi/stream.go
+++ b/protocol/callerapi/stream.go
@@ -175,5 +175,5 @@
 // fail ends the stream with an explicit error, so that a cut answer never
 // looks whole.
 func (e *eventWriter) fail(r *spanrill.Refusal) {
-	_ = e.data(errorOf(r))
+	_ = e.data(r)
 }
--- a/protocol/callerapi/wire.go
+++ b/protocol/callerapi/wire.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-
-	"spanrill"
 )
 
 // Paths of the interface for inference clients.
@@ -43,29 +41,6 @@
 	IncludeUsage bool `json:"include_usage"`
 }
 
-type errorBody struct {
-	Error errorObject `json:"error"`
-}
-
-// errorObject is the customary error of inference interfaces.
-type errorObject struct {
-	Message string  `json:"message"`
-	Type    string  `json:"type"`
-	Param   *string `json:"param"`
-	Code    string  `json:"code"`
-	Outcome string  `json:"outcome"`
-}
-
-func errorOf(r *spanrill.Refusal) errorBody {
-	e := errorObject{
-		Message: r.Detail(), Type: r.Reason().Kind(), Code: r.Reason().Code(), Outcome: r.Outcome().String(),
-	}
-	if field := r.Field(); field != "" {
-		e.Param = &field
-	}
-	return errorBody{Error: e}
-}
-
 type usage struct {
 	PromptTokens     int          `json:"prompt_tokens"`
 	CompletionTokens int          `json:"completion_tokens"`
--- a/refusal.go
+++ b/refusal.go
@@ -1,6 +1,7 @@
 package spanrill
 
 import (
+	"encoding/json"
 	"fmt"
 )
 
@@ -167,3 +168,26 @@
 func (r *Refusal) Error() string {
 	return r.reason.Code() + ": " + r.detail
 }
+
+// errorObject is the customary error of inference interfaces.
+type errorObject struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+	Outcome string  `json:"outcome"`
+}
+
+// MarshalJSON returns the body of the final answer: an object error with the
+// message, its type, the field at fault or null, the code and the outcome.
+func (r *Refusal) MarshalJSON() ([]byte, error) {
+	e := errorObject{Message: r.detail, Type: r.reason.Kind(), Code: r.reason.Code(), Outcome: r.outcome.String()}
+	if r.field != "" {
+		e.Param = &r.field
+	}
+	body, err := json.Marshal(map[string]errorObject{"error": e})
+	if err != nil {
+		return nil, fmt.Errorf("encode refusal: %w", err)
+	}
+	return body, nil
+}
--- a/standin/web/web.go
+++ b/standin/web/web.go
@@ -10,6 +10,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"sync"
 
@@ -33,17 +35,11 @@
 	return &Server{
 		conns: map[net.Conn]bool{},
 		http: &fasthttp.Server{
-			Handler: handler, NoDefaultServerHeader: true, MaxRequestBodySize: maxBody, Logger: silent{},
+			Handler: handler, NoDefaultServerHeader: true, MaxRequestBodySize: maxBody, Logger: log.New(io.Discard, "", 0),
 		},
 	}
 }
 
-// silent drops the log lines of fasthttp: cut connections are part of tests.
-type silent struct{}
-
-// Printf drops a line.
-func (silent) Printf(string, ...any) {}
-
 // Listen serves on addr and returns the address in use.
 func (s *Server) Listen(addr string) (string, error) {
 	ln, err := net.Listen("tcp", addr)
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -13,6 +13,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -59,18 +61,11 @@
 		Handler: handler, HeaderReceived: s.bounds, ErrorHandler: answerParseError,
 		ReadBufferSize: headerRoom, MaxRequestBodySize: bodyRoom, IdleTimeout: idleMark,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		DisablePreParseMultipartForm: true, Logger: silent{}, ReduceMemoryUsage: true,
+		DisablePreParseMultipartForm: true, Logger: log.New(io.Discard, "", 0), ReduceMemoryUsage: true,
 	}
 	return s
 }
 
-// silent drops the log lines of the HTTP library: requests are logged by the
-// parts that decide about them.
-type silent struct{}
-
-// Printf drops a line.
-func (silent) Printf(string, ...any) {}
-
 func (s *Server) bounds(*fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if n := s.limits().BodyBytes; n > 0 {
 		return fasthttp.RequestConfig{MaxRequestBodySize: n}
