Cut no request that runs through engines that leave, and move the less used of two

A hole that two leaving engines served side by side was taken for lost, because no single one of them held it whole, and the orders that filled it cut the requests that still ran there. A spare that held the same layers as a part of a chain was taken for the part, or the other way round, by its id, so that the one with all the requests could be moved. Ruled out: the end of the daemons (none stopped then). Change: a hole is lost only where leaving engines together do not cover it; of two holders of the same layers the one with more reserved tokens is the part.

--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -25,6 +25,7 @@
 	ID     string
 	Zone   string
 	Layers spanrill.LayerRange
+	Used   int64 // of holders of the same layers the most used one is a part and not a spare
 }
 
 // Chain is a series of holders in the order of their layers.
@@ -113,6 +114,9 @@
 		if a.Layers.To != b.Layers.To {
 			return a.Layers.To < b.Layers.To
 		}
+		if a.Used != b.Used {
+			return a.Used > b.Used
+		}
 		return a.ID < b.ID
 	})
 	return out
--- a/coordination/layout/layout.go
+++ b/coordination/layout/layout.go
@@ -30,6 +30,7 @@
 	Fixed  bool                `json:"fixed,omitempty"`  // takes no order now: it loads, or is not well
 	Leaves bool                `json:"leaves,omitempty"` // serves what runs, and takes nothing new
 	Slow   bool                `json:"slow,omitempty"`   // serves, but holds up its chain
+	Tokens int64               `json:"tokens,omitempty"` // reserved by requests that run
 }
 
 // Move gives an engine a range.
@@ -342,7 +343,7 @@
 func chainsOf(m *spanrill.EngineModel, all []candidate) ([]*chain.Chain, []chain.Holder) {
 	holders := make([]chain.Holder, 0, len(all))
 	for _, e := range all {
-		holders = append(holders, chain.Holder{ID: e.ID, Zone: e.Zone, Layers: e.Layers})
+		holders = append(holders, chain.Holder{ID: e.ID, Zone: e.Zone, Layers: e.Layers, Used: e.Tokens})
 	}
 	return chain.Read(m.Layers, holders)
 }
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -69,15 +69,17 @@
 	cut     bool // the moves that follow may cut requests
 }
 
-// lost reports whether requests on a chain are lost because of its holes: an
-// engine that leaves serves on what runs.
+// lost reports whether requests on a chain are lost because of its holes:
+// engines that leave serve on what runs.
 func (r *repair) lost(c *chain.Chain) bool {
-	for _, hole := range c.Holes() {
-		served := false
-		for _, e := range r.leaving {
-			served = served || e.Zone == c.Zone() && e.Layers.From <= hole.From && hole.To <= e.Layers.To
+	var served []spanrill.LayerRange
+	for _, e := range r.leaving {
+		if e.Zone == c.Zone() {
+			served = append(served, e.Layers)
 		}
-		if !served {
+	}
+	for _, hole := range c.Holes() {
+		if !hole.CoveredBy(served) {
 			return true
 		}
 	}
--- /dev/null
+++ b/coordination/layout/spare_test.go
@@ -0,0 +1,57 @@
+package layout
+
+import (
+	"testing"
+
+	"spanrill"
+)
+
+// quarter returns an engine that holds 20 of the 80 layers and could hold all.
+func quarter(id string, from int) Engine {
+	return Engine{ID: id, Zone: "a", Kind: "huge", Layers: spanrill.LayerRange{From: from, To: from + 20}}
+}
+
+func hugeModel() *spanrill.EngineModel {
+	m := testModel()
+	m.Kinds["huge"] = spanrill.KindModel{Name: "huge", MemoryMB: 200000, Pace: 1, ReadFactor: 1}
+	return m
+}
+
+// Requests that run through engines that leave are not lost yet, also where two
+// of them leave side by side. What fills the hole may not cut any.
+func TestRequestsOfLeavingEnginesAreNotCut(t *testing.T) {
+	one, two := quarter("leaving-1", 20), quarter("leaving-2", 40)
+	one.Leaves, two.Leaves = true, true
+	engines := []Engine{quarter("first", 0), quarter("spare", 0), one, two, quarter("last", 60)}
+	moves := Repair(hugeModel(), engines)
+	if len(moves) == 0 {
+		t.Fatal("the hole is not filled")
+	}
+	for _, move := range moves {
+		if move.Cut {
+			t.Errorf("%v cuts what runs", move)
+		}
+	}
+}
+
+// Of two engines with the same layers that one is moved which serves less.
+func TestTheLessUsedEngineMoves(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		first, second     int64
+		want, wantToStays string
+	}{
+		{"the second is used", 10, 90000, "e1", "e2"},
+		{"the first is used", 90000, 10, "e2", "e1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e1, e2 := quarter("e1", 0), quarter("e2", 0)
+			e1.Tokens, e2.Tokens = c.first, c.second
+			engines := []Engine{e1, e2, quarter("e3", 40), quarter("e4", 60)}
+			moves := Repair(hugeModel(), engines)
+			if len(moves) != 1 || moves[0].Engine != c.want {
+				t.Fatalf("moves %v, want %s to be moved and %s to stay", moves, c.want, c.wantToStays)
+			}
+		})
+	}
+}
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -151,7 +151,7 @@
 		entry := u.Entry()
 		e := layout.Engine{
 			ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers,
-			Leaves: !u.Takes() || u.Refusing(now), Slow: u.Slow(),
+			Leaves: !u.Takes() || u.Refusing(now), Slow: u.Slow(), Tokens: u.Tokens(),
 		}
 		if t := u.Target(); t != nil {
 			e.Layers, e.Fixed = t.Layers, !t.Done
