Large fleets: judge silence with evidence, spread news in trees, share retries without hearing all

Ruled out: engines that die (none did), the store, the processors (0.026 cores). Change: a probe's silence counts only if this process ran and something came from another engine; the watched silence follows the usual pause of the path; peers are asked in turn and two parents in trees over the ranks, the holder's word is handed on; one large fetch at a time, configurations compressed; only ranked daemons contend for the lease; retry budget for fleets that need many rounds; figures of the peers heard stand for all; choices vary where figures are old; the placer asks an engine itself before it is repaired.

--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"math"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -63,6 +64,11 @@
 	// figures of other daemons are a quarter of a second old.
 	fill       = 0.88
 	fillUrgent = 0.96
+	// fillLag is how much less of the memory is used where the figures of other
+	// daemons are old: in two seconds a third of the requests of a chain change.
+	fillLag = 0.15
+	// lagRounds is the rounds of news from which figures count as old.
+	lagRounds = 8
 	// fullness weighs how full a chain is against its speed: a chain that is
 	// half full counts half as slow again.
 	fullness = 2.0
@@ -71,7 +77,8 @@
 	otherZoneMillis = 20.0
 	// riskWeight makes a path longer by the share of failures of its engines.
 	riskWeight = 3.0
-	// spread varies the estimates of choices that all daemons make at once.
+	// spread varies the estimates of choices that all daemons make at once, or
+	// from old figures: all would take the same path otherwise.
 	spread = 1.0
 	// bridgeFactor makes a path with bridges a second choice.
 	bridgeFactor = 1.3
@@ -88,6 +95,7 @@
 	mu    sync.Mutex
 	cache map[string]*layouts
 	pipes pipes
+	lag   atomic.Int64 // by how much the figures of other daemons are old, in thousandths
 }
 
 // layouts is the chains of a service in one view.
@@ -158,6 +166,11 @@
 func (r *Router) Pick(service string, m *spanrill.EngineModel, need Need) (*Path, error) {
 	v := r.table.View()
 	s := &search{view: v, service: service, model: m, need: need, now: r.clock.Now(), pipes: &r.pipes}
+	s.lag = r.Lag()
+	vary := spread * s.lag
+	if need.Spread {
+		vary = spread
+	}
 	var best []Part
 	var seen []considered
 	bestCost, covered := math.Inf(1), false
@@ -176,8 +189,8 @@
 		if bridged {
 			estimate *= bridgeFactor
 		}
-		if need.Spread {
-			estimate *= 1 + spread*r.random.Float64()
+		if vary > 0 {
+			estimate *= 1 + vary*r.random.Float64()
 		}
 		if estimate < bestCost {
 			best, bestCost = parts, estimate
@@ -223,8 +236,18 @@
 // roomy is the part of an engine's memory and slots up to which it has room.
 const roomy = 0.7
 
-// SetDaemons sets how many daemons share the pipes between availability zones.
-func (r *Router) SetDaemons(n int) { r.pipes.daemons.Store(int64(max(1, n))) }
+// SetFleet sets how many daemons share the pipes between availability zones, and
+// how many rounds of news pass until each of them was heard of.
+func (r *Router) SetFleet(daemons, rounds int) {
+	r.pipes.daemons.Store(int64(max(1, daemons)))
+	r.lag.Store(int64(lagUnit * min(1, float64(rounds-1)/lagRounds)))
+}
+
+const lagUnit = 1000
+
+// Lag returns how old the figures of other daemons are, from 0 (a round of news)
+// to 1.
+func (r *Router) Lag() float64 { return float64(r.lag.Load()) / lagUnit }
 
 // Replace returns a path that keeps the first engine and every other engine of
 // p that can be used, and bridges the rest. Near allows only bridges in the
--- a/coordination/chainrouting/search.go
+++ b/coordination/chainrouting/search.go
@@ -18,7 +18,8 @@
 	now     spanrill.Millis
 	none    error
 	pipes   *pipes
-	zone    string // bridges are taken from this availability zone alone, unless ""
+	lag     float64 // how old the figures of other daemons are, from 0 to 1
+	zone    string  // bridges are taken from this availability zone alone, unless ""
 }
 
 func (s *search) usable(u *fleet.Upstream) bool {
@@ -126,7 +127,7 @@
 	if u == nil {
 		return 0
 	}
-	part := fill
+	part := fill - fillLag*s.lag
 	if s.need.Urgent {
 		part = fillUrgent
 	}
--- a/coordination/exchange/apply.go
+++ b/coordination/exchange/apply.go
@@ -11,7 +11,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
-	e.shareBudgets(now)
+	rounds := e.Rounds()
+	e.shareBudgets(now, rounds)
+	keep := e.keepTime(rounds)
 	type sum struct{ tokens, calls int64 }
 	sums := map[uint32]sum{}
 	for name, h := range e.heard {
@@ -24,13 +26,14 @@
 			sums[u.Upstream] = sum{tokens: s.tokens + u.Tokens, calls: s.calls + u.Calls}
 		}
 	}
+	scale := e.unheard(rounds)
 	e.state.Fleet.View().Each(e.forgetShown)
-	e.applyPaces(now)
+	e.applyPaces()
 	e.applyRefusals(now)
 	targets, changed := e.targetsNow(now), false
 	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
 		s := sums[hash(u.ID())]
-		u.SetPeers(s.tokens, s.calls)
+		u.SetPeers(int64(float64(s.tokens)*scale), int64(float64(s.calls)*scale))
 		var target *fleet.Target
 		if t, ok := targets[hash(u.ID())]; ok {
 			target = &t
@@ -42,6 +45,26 @@
 	}
 }
 
+// keepTime is how long the figures of a peer are counted.
+func (e *Exchange) keepTime(rounds int) spanrill.Millis {
+	return max(keep, gap*spanrill.Millis(rounds)+keepMargin)
+}
+
+// keepMargin is how much later than planned a peer may answer: two of its rounds
+// and a question that had to be asked again.
+const keepMargin = 650
+
+// unheard is by how much the figures of the peers that were heard of are
+// multiplied to stand for all, in a fleet where not all are asked in each round.
+// The caller holds the lock.
+func (e *Exchange) unheard(rounds int) float64 {
+	others := len(e.peers.Others())
+	if rounds == 1 || len(e.heard) == 0 {
+		return 1
+	}
+	return max(1, float64(others)/float64(len(e.heard)))
+}
+
 // applyRefusals takes from other daemons which upstreams refuse their requests,
 // so that not every daemon finds out by requests of its own. The caller holds
 // the lock.
@@ -68,37 +91,13 @@
 // refusalFresh is how old such news may be: two rounds.
 const refusalFresh spanrill.Millis = 500
 
-// applyPaces takes from the holder of the lease, which asks all engines now and
-// then, which of them are slow. The caller holds the lock.
-func (e *Exchange) applyPaces(now spanrill.Millis) {
-	for _, h := range e.heard {
-		if !h.news.Placement || now-h.at > placementFresh {
-			continue
-		}
-		paces := map[uint32]float64{}
-		for _, p := range h.news.Slow {
-			paces[p.Upstream] = p.Times
-		}
-		changed := false
-		e.state.Fleet.View().Each(func(u *fleet.Upstream) {
-			before := u.Slow()
-			u.SetPace(paces[hash(u.ID())])
-			changed = changed || u.Slow() != before
-		})
-		if changed {
-			e.state.Fleet.Touch()
-		}
-		return
-	}
-}
-
 // shareBudgets hands on what other daemons have counted for the retry budgets.
 // The caller holds the lock.
-func (e *Exchange) shareBudgets(now spanrill.Millis) {
+func (e *Exchange) shareBudgets(now spanrill.Millis, rounds int) {
 	others := map[string]retry.Count{}
 	heard := 1
 	for _, h := range e.heard {
-		if now-h.at > budgetFresh {
+		if now-h.at > gap*spanrill.Millis(rounds)+keepMargin {
 			continue
 		}
 		heard++
@@ -107,24 +106,18 @@
 			others[c.Service] = retry.Count{Requests: sum.Requests + c.Requests, Retries: sum.Retries + c.Retries}
 		}
 	}
-	e.state.Budgets.Round(others, heard, max(heard, 1+len(e.peers.Others())))
+	e.state.Budgets.Round(others, retry.Fleet{Heard: heard, Daemons: max(heard, 1+len(e.peers.Others())), Rounds: rounds})
 }
 
-// budgetFresh is how old the counts of a daemon may be: a few rounds.
-const budgetFresh spanrill.Millis = 900
-
 // targetsNow returns what engines are being ordered to hold, as this daemon
 // does it or a holder of the lease has said. What a holder has said is believed
 // for a while after it is no longer heard of: its orders are carried out, and
 // entries follow them late, or not at all while the store is away. The caller
 // holds the lock.
 func (e *Exchange) targetsNow(now spanrill.Millis) map[uint32]fleet.Target {
-	for _, h := range e.heard {
-		if !h.news.Placement || now-h.at > placementFresh {
-			continue
-		}
-		for _, t := range h.news.Targets {
-			e.remember(t.Upstream, fleet.Target{Layers: spanrill.LayerRange{From: t.From, To: t.To}, Done: t.Done}, h.at)
+	if e.fresh(e.placement) {
+		for _, t := range e.placement.said.Targets {
+			e.remember(t.Upstream, fleet.Target{Layers: spanrill.LayerRange{From: t.From, To: t.To}, Done: t.Done}, e.placement.at)
 		}
 	}
 	for id, target := range e.state.Targets() {
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -7,6 +7,11 @@
 // the platform's store turns away proves its configuration in this way, and
 // fetches a newer one from the peer that has it.
 //
+// In a small fleet each daemon asks all others in every round. In a larger one
+// it asks as many as before, those first that it has not asked for longest, and
+// two parents in trees over all daemons (tree.go), so that what the daemons at
+// their roots read from the platform's store reaches all in a few rounds.
+//
 // # Usage
 //
 //	e := exchange.New(peers, exchange.State{...}, clock)
@@ -15,6 +20,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -36,6 +42,9 @@
 type Peers interface {
 	// Others returns the daemons that are alive, without this one.
 	Others() []peermsg.Member
+	// Ranked returns all daemons that are alive, with this one, in the order in
+	// which they ask the platform's store.
+	Ranked() []peermsg.Member
 	// Ask sends a request to a peer and decodes its reply.
 	Ask(ctx context.Context, addr string, kind uint8, req, reply any) error
 }
@@ -56,9 +65,10 @@
 }
 
 const (
-	// gap is the pause between two rounds. What other daemons hold is this old
+	// Gap is the pause between two rounds. What other daemons hold is this old
 	// in the worst case; in that time a daemon of today starts two requests.
-	gap spanrill.Millis = 250
+	Gap spanrill.Millis = 250
+	gap                 = Gap
 	// askWait bounds one question: many times a round trip of 1 ms.
 	askWait spanrill.Millis = 400
 	// fanout bounds how many peers are asked in a round.
@@ -80,8 +90,14 @@
 	heard map[string]heard // by name of the peer
 	told  map[uint32]told  // by hash of the engine's id
 
-	asking map[string]bool // peers with a question under way
-	asks   task.Group
+	asking  map[string]bool            // peers with a question under way
+	askedAt map[string]spanrill.Millis // by name of the peer, when it was asked last
+	asks    task.Group
+
+	placement placement // what the holder of the lease said last
+
+	fetching chan struct{} // holds one token while something large is fetched
+	packed   packed        // the configuration as peers fetch it
 }
 
 // heard is the last news of a peer.
@@ -92,7 +108,7 @@
 
 // New returns an exchange.
 func New(peers Peers, state State, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source) *Exchange {
-	return &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}, asking: map[string]bool{}}
+	return &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}, asking: map[string]bool{}, askedAt: map[string]spanrill.Millis{}, fetching: make(chan struct{}, 1)}
 }
 
 // Run asks for news until the context ends.
@@ -147,6 +163,7 @@
 		return false
 	}
 	e.asking[name] = true
+	e.askedAt[name] = e.clock.Now()
 	return true
 }
 
@@ -156,15 +173,6 @@
 	delete(e.asking, name)
 }
 
-func (e *Exchange) targets() []peermsg.Member {
-	others := e.peers.Others()
-	for i := len(others) - 1; i > 0; i-- {
-		k := e.random.IntN(i + 1)
-		others[i], others[k] = others[k], others[i]
-	}
-	return others[:min(fanout, len(others))]
-}
-
 func (e *Exchange) ask(ctx context.Context, m peermsg.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, askWait.Duration())
 	defer cancel()
@@ -176,21 +184,64 @@
 	e.mu.Lock()
 	e.heard[m.Name] = heard{news: news, at: sent}
 	e.mu.Unlock()
-	if news.LeaseLeft > 0 {
-		e.state.Lease.Heard(news.LeaseVersion, news.LeaseLeft)
+	if news.Placement == nil {
+		e.forgetPlacement(m.Name, sent)
 	}
-	if news.Revision > e.state.Config.Revision() {
-		if err := e.fetch(ctx, m); err != nil {
-			return err
-		}
+	e.takePlacement(news.Placement, sent)
+	if err := e.catchUpConfig(ctx, m, news.Revision); err != nil {
+		return err
 	}
 	e.state.Config.Prove(news.Revision, sent-news.ProofAge)
-	if news.UpstreamsAt == 0 || e.state.Fleet.Prove(news.UpstreamsAt, news.UpstreamsChange, sent-news.UpstreamsAge) {
+	return e.catchUpEntries(ctx, m, &news, sent)
+}
+
+// catchUpConfig fetches a peer's configuration if it is newer. Several peers that
+// are asked at the same time have the same one, so that one fetch waits for the
+// other: large messages side by side would fill a slow link.
+func (e *Exchange) catchUpConfig(ctx context.Context, m peermsg.Member, revision uint64) error {
+	if revision <= e.state.Config.Revision() {
+		return nil
+	}
+	if err := e.lock(ctx); err != nil {
+		return err
+	}
+	defer e.unlock()
+	if revision <= e.state.Config.Revision() {
+		return nil
+	}
+	return e.fetch(ctx, m)
+}
+
+// catchUpEntries does the same for the entries of upstreams.
+func (e *Exchange) catchUpEntries(ctx context.Context, m peermsg.Member, news *peermsg.News, sent spanrill.Millis) error {
+	proved := func() bool {
+		return news.UpstreamsAt == 0 || e.state.Fleet.Prove(news.UpstreamsAt, news.UpstreamsChange, sent-news.UpstreamsAge)
+	}
+	if proved() {
+		return nil
+	}
+	if err := e.lock(ctx); err != nil {
+		return err
+	}
+	defer e.unlock()
+	if proved() {
 		return nil
 	}
 	return e.fetchEntries(ctx, m)
 }
 
+// lock waits until nothing large is being fetched.
+func (e *Exchange) lock(ctx context.Context) error {
+	select {
+	case e.fetching <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait to fetch: %w", ctx.Err())
+	}
+}
+
+func (e *Exchange) unlock() { <-e.fetching }
+
 // fetchEntries takes newer entries of upstreams from a peer.
 func (e *Exchange) fetchEntries(ctx context.Context, m peermsg.Member) error {
 	sent := e.clock.Now()
@@ -215,42 +266,27 @@
 	if err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindRouteConfig), nil, &c); err != nil {
 		return err
 	}
-	config, err := e.state.Decode(c.Value)
+	value, err := unpack(c.Value)
+	var config *spanrill.RouteConfig
+	if err == nil {
+		config, err = e.state.Decode(value)
+	}
 	if err != nil {
 		events.ConfigRejected.Log(e.log, logrus.Fields{"peer": m.Name, "revision": c.Revision, "error": err})
 		return err
 	}
-	if e.state.Config.Take(routes.New(config), c.Value, c.Revision) {
+	if e.state.Config.Take(routes.New(config), value, c.Revision) {
 		events.ConfigFromPeer.Log(e.log, logrus.Fields{"peer": m.Name, "revision": c.Revision, "config": config.Version})
 	}
 	return nil
 }
 
-// PlacementHeld reports whether a peer has said lately that it holds the lease
-// of placement.
-func (e *Exchange) PlacementHeld() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.clock.Now()
-	for _, h := range e.heard {
-		if h.news.Placement && now-h.at < placementFresh {
-			return true
-		}
-	}
-	return false
-}
-
-// placementFresh is how long a peer's word that it holds the lease is believed:
-// a few rounds.
-const placementFresh = spanrill.Second
-
 // News answers a question for news.
 func (e *Exchange) News() *peermsg.News {
 	n := &peermsg.News{
 		Name: e.state.Name, Revision: e.state.Config.Revision(), ProofAge: e.state.Config.Age(),
-		Placement: e.state.Placement(), Leaving: e.state.Leaving(),
+		Placement: e.placementNews(), Leaving: e.state.Leaving(),
 	}
-	n.LeaseVersion, n.LeaseLeft = e.state.Lease.Left()
 	n.UpstreamsAt, n.UpstreamsChange, n.UpstreamsAge = e.state.Fleet.Proof()
 	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
 		tokens, calls := u.OwnTokens(), u.OwnCalls()
@@ -267,23 +303,8 @@
 			n.Refusing = append(n.Refusing, hash(u.ID()))
 		}
 	})
-	if n.Placement {
-		e.state.Fleet.View().Each(func(u *fleet.Upstream) {
-			if u.Slow() {
-				n.Slow = append(n.Slow, peermsg.Pace{Upstream: hash(u.ID()), Times: u.Pace()})
-			}
-		})
-	}
-	for id, t := range e.state.Targets() {
-		n.Targets = append(n.Targets, peermsg.Target{Upstream: hash(id), From: t.Layers.From, To: t.Layers.To, Done: t.Done})
-	}
 	return n
 }
 
-// RouteConfig answers a question for the configuration.
-func (e *Exchange) RouteConfig() *peermsg.RouteConfig {
-	return &peermsg.RouteConfig{Revision: e.state.Config.Revision(), Value: e.state.Config.Raw()}
-}
-
 // hash shortens an id for messages.
 func hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
--- a/coordination/exchange/exchange_test.go
+++ b/coordination/exchange/exchange_test.go
@@ -32,6 +32,8 @@
 
 func (p *peer) Others() []peermsg.Member { return []peermsg.Member{{Name: "peer", PeerAddr: "peer"}} }
 
+func (p *peer) Ranked() []peermsg.Member { return append(p.Others(), peermsg.Member{Name: "here"}) }
+
 func (p *peer) Ask(_ context.Context, _ string, kind uint8, _, reply any) error {
 	if p.silent {
 		return errSilent
@@ -68,7 +70,7 @@
 	return c, json.Unmarshal(value, c)
 }
 
-func newDaemon(c *clock.Manual, peers Peers) *daemon {
+func newDaemon(c *clock.Manual, name string, peers Peers) *daemon {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d := &daemon{config: routes.NewCurrent(c), targets: map[string]fleet.Target{}}
@@ -78,7 +80,7 @@
 	}, fleet.WithLogger(log))
 	d.budgets = retry.NewBudgets(c, retry.Limits{Ratio: 0.2, Slack: 200, Window: 10000}, 2)
 	d.exchange = New(peers, State{
-		Name: "d", Config: d.config, Fleet: d.table, Decode: decodeConfig, Budgets: d.budgets,
+		Name: name, Config: d.config, Fleet: d.table, Decode: decodeConfig, Budgets: d.budgets,
 		Placement: func() bool { return d.placement }, Leaving: func() bool { return false },
 		Targets: func() map[string]fleet.Target { return d.targets },
 		Lease:   lease.New(nil, c, "placement", "d"),
@@ -90,7 +92,7 @@
 	c = clock.NewManual()
 	c.Advance(100_000)
 	wire = &peer{clock: c, takes: takes}
-	here, there = newDaemon(c, wire), newDaemon(c, wire)
+	here, there = newDaemon(c, "here", wire), newDaemon(c, "peer", wire)
 	wire.exchange = there.exchange
 	return c, here, there, wire
 }
@@ -224,7 +226,7 @@
 func TestSilentPeerHoldsUpNothing(t *testing.T) {
 	c, _, there, wire := pair(1)
 	both := stuck{peer: wire, let: make(chan struct{})}
-	here := newDaemon(c, both)
+	here := newDaemon(c, "here", both)
 	there.take(5, 50, c.Now())
 	ended := make(chan struct{})
 	go func() {
--- a/coordination/layoutrun/carrier.go
+++ b/coordination/layoutrun/carrier.go
@@ -13,10 +13,12 @@
 const (
 	// callWait bounds one question or order: many times a round trip.
 	callWait spanrill.Millis = 300
-	// tellTime is how long before an order that takes layers away the other
-	// daemons are told of it, so that they send nothing there for these layers.
-	// They ask for news every quarter of a second.
-	tellTime spanrill.Millis = 400
+	// tellMargin is how much longer than news takes to all daemons they are told
+	// of an order before it takes layers away, so that they send nothing there
+	// for these layers: a question and its answer.
+	tellMargin spanrill.Millis = 150
+	// usualSpread is how long news takes where nothing else is known: one round.
+	usualSpread spanrill.Millis = 250
 	// askGap is the pause between two questions to an engine that loads. Each
 	// question is paid for.
 	askGap spanrill.Millis = 300
@@ -45,7 +47,7 @@
 // that one of the two is void.
 func (c *carrier) run(ctx context.Context) {
 	tell := takesAway(c.upstream.Entry().Layers, c.order.move.Layers) && !c.order.move.Cut
-	if tell && !c.pause(ctx, tellTime) {
+	if tell && !c.pause(ctx, c.placer.spread()+tellMargin) {
 		c.placer.end(c.order, false)
 		return
 	}
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -67,7 +67,9 @@
 	grewAt  map[string]spanrill.Millis
 	firstAt map[string]spanrill.Millis
 	orders  task.Group
-	askedAt spanrill.Millis // when all engines were asked for their pace
+	spread  func() spanrill.Millis // how long news takes to all daemons
+	doubts  map[string]*doubt      // by engine
+	askedAt spanrill.Millis        // when all engines were asked for their pace
 }
 
 // order is a change that an engine is being brought to.
@@ -77,13 +79,26 @@
 	drop spanrill.Millis // when to forget it, if over 0
 }
 
+// Option changes a default of New.
+type Option func(*Placer)
+
+// WithSpread sets where it is read how long news takes to all daemons.
+func WithSpread(spread func() spanrill.Millis) Option {
+	return func(p *Placer) { p.spread = spread }
+}
+
 // New returns a placer.
-func New(mayAct MayAct, engines spanrill.LayerEngines, table *fleet.Table, models Models, clock spanrill.Clock, log logrus.FieldLogger) *Placer {
-	return &Placer{
+func New(mayAct MayAct, engines spanrill.LayerEngines, table *fleet.Table, models Models, clock spanrill.Clock, log logrus.FieldLogger, opts ...Option) *Placer {
+	p := &Placer{
 		mayAct: mayAct, engines: engines, table: table, models: models, clock: clock, log: log,
 		ordered: map[string]*order{}, known: map[string]int{},
 		grewAt: map[string]spanrill.Millis{}, firstAt: map[string]spanrill.Millis{},
+		spread: func() spanrill.Millis { return usualSpread }, doubts: map[string]*doubt{},
 	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // Run looks at the engines until the context ends.
@@ -107,9 +122,10 @@
 		if s.Model == nil {
 			continue
 		}
-		engines, anyHeld := p.look(&s)
+		_, may := p.mayAct()
+		engines, anyHeld := p.look(ctx, &s, may)
 		settled := p.settled(s.Name, len(engines))
-		if _, ok := p.mayAct(); !ok || !anyHeld && !settled {
+		if !may || !anyHeld && !settled {
 			continue
 		}
 		moves := layout.Repair(s.Model, engines)
@@ -140,18 +156,19 @@
 
 // look returns the engines of a service as the planner needs them, and whether
 // any of them holds layers.
-func (p *Placer) look(s *spanrill.ServiceInfo) (engines []layout.Engine, anyHeld bool) {
+func (p *Placer) look(ctx context.Context, s *spanrill.ServiceInfo, may bool) (engines []layout.Engine, anyHeld bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	for _, u := range p.table.View().Of(s.Name) {
-		if u.Removed() || u.Dead() {
+		lost, leaves := p.judge(ctx, u, now, may)
+		if u.Removed() || lost {
 			continue
 		}
 		entry := u.Entry()
 		e := layout.Engine{
 			ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers,
-			Leaves: !u.Takes() || u.Refusing(now), Slow: u.Slow(), Tokens: u.Tokens(),
+			Leaves: !u.Takes() || leaves, Slow: u.Slow(), Tokens: u.Tokens(),
 		}
 		if t := u.Target(); t != nil {
 			e.Layers, e.Fixed = t.Layers, !t.Done
@@ -171,6 +188,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, view := p.clock.Now(), p.table.View()
+	for id := range p.doubts {
+		if view.ByID(id) == nil {
+			delete(p.doubts, id)
+		}
+	}
 	for id, o := range p.ordered {
 		u := view.ByID(id)
 		if u == nil || o.drop > 0 && now >= o.drop || o.done && u.Entry().Layers == o.move.Layers {
--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -8,9 +8,15 @@
 // is asked a second time meanwhile, because a lost packet is sent again only
 // after a fifth of a second; it is dead when neither question was answered.
 //
+// A silence says something of an engine only if this daemon could have heard an
+// answer: it did not stand still meanwhile, and something came from another
+// engine. Otherwise the engine is asked again before it is judged. A daemon
+// with a slow link or processor would otherwise take all engines for dead at
+// once, and move every stream it has.
+//
 // # Usage
 //
-//	p := probe.New(engines, clock, log)
+//	p := probe.New(engines, clock, log, probe.WithHeard(table.LastHeard))
 //	p.Check(ctx, suspects)
 //	if u.Dead() { ... }
 package probe
@@ -37,6 +43,12 @@
 	reuse spanrill.Millis = 250
 	// againAfter is when an engine that did not answer is asked again.
 	againAfter spanrill.Millis = 500
+	// tries bounds how often an engine is asked whose silence says nothing. A
+	// daemon that hears of no engine at all judges by the last.
+	tries = 3
+	// lateBy is by how much later than set a wait ends when this process stood
+	// still: many times what timers are late.
+	lateBy spanrill.Millis = 20
 )
 
 // Prober asks engines for their reports.
@@ -44,6 +56,7 @@
 	engines spanrill.LayerEngines
 	clock   spanrill.Clock
 	log     logrus.FieldLogger
+	heard   func() spanrill.Millis
 
 	mu    sync.Mutex
 	asked map[string]*question // by id
@@ -57,9 +70,21 @@
 	err    error
 }
 
+// Option changes a default of New.
+type Option func(*Prober)
+
+// WithHeard sets where it is read when anything last came from any engine.
+func WithHeard(heard func() spanrill.Millis) Option {
+	return func(p *Prober) { p.heard = heard }
+}
+
 // New returns a prober.
-func New(engines spanrill.LayerEngines, clock spanrill.Clock, log logrus.FieldLogger) *Prober {
-	return &Prober{engines: engines, clock: clock, log: log, asked: map[string]*question{}}
+func New(engines spanrill.LayerEngines, clock spanrill.Clock, log logrus.FieldLogger, opts ...Option) *Prober {
+	p := &Prober{engines: engines, clock: clock, log: log, asked: map[string]*question{}, heard: clock.Now}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // Check asks all of the engines at once and notes which are dead. It returns
@@ -98,6 +123,25 @@
 
 func (p *Prober) answer(ctx context.Context, u *fleet.Upstream, q *question) {
 	defer close(q.done)
+	for range tries {
+		sent := p.clock.Now()
+		p.try(ctx, u, q)
+		if q.err == nil || refused(q.err) || p.tells(sent) {
+			break
+		}
+	}
+	p.note(u, q)
+}
+
+// tells reports whether the silence of an engine since sent says something of
+// the engine.
+func (p *Prober) tells(sent spanrill.Millis) bool {
+	now := p.clock.Now()
+	return now-sent < answerWait+lateBy && p.heard() > sent
+}
+
+// try asks an engine once, and once more meanwhile if it says nothing.
+func (p *Prober) try(ctx context.Context, u *fleet.Upstream, q *question) {
 	ctx, cancel := context.WithTimeout(ctx, answerWait.Duration())
 	defer cancel()
 	answers := make(chan answer, 2)
@@ -116,7 +160,6 @@
 			}
 		}
 	}
-	p.note(u, q)
 }
 
 // answer is what one question brought.
@@ -140,6 +183,7 @@
 	dead := q.err != nil
 	if !dead {
 		u.SetPace(q.report.Pace)
+		u.Heard(p.clock.Now())
 	}
 	if !u.SetDead(dead) {
 		return
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -219,7 +219,7 @@
 	g.sentTo[g.first.ID()] = true
 	g.quiet = r.Clock.Now()
 	g.logSent(g.first, g.path, lastEvent)
-	answer, err := r.HTTP.DoWatched(g.ctx, g.first.Addr(), req, g.reuse(), watchGap, g.onSilence, g.setPoke)
+	answer, err := r.HTTP.DoWatched(g.ctx, g.first.Addr(), req, g.reuse(), g.watchGap, g.onSilence, g.setPoke)
 	if err != nil {
 		return g.callFailed(err)
 	}
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -83,6 +83,7 @@
 	if g.begun {
 		g.relay.Meters.BetweenTokens.Update(seconds)
 		b.pause = max(b.pause, now-b.last)
+		g.first.NoteEventGap((now - b.last) / spanrill.Millis(count))
 	} else {
 		b.first = now - g.start
 		g.relay.Meters.FirstToken.Update(float64(now-g.start) / float64(spanrill.Second))
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -14,13 +14,16 @@
 )
 
 const (
-	// watchGap is how long nothing comes from a path before the request looks
-	// at its engines. Two tokens take 40 to 60 ms; an engine through which
-	// other requests of this daemon got something meanwhile is not asked.
-	watchGap spanrill.Millis = 65
-	// pathGap is how long nothing has come through an engine for any request
-	// before one that hears nothing asks it.
-	pathGap spanrill.Millis = 60
+	// leastGap is the shortest silence of a path after which a request looks at
+	// its engines: the lists of engines' passes are this uneven.
+	leastGap spanrill.Millis = 65
+	// gapFactor is how many usual pauses between events a silence has to last.
+	// Prompts that are read between two tokens make single pauses longer by a
+	// third.
+	gapFactor = 1.4
+	// othersMargin is by how much less nothing must have come through an engine
+	// for any request of this daemon before one that hears nothing asks it.
+	othersMargin spanrill.Millis = 5
 	// firstGap is the same before the first event, when a prompt is read.
 	firstGap spanrill.Millis = 240
 	// stalledGap is how long nothing comes before the first engine's own list
@@ -50,7 +53,7 @@
 	}
 	gap := firstGap
 	if g.begun {
-		gap = watchGap
+		gap = g.watchGap()
 	} else {
 		g.noteWait()
 	}
@@ -66,6 +69,16 @@
 	return nil
 }
 
+// watchGap is how long nothing comes from a path before the request looks at
+// its engines. It follows the pauses that are usual on the path: an event holds
+// as many tokens as the engines choose.
+func (g *generation) watchGap() spanrill.Millis {
+	if g.first == nil {
+		return leastGap
+	}
+	return max(leastGap, spanrill.Millis(gapFactor*float64(g.first.EventGap())))
+}
+
 // askAgainFactor spreads the questions about one silence: each costs.
 const askAgainFactor = 2
 
@@ -98,7 +111,7 @@
 // askSuspects asks those engines of the path through which nothing has come for
 // any request of this daemon for a while, and reports whether there were any.
 func (g *generation) askSuspects(silent spanrill.Millis) bool {
-	since := g.relay.Clock.Now() - pathGap
+	since := g.relay.Clock.Now() - g.watchGap() + othersMargin
 	var suspects []*fleet.Upstream
 	for _, p := range g.path.Parts() {
 		if !p.Upstream.Dead() && p.Upstream.LastOK() < since {
@@ -127,7 +140,7 @@
 
 // logQuiet says once for each silence what the engines of a path report.
 func (g *generation) logQuiet(silent spanrill.Millis, reports map[string]spanrill.EngineReport) {
-	if silent < quietLog || silent >= quietLog+watchGap {
+	if silent < quietLog || silent >= quietLog+g.watchGap() {
 		return
 	}
 	g.relay.bad.Log(events.RequestQuiet, g.relay.Log, func() logrus.Fields {
--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -19,11 +19,17 @@
 	clock  spanrill.Clock
 	limits Limits
 
-	own     window
-	others  Count // of the daemons heard of, in the window
-	heard   int   // daemons heard of, this one included
-	daemons int
-	left    float64 // that may be spent until the next round
+	own    window
+	others Count // of the daemons heard of, in the window
+	fleet  Fleet
+	left   float64 // that may be spent until the next round
+}
+
+// Fleet is what a round of news tells of the daemons.
+type Fleet struct {
+	Heard   int // daemons of which something is known, this one included
+	Daemons int
+	Rounds  int // of news until every daemon was heard of once
 }
 
 // Limits is a retry budget.
@@ -45,7 +51,7 @@
 
 // NewShared returns a budget for a fleet of that many daemons.
 func NewShared(clock spanrill.Clock, limits Limits, daemons int) *Shared {
-	s := &Shared{clock: clock, limits: limits, heard: 1, daemons: max(1, daemons)}
+	s := &Shared{clock: clock, limits: limits, fleet: Fleet{Heard: 1, Daemons: max(1, daemons), Rounds: 1}}
 	s.own.width = limits.Window / buckets
 	s.left = s.part(Count{})
 	return s
@@ -55,18 +61,27 @@
 func (s *Shared) part(own Count) float64 {
 	requests := float64(own.Requests + s.others.Requests)
 	total := margin * (s.limits.Ratio*requests + s.limits.Slack)
-	missing := max(0, s.daemons-s.heard)
-	spent := float64(own.Retries+s.others.Retries) + float64(missing)*total/float64(s.daemons)
-	return max(0, total-spent) / float64(s.daemons)
+	missing := max(0, s.fleet.Daemons-s.fleet.Heard)
+	spent := float64(own.Retries+s.others.Retries) + float64(missing)*total/float64(s.fleet.Daemons)
+	return max(0, total-spent) / float64(s.fleet.Daemons)
 }
 
-// Round takes what other daemons have counted and begins a new round. Heard
-// counts the daemons of which something is known, this one included.
-func (s *Shared) Round(others Count, heard, daemons int) {
+// Round takes what other daemons have counted and begins a new round.
+//
+// Where it takes several rounds to hear of every daemon, what the others spend
+// meanwhile is not known. All then have half of what is left to spend at once,
+// and the other half in as many rounds as it takes.
+func (s *Shared) Round(others Count, fleet Fleet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.others, s.heard, s.daemons = others, heard, max(1, daemons)
-	s.left = s.part(s.own.count(s.clock.Now()))
+	fleet.Daemons, fleet.Rounds = max(1, fleet.Daemons), max(1, fleet.Rounds)
+	s.others, s.fleet = others, fleet
+	part := s.part(s.own.count(s.clock.Now()))
+	if fleet.Rounds == 1 {
+		s.left = part
+		return
+	}
+	s.left = min(part/2, s.left+part/2/float64(fleet.Rounds))
 }
 
 // Own returns what this daemon has counted in the window.
@@ -173,11 +188,11 @@
 
 // Round takes what other daemons have counted, by service, and begins a new
 // round.
-func (b *Budgets) Round(others map[string]Count, heard, daemons int) {
+func (b *Budgets) Round(others map[string]Count, fleet Fleet) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.daemons = daemons
+	b.daemons = fleet.Daemons
 	for name, s := range b.services {
-		s.Round(others[name], heard, daemons)
+		s.Round(others[name], fleet)
 	}
 }
--- a/coordination/retry/shared_test.go
+++ b/coordination/retry/shared_test.go
@@ -12,8 +12,26 @@
 // However daemons spend, and whatever they have heard of one another one round
 // ago, no window holds more retries than the budget.
 func TestFleetStaysWithinBudget(t *testing.T) {
-	const daemons = 8
+	for _, c := range []struct {
+		name            string
+		daemons, rounds int
+	}{
+		{"each hears of all in every round", 8, 1},
+		{"it takes twelve rounds to hear of all", 71, 12},
+		{"it takes sixty rounds to hear of all", 350, 60},
+	} {
+		t.Run(c.name, func(t *testing.T) { spendAll(t, c.daemons, c.rounds) })
+	}
+}
+
+// spendAll lets daemons spend all they may for a minute, where each hears of a
+// part of the others in each round.
+func spendAll(t *testing.T, daemons, rounds int) {
 	c := clock.NewManual()
+	heard := make([][]Count, daemons)
+	for i := range heard {
+		heard[i] = make([]Count, daemons)
+	}
 	all := make([]*Shared, daemons)
 	for i := range all {
 		all[i] = NewShared(c, testLimits, daemons)
@@ -41,12 +59,15 @@
 		for i, s := range all {
 			var others Count
 			for k := range counts {
+				if (k+round)%rounds == 0 {
+					heard[i][k] = counts[k]
+				}
 				if k != i {
-					others.Requests += counts[k].Requests
-					others.Retries += counts[k].Retries
+					others.Requests += heard[i][k].Requests
+					others.Retries += heard[i][k].Retries
 				}
 			}
-			s.Round(others, daemons, daemons)
+			s.Round(others, Fleet{Heard: min(daemons, (round+1)*daemons/rounds), Daemons: daemons, Rounds: rounds})
 		}
 		in := func(list []spend) (n int64) {
 			for _, x := range list {
@@ -80,7 +101,7 @@
 	for range 8 {
 		n += takeAll(s)
 		c.Advance(250)
-		s.Round(Count{Requests: 500}, daemons, daemons)
+		s.Round(Count{Requests: 500}, Fleet{Heard: daemons, Daemons: daemons, Rounds: 1})
 	}
 	if n < 100 {
 		t.Fatalf("it got %d retries in two seconds, want at least 100 of 300", n)
@@ -96,7 +117,7 @@
 	for range 36 {
 		n += takeAll(s)
 		c.Advance(250)
-		s.Round(Count{}, 1, daemons)
+		s.Round(Count{}, Fleet{Heard: 1, Daemons: daemons, Rounds: 1})
 	}
 	if limit := int(testLimits.Slack / daemons); n > limit {
 		t.Fatalf("it took %d retries, its part is %d", n, limit)
--- a/events/events.go
+++ b/events/events.go
@@ -98,6 +98,7 @@
 	UpstreamBack    = define(504, logrus.InfoLevel, "upstream takes requests again")
 	UpstreamHeld    = define(505, logrus.InfoLevel, "entry of an upstream lapsed around an outage of the platform, kept for now")
 	UpstreamBadItem = define(506, logrus.ErrorLevel, "entry of an upstream cannot be read")
+	UpstreamDoubted = define(511, logrus.InfoLevel, "holder of the lease has asked an upstream that requests doubt")
 	UpstreamStalled = define(507, logrus.WarnLevel, "upstream found standing still by the requests that wait for it")
 	UpstreamSlow    = define(509, logrus.WarnLevel, "upstream reports that it is slow")
 	ChainsChanged   = define(508, logrus.InfoLevel, "chains of a service changed")
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -44,7 +44,7 @@
 	if g.config.Take(routes.New(config), item.Value, item.Revision) {
 		events.ConfigInForce.Log(g.log, logrus.Fields{
 			"config": config.Version, "revision": item.Revision, "routes": len(config.Routes),
-			"services": len(config.Services), "accounts": len(config.Accounts),
+			"services": len(config.Services), "accounts": len(config.Accounts), "bytes": len(item.Value),
 		})
 		g.logWithdrawn(before)
 	}
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -43,30 +43,44 @@
 
 // contends reports whether this daemon should try to take the lease: it is not
 // stopping, knows what to place, and no peer says that it has the lease.
+//
+// Only the first in rank try at once; the others when nobody has held the lease
+// for so long that the first ones must be cut off or gone.
 func (g *Gateway) contends() bool {
-	return !g.draining.Load() && g.config.Table() != nil && !g.exchange.PlacementHeld()
+	now := int64(g.clock.Now())
+	if g.exchange.PlacementHeld() || g.freeSince.Load() < 0 {
+		g.freeSince.Store(now)
+	}
+	if g.draining.Load() || g.config.Table() == nil || g.exchange.PlacementHeld() {
+		return false
+	}
+	return g.peers.rank("placement") < ranks || now-g.freeSince.Load() > int64(othersContend)
 }
 
+// othersContend is how long the lease is free before daemons without a rank try
+// to take it: longer than one of the first takes to find it lapsed.
+const othersContend = 2 * leaseTime
+
 // proofDue returns when to look again whether the configuration has to be
 // proved, or 0 if it has to be now.
 func (g *Gateway) proofDue() spanrill.Millis {
-	return g.due("configuration", g.config.Age(), proofGoal)
+	return g.due(g.config.Age(), proofGoal)
 }
 
 // upstreamsDue is the same for the entries of upstreams.
 func (g *Gateway) upstreamsDue() spanrill.Millis {
 	_, _, age := g.fleet.Proof()
-	return g.due("upstreams", age, upstreamsGoal)
+	return g.due(age, upstreamsGoal)
 }
 
 // due compares the age of knowledge with the age at which a daemon of this rank
 // asks the store.
-func (g *Gateway) due(what string, age, goal spanrill.Millis) spanrill.Millis {
+func (g *Gateway) due(age, goal spanrill.Millis) spanrill.Millis {
 	if age < goal {
 		return proofPoll
 	}
-	if rank := g.peers.rank(what); rank > 0 {
-		goal += rankDelay + rankStep*spanrill.Millis(rank-1) + spanrill.Millis(g.random.Float64()*float64(rankStep))
+	if rank := g.peers.rank(askStore); rank > 0 {
+		goal += g.exchange.SpreadTime() - newsRound + rankDelay + rankStep*spanrill.Millis(rank-1) + spanrill.Millis(g.random.Float64()*float64(rankStep))
 	}
 	if age >= goal {
 		return 0
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,15 +92,16 @@
 	upstreams *follow.Follower
 	configs   *follow.Follower
 
-	listener net.Listener
-	ready    net.Listener
-	metrics  net.Listener
-	draining atomic.Bool
-	wasFresh atomic.Bool
-	heldAt   atomic.Int64 // when this daemon last held the lease of placement
-	dropped  func() uint64
-	toldDrop uint64 // of these were logged
-	done     chan struct{}
+	listener  net.Listener
+	ready     net.Listener
+	metrics   net.Listener
+	draining  atomic.Bool
+	wasFresh  atomic.Bool
+	heldAt    atomic.Int64 // when this daemon last held the lease of placement
+	freeSince atomic.Int64 // since when nobody is known to hold it, or -1
+	dropped   func() uint64
+	toldDrop  uint64 // of these were logged
+	done      chan struct{}
 }
 
 // Option changes a default of New.
@@ -136,8 +137,10 @@
 	// configuration has to be in force.
 	proofGoal spanrill.Millis = 650
 	// rankDelay is how much later the next in rank asks, if the first one has
-	// not: two rounds of news.
-	rankDelay spanrill.Millis = 500
+	// not: two rounds of news, and one more for each further level of daemons
+	// that news goes through.
+	rankDelay spanrill.Millis = 2 * newsRound
+	newsRound                 = exchange.Gap
 	// rankStep is how much later each further one asks.
 	rankStep spanrill.Millis = 150
 	// ranks is how many daemons have a rank of their own; all others follow
@@ -161,6 +164,7 @@
 		dropped: func() uint64 { return 0 },
 	}
 	g.heldAt.Store(-int64(heldMemory))
+	g.freeSince.Store(-1)
 	for _, o := range opts {
 		o(g)
 	}
@@ -179,7 +183,7 @@
 	g.config = routes.NewCurrent(g.clock)
 	g.adapter = connect(g.settings.Platform, g.http, g.storeCalled)
 	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log))
-	g.prober = probe.New(g.adapter.Engines, g.clock, g.log)
+	g.prober = probe.New(g.adapter.Engines, g.clock, g.log, probe.WithHeard(g.fleet.LastHeard))
 	b := g.settings.Bounds
 	g.budgets = retry.NewBudgets(g.clock, retry.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}, firstDaemons)
 	var err error
@@ -192,7 +196,7 @@
 		Name: g.peers.name, Config: g.config, Fleet: g.fleet, Decode: g.adapter.DecodeConfig,
 		Placement: g.holdsLease, Leaving: g.draining.Load, Targets: g.targets, Budgets: g.budgets, Lease: g.lease,
 	}, g.clock, g.log, g.random)
-	g.placer = layoutrun.New(g.mayPlace, g.adapter.Engines, g.fleet, g.models, g.clock, g.log)
+	g.placer = layoutrun.New(g.mayPlace, g.adapter.Engines, g.fleet, g.models, g.clock, g.log, layoutrun.WithSpread(g.exchange.SpreadTime))
 	g.router = chainrouting.New(g.fleet, g.clock, g.log, g.random)
 	g.relay = relay.New(relay.Parts{
 		Config: g.config, Fleet: g.fleet, Router: g.router, Prober: g.prober,
@@ -348,8 +352,7 @@
 		g.prober.Recheck(ctx, g.fleet.View())
 		g.noteFreshness()
 		g.noteDropped()
-		daemons := len(g.peers.list.Live())
-		g.router.SetDaemons(daemons)
+		g.router.SetFleet(len(g.peers.list.Live()), g.exchange.Rounds())
 		select {
 		case <-ctx.Done():
 		case <-g.clock.After(upkeepGap):
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -67,6 +67,15 @@
 // Others returns the daemons that are alive, without this one.
 func (p *peers) Others() []peermsg.Member { return p.list.Others() }
 
+// Ranked returns all daemons that are alive, in the order in which they ask the
+// platform's store.
+func (p *peers) Ranked() []peermsg.Member {
+	return p.list.Owners(askStore, len(p.list.Live()))
+}
+
+// askStore names the duty of asking the platform's store, for the ranks.
+const askStore = "store"
+
 // rank returns this daemon's place among those that ask the store for
 // something, from 0 to ranks.
 func (p *peers) rank(what string) int {
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -190,17 +190,11 @@
 	Revision  uint64          // of the newest configuration, or 0
 	ProofAge  spanrill.Millis // of that configuration, when the answer was made
 	Uses      []Use           // what this daemon's own requests hold
-	Placement bool            // holds the lease of placement
+	Placement *Placement      // what the holder of the lease of placement said last, or nil
 	Leaving   bool
-	Targets   []Target // what engines are being ordered to hold, from the holder of the lease
 
 	Refusing []uint32 // hashes of upstreams that have refused this daemon's requests lately
 
-	Slow []Pace // engines that are slow, from the holder of the lease
-
-	LeaseVersion spanrill.Version // of the lease of placement, if this daemon holds it
-	LeaseLeft    spanrill.Millis
-
 	Retries []RetryCount // of this daemon's own requests, in the window of the retry budget
 
 	UpstreamsAt     uint64          // revision of the store up to which all upstreams are known
@@ -208,6 +202,18 @@
 	UpstreamsAge    spanrill.Millis // of that knowledge, when the answer was made
 }
 
+// Placement is what the holder of the lease of placement says. Other daemons
+// hand it on.
+type Placement struct {
+	_msgpack struct{}         `msgpack:",as_array"` //nolint:unused // read by the codec
+	Holder   string           // name of the daemon
+	Age      spanrill.Millis  // of what it says, when the answer was made
+	Version  spanrill.Version // of its lease, or "" if it acts without
+	Left     spanrill.Millis  // time for which the lease held when it said so
+	Targets  []Target         // what engines are being ordered to hold
+	Slow     []Pace           // engines that are slow
+}
+
 // Pace is how many times slower than its kind an engine reports to be.
 type Pace struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -83,6 +83,13 @@
 // View returns the upstreams as they are known now.
 func (t *Table) View() *View { return t.view.Load() }
 
+// LastHeard returns when anything last came from any upstream.
+func (t *Table) LastHeard() spanrill.Millis {
+	last := spanrill.Millis(0)
+	t.View().Each(func(u *Upstream) { last = max(last, u.LastOK()) })
+	return last
+}
+
 // NoteOutage notes that a call of the store has failed.
 func (t *Table) NoteOutage() { t.outage.Store(int64(t.clock.Now())) }
 
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -24,6 +24,7 @@
 	lag        lag
 	pace       atomic.Int64 // reported slowness in thousandths, 0 if not known
 	lastOK     atomic.Int64 // when it last answered or produced something
+	eventGap   atomic.Int64 // smoothed pause between events of streams that begin here, in microseconds
 }
 
 func newUpstream(e spanrill.EngineEntry) *Upstream {
@@ -129,6 +130,31 @@
 // LastOK returns when the upstream last produced something.
 func (u *Upstream) LastOK() spanrill.Millis { return spanrill.Millis(u.lastOK.Load()) }
 
+// Heard notes that the upstream has answered a question.
+func (u *Upstream) Heard(now spanrill.Millis) { u.lastOK.Store(int64(now)) }
+
+// NoteEventGap notes a pause between two events of a stream whose first engine
+// this is.
+func (u *Upstream) NoteEventGap(d spanrill.Millis) {
+	old := u.eventGap.Load()
+	if old == 0 {
+		u.eventGap.Store(int64(d) * gapUnit)
+		return
+	}
+	u.eventGap.Store(old + (int64(d)*gapUnit-old)/gapWeight)
+}
+
+// EventGap returns the usual pause between events of streams whose first engine
+// this is, or 0 if none was seen yet.
+func (u *Upstream) EventGap() spanrill.Millis { return spanrill.Millis(u.eventGap.Load() / gapUnit) }
+
+const (
+	gapUnit = 1000
+	// gapWeight is the number of events over which the pause is smoothed: those
+	// of one stream in about a second.
+	gapWeight = 16
+)
+
 // NoteLag notes how many times longer than expected a request that was sent
 // here has waited for its first event.
 func (u *Upstream) NoteLag(now spanrill.Millis, times float64) { u.lag.note(now, times) }
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -111,16 +111,16 @@
 // Do sends req to addr and returns as soon as the headers of the answer are
 // there. The context ends the call and, later, the reading of its body.
 func (c *Client) Do(ctx context.Context, addr string, req *fasthttp.Request, reuse Reuse) (*Answer, error) {
-	return c.DoWatched(ctx, addr, req, reuse, 0, nil, nil)
+	return c.DoWatched(ctx, addr, req, reuse, nil, nil, nil)
 }
 
 // DoWatched is Do with a function that runs whenever nothing has arrived for
-// another every milliseconds, while the head or the body of the answer is
-// awaited. It is told for how long nothing has arrived. An error of it ends the
+// while: every gives the pause before the function runs next, while the head or
+// the body of the answer is awaited. It is told for how long nothing has arrived. An error of it ends the
 // call. Poke is given a function that makes it run at once, which any goroutine
 // may call.
 func (c *Client) DoWatched(ctx context.Context, addr string, req *fasthttp.Request, reuse Reuse,
-	every spanrill.Millis, onSilence func(silent spanrill.Millis) error, poke func(func()),
+	every func() spanrill.Millis, onSilence func(silent spanrill.Millis) error, poke func(func()),
 ) (*Answer, error) {
 	cn, err := c.connect(ctx, addr, reuse)
 	if err != nil {
@@ -174,7 +174,7 @@
 
 // silence is what to do while nothing arrives.
 type silence struct {
-	every spanrill.Millis
+	every func() spanrill.Millis
 	do    func(silent spanrill.Millis) error
 }
 
@@ -189,7 +189,7 @@
 		return cn.Conn.Read(b)
 	}
 	for begun := time.Now(); ; {
-		cn.setReadWait(cn.silence.every)
+		cn.setReadWait(cn.silence.every())
 		n, err := cn.Conn.Read(b)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || cn.interrupted.Load() {
 			return n, err
