Take an engine for leaving only if it refuses after having had room

Ruled out: engines that drain unsaid (none did). Change: an engine leaves without a word only if its reports showed room for twice the reports' lag before the newest refusal met by the lease's holder.

--- a/coordination/layoutrun/doubt.go
+++ b/coordination/layoutrun/doubt.go
@@ -18,16 +18,25 @@
 type doubt struct {
 	askedAt spanrill.Millis
 	asking  bool
+	room    bool            // said in its last report that it is not full
+	roomAt  spanrill.Millis // since when all reports have said so
 	lost    bool // did not answer the placer either
-	leaves  bool // has room, and refuses
+	leaves  bool // has had room for a while, and refuses nevertheless
 }
 
 const (
 	// doubtWait bounds the question: a hundred round trips, and half the time
 	// that loading the smallest part takes.
 	doubtWait spanrill.Millis = 150
+	// doubtTime is how long after a refusal an engine is doubted: requests are
+	// kept away for 1.2 s, and only a second refusal tells more.
+	doubtTime = 3 * spanrill.Second
 	// doubtGap is the pause between two questions about one engine.
 	doubtGap spanrill.Millis = 400
+	// roomTime is how long an engine must have had room before a refusal means
+	// that it leaves: reports lag, and memory that was full when it refused may be
+	// free when it reports.
+	roomTime spanrill.Millis = 2 * lagTime
 	// emptyEnough is the part of its memory up to which an engine is not full.
 	emptyEnough = 0.8
 )
@@ -37,11 +46,11 @@
 // orders. The caller holds the lock.
 func (p *Placer) judge(ctx context.Context, u *fleet.Upstream, now spanrill.Millis, may bool) (lost, leaves bool) {
 	id := u.ID()
-	if !u.Dead() && !u.Refusing(now) {
+	d := p.doubts[id]
+	if !u.Dead() && !u.Refusing(now) && (d == nil || now-u.RefusedAt() > doubtTime) {
 		delete(p.doubts, id)
 		return false, false
 	}
-	d := p.doubts[id]
 	if d == nil {
 		d = &doubt{askedAt: now - doubtGap}
 		p.doubts[id] = d
@@ -62,7 +71,8 @@
 	defer p.mu.Unlock()
 	d.asking = false
 	lost := err != nil
-	leaves := !lost && u.Refusing(p.clock.Now()) && report.Waiting == 0 && report.KVUsed < emptyEnough*report.KVTotal
+	d.note(!lost && report.Waiting == 0 && report.KVUsed < emptyEnough*report.KVTotal, p.clock.Now())
+	leaves := d.room && u.RefusedAt() > d.roomAt+roomTime
 	if lost == d.lost && leaves == d.leaves {
 		return nil
 	}
@@ -73,3 +83,11 @@
 	})
 	return nil
 }
+
+// note takes whether a report said that the engine is not full.
+func (d *doubt) note(room bool, now spanrill.Millis) {
+	if room && !d.room {
+		d.roomAt = now
+	}
+	d.room = room
+}
--- a/state/fleet/refusal.go
+++ b/state/fleet/refusal.go
@@ -11,6 +11,7 @@
 type refusal struct {
 	times  atomic.Int32 // refusals met here in a row
 	at     atomic.Int64 // when the last one was met or told
+	metAt  atomic.Int64 // when the last one was met here
 	until  atomic.Int64 // gets no new requests until then
 	unsaid atomic.Bool  // it refuses although its entry and its room say otherwise
 }
@@ -44,6 +45,7 @@
 // serves what runs, and is left alone for longer from the first time.
 func (u *Upstream) Refused(now spanrill.Millis, hasRoom bool) {
 	times := min(u.refusal.times.Add(1), maxRefusals)
+	u.refusal.metAt.Store(int64(now))
 	wait := firstRefusal << (times - 1)
 	if hasRoom {
 		wait = max(wait, roomyRefusal)
@@ -67,6 +69,9 @@
 	return r.holds(now) && (r.unsaid.Load() || r.times.Load() >= refusingTimes)
 }
 
+// RefusedAt returns when the upstream last refused a request of this daemon.
+func (u *Upstream) RefusedAt() spanrill.Millis { return spanrill.Millis(u.refusal.metAt.Load()) }
+
 // RefusedHere reports whether it was this daemon that found it refusing.
 func (u *Upstream) RefusedHere(now spanrill.Millis) bool {
 	return u.refusal.times.Load() > 0 && u.Refusing(now)
