--- a/coordination/exchange/apply.go
+++ b/coordination/exchange/apply.go
@@ -3,37 +3,32 @@
 import (
 	"spanrill"
 	"spanrill/coordination/retry"
+	"spanrill/protocol/peermsg"
 	"spanrill/state/fleet"
 )
 
-// apply sums up what the peers' requests hold at each upstream.
+// apply notes what the requests of other daemons hold at each upstream, and what
+// these daemons have said.
 func (e *Exchange) apply() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
-	rounds := e.Rounds()
-	e.shareBudgets(now, rounds)
-	keep := e.keepTime(rounds)
-	type sum struct{ tokens, calls int64 }
-	sums := map[uint32]sum{}
 	for name, h := range e.heard {
 		if now-h.at > keep {
 			delete(e.heard, name)
-			continue
-		}
-		for _, u := range h.news.Uses {
-			s := sums[u.Upstream]
-			sums[u.Upstream] = sum{tokens: s.tokens + u.Tokens, calls: s.calls + u.Calls}
 		}
 	}
-	scale := e.unheard(rounds)
+	others, heard := e.held(now)
+	e.state.Budgets.Round(others.retries, retry.Fleet{
+		Heard: heard, Daemons: max(heard, 1+int(e.others.Load())), Rounds: e.Rounds(),
+	})
 	e.state.Fleet.View().Each(e.forgetShown)
 	e.applyPaces()
 	e.applyRefusals(now)
 	targets, changed := e.targetsNow(now), false
 	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
-		s := sums[hash(u.ID())]
-		u.SetPeers(int64(float64(s.tokens)*scale), int64(float64(s.calls)*scale))
+		s := others.uses[hash(u.ID())]
+		u.SetPeers(max(0, s.tokens), max(0, s.calls))
 		var target *fleet.Target
 		if t, ok := targets[hash(u.ID())]; ok {
 			target = &t
@@ -45,26 +40,28 @@
 	}
 }
 
-// keepTime is how long the figures of a peer are counted.
-func (e *Exchange) keepTime(rounds int) spanrill.Millis {
-	return max(keep, gap*spanrill.Millis(rounds)+keepMargin)
-}
-
-// keepMargin is how much later than planned a peer may answer: two of its rounds
-// and a question that had to be asked again.
-const keepMargin = 650
-
-// unheard is by how much the figures of the peers that were heard of are
-// multiplied to stand for all, in a fleet where not all are asked in each round.
-// The caller holds the lock.
-func (e *Exchange) unheard(rounds int) float64 {
-	others := len(e.peers.Others())
-	if rounds == 1 || len(e.heard) == 0 {
-		return 1
+// held is the sum over all other daemons, and of how many daemons something is
+// known, this one included. The caller holds the lock.
+func (e *Exchange) held(now spanrill.Millis) (others sum, daemons int) {
+	if e.Rounds() > 1 {
+		return e.othersSum(now)
+	}
+	others, daemons = newSum(), 1
+	for _, h := range e.heard {
+		s := sumOf(&peermsg.Sum{Uses: h.news.Uses, Retries: h.news.Retries})
+		if now-h.at > budgetFresh {
+			s.retries = nil // counts that are this old are taken as unknown
+		} else {
+			daemons++
+		}
+		others.add(s, 1)
 	}
-	return max(1, float64(others)/float64(len(e.heard)))
+	return others, daemons
 }
 
+// budgetFresh is how old the counts of a daemon may be: a few rounds.
+const budgetFresh spanrill.Millis = 900
+
 // applyRefusals takes from other daemons which upstreams refuse their requests,
 // so that not every daemon finds out by requests of its own. The caller holds
 // the lock.
@@ -91,24 +88,6 @@
 // refusalFresh is how old such news may be: two rounds.
 const refusalFresh spanrill.Millis = 500
 
-// shareBudgets hands on what other daemons have counted for the retry budgets.
-// The caller holds the lock.
-func (e *Exchange) shareBudgets(now spanrill.Millis, rounds int) {
-	others := map[string]retry.Count{}
-	heard := 1
-	for _, h := range e.heard {
-		if now-h.at > gap*spanrill.Millis(rounds)+keepMargin {
-			continue
-		}
-		heard++
-		for _, c := range h.news.Retries {
-			sum := others[c.Service]
-			others[c.Service] = retry.Count{Requests: sum.Requests + c.Requests, Retries: sum.Retries + c.Retries}
-		}
-	}
-	e.state.Budgets.Round(others, retry.Fleet{Heard: heard, Daemons: max(heard, 1+len(e.peers.Others())), Rounds: rounds})
-}
-
 // targetsNow returns what engines are being ordered to hold, as this daemon
 // does it or a holder of the lease has said. What a holder has said is believed
 // for a while after it is no longer heard of: its orders are carried out, and
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -8,9 +8,10 @@
 // fetches a newer one from the peer that has it.
 //
 // In a small fleet each daemon asks all others in every round. In a larger one
-// it asks as many as before, those first that it has not asked for longest, and
-// two parents in trees over all daemons (tree.go), so that what the daemons at
-// their roots read from the platform's store reaches all in a few rounds.
+// it asks two parents in trees over all daemons (tree.go) and a few others. What
+// the daemons at the roots read from the platform's store goes down the trees,
+// and sums over all daemons go up and come down again (sums.go), so that the
+// price for each daemon does not grow with the fleet.
 //
 // # Usage
 //
@@ -22,6 +23,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,8 +73,11 @@
 	gap                 = Gap
 	// askWait bounds one question: many times a round trip of 1 ms.
 	askWait spanrill.Millis = 400
-	// fanout bounds how many peers are asked in a round.
+	// fanout is up to how many peers are all asked in each round, and how many
+	// daemons ask the same parent in a larger fleet.
 	fanout = 8
+	// asked is how many peers are asked in a round in a larger fleet.
+	asked = 4
 	// keep is how long the figures of a peer that does not answer are counted.
 	// Its requests go on for about as long as a usual answer takes.
 	keep = 2 * spanrill.Second
@@ -92,10 +97,16 @@
 
 	asking  map[string]bool            // peers with a question under way
 	askedAt map[string]spanrill.Millis // by name of the peer, when it was asked last
+	mute    map[string]bool            // peers that did not answer their last question
 	asks    task.Group
 
 	placement placement // what the holder of the lease said last
 
+	sums   sums         // in a large fleet
+	others atomic.Int64 // daemons that are alive, without this one, at the last round
+	// deepest is the levels of the trees at the last round, in a large fleet.
+	deepest atomic.Int64
+
 	fetching chan struct{} // holds one token while something large is fetched
 	packed   packed        // the configuration as peers fetch it
 }
@@ -108,7 +119,7 @@
 
 // New returns an exchange.
 func New(peers Peers, state State, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source) *Exchange {
-	return &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}, asking: map[string]bool{}, askedAt: map[string]spanrill.Millis{}, fetching: make(chan struct{}, 1)}
+	return &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}, asking: map[string]bool{}, askedAt: map[string]spanrill.Millis{}, fetching: make(chan struct{}, 1), mute: map[string]bool{}}
 }
 
 // Run asks for news until the context ends.
@@ -128,21 +139,21 @@
 // little for their answers, and not for a peer that is cut off: that one is
 // asked again when its question has ended, and what others say goes on.
 func (e *Exchange) Round(ctx context.Context) {
-	var asked sync.WaitGroup
-	for _, m := range e.targets() {
-		if !e.begin(m.Name) {
+	var waiting sync.WaitGroup
+	for _, t := range e.targets() {
+		if !e.begin(t.member.Name) {
 			continue
 		}
-		asked.Add(1)
+		waiting.Add(1)
 		e.asks.Start(ctx, "ask for news", func(ctx context.Context) error {
-			defer asked.Done()
-			defer e.end(m.Name)
-			return e.ask(ctx, m)
+			defer waiting.Done()
+			defer e.end(t.member.Name)
+			return e.ask(ctx, t)
 		})
 	}
 	all := make(chan struct{})
 	go func() {
-		asked.Wait()
+		waiting.Wait()
 		close(all)
 	}()
 	select {
@@ -173,14 +184,18 @@
 	delete(e.asking, name)
 }
 
-func (e *Exchange) ask(ctx context.Context, m peermsg.Member) error {
+func (e *Exchange) ask(ctx context.Context, t target) error {
+	m := t.member
 	ctx, cancel := context.WithTimeout(ctx, askWait.Duration())
 	defer cancel()
 	sent := e.clock.Now()
 	var news peermsg.News
-	if err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindNews), nil, &news); err != nil {
+	err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindNews), e.question(t.trees), &news)
+	e.noteMute(m.Name, err != nil)
+	if err != nil {
 		return err
 	}
+	e.takeFleet(news.Fleet, sent)
 	e.mu.Lock()
 	e.heard[m.Name] = heard{news: news, at: sent}
 	e.mu.Unlock()
@@ -282,20 +297,18 @@
 }
 
 // News answers a question for news.
-func (e *Exchange) News() *peermsg.News {
+func (e *Exchange) News(asked *peermsg.AskNews) *peermsg.News {
 	n := &peermsg.News{
 		Name: e.state.Name, Revision: e.state.Config.Revision(), ProofAge: e.state.Config.Age(),
 		Placement: e.placementNews(), Leaving: e.state.Leaving(),
 	}
 	n.UpstreamsAt, n.UpstreamsChange, n.UpstreamsAge = e.state.Fleet.Proof()
-	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
-		tokens, calls := u.OwnTokens(), u.OwnCalls()
-		if tokens != 0 || calls != 0 {
-			n.Uses = append(n.Uses, peermsg.Use{Upstream: hash(u.ID()), Tokens: tokens, Calls: calls})
-		}
-	})
-	for service, c := range e.state.Budgets.Own() {
-		n.Retries = append(n.Retries, peermsg.RetryCount{Service: service, Requests: c.Requests, Retries: c.Retries})
+	e.takeBelow(asked)
+	e.takePlacement(asked.Placement, e.clock.Now())
+	n.Fleet = e.fleetNews(asked)
+	if e.Rounds() == 1 {
+		own := e.own().message()
+		n.Uses, n.Retries = own.Uses, own.Retries
 	}
 	now := e.clock.Now()
 	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
--- a/coordination/exchange/exchange_test.go
+++ b/coordination/exchange/exchange_test.go
@@ -26,6 +26,7 @@
 	exchange *Exchange
 	takes    spanrill.Millis // time that an answer is on its way
 	silent   bool
+	asked    *peermsg.AskNews
 }
 
 var errSilent = errors.New("no answer")
@@ -41,7 +42,10 @@
 	var answer any
 	switch kind {
 	case uint8(peermsg.KindNews):
-		answer = p.exchange.News()
+		if p.asked == nil {
+			p.asked = &peermsg.AskNews{}
+		}
+		answer = p.exchange.News(p.asked)
 	case uint8(peermsg.KindRouteConfig):
 		answer = p.exchange.RouteConfig()
 	case uint8(peermsg.KindEntries):
--- a/coordination/layoutrun/doubt.go
+++ b/coordination/layoutrun/doubt.go
@@ -20,8 +20,8 @@
 	asking  bool
 	room    bool            // said in its last report that it is not full
 	roomAt  spanrill.Millis // since when all reports have said so
-	lost    bool // did not answer the placer either
-	leaves  bool // has had room for a while, and refuses nevertheless
+	lost    bool            // did not answer the placer either
+	leaves  bool            // has had room for a while, and refuses nevertheless
 }
 
 const (
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -121,7 +121,11 @@
 		}
 		return nil, err
 	case peermsg.KindNews:
-		return p.gateway.exchange.News(), nil
+		var m peermsg.AskNews
+		if err = peermsg.Decode(payload, &m); err != nil {
+			return nil, err
+		}
+		return p.gateway.exchange.News(&m), nil
 	case peermsg.KindRouteConfig:
 		return p.gateway.exchange.RouteConfig(), nil
 	case peermsg.KindEntries:
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -30,7 +30,7 @@
 	KindClaim   peernet.Kind = 6 // Claim, reply Claimed
 	KindSettle  peernet.Kind = 7 // Settle, no reply
 	KindBoxes   peernet.Kind = 8 // no payload, reply Boxes
-	KindNews    peernet.Kind = 9 // no payload, reply News
+	KindNews    peernet.Kind = 9 // payload AskNews, reply News
 
 	KindRouteConfig peernet.Kind = 10 // no payload, reply RouteConfig
 	KindEntries     peernet.Kind = 11 // no payload, reply Entries
@@ -183,13 +183,40 @@
 	Calls    int64
 }
 
+// Sum is what the requests of several daemons hold, and what these have counted
+// for the retry budgets.
+type Sum struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Daemons  int
+	Uses     []Use
+	Retries  []RetryCount
+}
+
+// AskNews asks for news. In a large fleet it brings the sum over the daemons
+// below the one that asks, for each tree in which that one is below the daemon
+// asked.
+type AskNews struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Name     string
+	Below    map[int]*Sum // by number of the tree
+
+	Placement *Placement // what the holder of the lease of placement said last, or nil
+}
+
+// FleetSum is the sum over all daemons that reached the root of a tree.
+type FleetSum struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Sum      Sum
+	Age      spanrill.Millis // of the sum at the root, when the answer was made
+}
+
 // News is what a daemon answers when it is asked for news.
 type News struct {
 	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Name      string
 	Revision  uint64          // of the newest configuration, or 0
 	ProofAge  spanrill.Millis // of that configuration, when the answer was made
-	Uses      []Use           // what this daemon's own requests hold
+	Uses      []Use           // what this daemon's own requests hold, in a small fleet
 	Placement *Placement      // what the holder of the lease of placement said last, or nil
 	Leaving   bool
 
@@ -197,6 +224,8 @@
 
 	Retries []RetryCount // of this daemon's own requests, in the window of the retry budget
 
+	Fleet map[int]*FleetSum // in a large fleet, by number of the tree, for those asked about
+
 	UpstreamsAt     uint64          // revision of the store up to which all upstreams are known
 	UpstreamsChange uint64          // revision up to which there were changes of them
 	UpstreamsAge    spanrill.Millis // of that knowledge, when the answer was made
