--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -167,10 +167,6 @@
 	v := r.table.View()
 	s := &search{view: v, service: service, model: m, need: need, now: r.clock.Now(), pipes: &r.pipes}
 	s.lag = r.Lag()
-	vary := spread * s.lag
-	if need.Spread {
-		vary = spread
-	}
 	var best []Part
 	var seen []considered
 	bestCost, covered := math.Inf(1), false
@@ -189,9 +185,7 @@
 		if bridged {
 			estimate *= bridgeFactor
 		}
-		if vary > 0 {
-			estimate *= 1 + vary*r.random.Float64()
-		}
+		estimate *= r.vary(need.Spread, s.lag)
 		if estimate < bestCost {
 			best, bestCost = parts, estimate
 		}
@@ -211,6 +205,24 @@
 	return path, nil
 }
 
+// vary returns a random factor for an estimate, so that daemons which choose at
+// the same moment, or from old figures, do not all take the same path. Dividing by
+// a number from 0 to 1 gives each path a part of the requests in proportion to its
+// speed; the root of that number gives the faster paths more.
+func (r *Router) vary(together bool, lag float64) float64 {
+	times := 1.0
+	if together {
+		times += spread * r.random.Float64()
+	}
+	if lag > 0 {
+		times /= math.Pow(max(leastDraw, r.random.Float64()), lag)
+	}
+	return times
+}
+
+// leastDraw bounds how much longer a path may be made.
+const leastDraw = 0.01
+
 // considered is a path that was compared, for logs.
 type considered struct {
 	first          *fleet.Upstream
@@ -236,10 +248,15 @@
 // roomy is the part of an engine's memory and slots up to which it has room.
 const roomy = 0.7
 
-// SetFleet sets how many daemons share the pipes between availability zones, and
-// how many rounds of news pass until each of them was heard of.
-func (r *Router) SetFleet(daemons, rounds int) {
+// SetFleet sets how many daemons share the pipes between availability zones, how
+// many rounds of news pass until each of them was heard of, and whether that many
+// are known to be all.
+func (r *Router) SetFleet(daemons, rounds int, settled bool) {
 	r.pipes.daemons.Store(int64(max(1, daemons)))
+	if !settled {
+		r.lag.Store(lagUnit)
+		return
+	}
 	r.lag.Store(int64(lagUnit * min(1, float64(rounds-1)/lagRounds)))
 }
 
--- a/coordination/exchange/apply.go
+++ b/coordination/exchange/apply.go
@@ -20,7 +20,7 @@
 	}
 	others, heard := e.held(now)
 	e.state.Budgets.Round(others.retries, retry.Fleet{
-		Heard: heard, Daemons: max(heard, 1+int(e.others.Load())), Rounds: e.Rounds(),
+		Heard: heard, Daemons: max(heard, 1+int(e.others.Load())), Rounds: e.Rounds(), Settled: e.Settled(),
 	})
 	e.state.Fleet.View().Each(e.forgetShown)
 	e.applyPaces()
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -104,6 +104,7 @@
 
 	sums   sums         // in a large fleet
 	others atomic.Int64 // daemons that are alive, without this one, at the last round
+	grewAt atomic.Int64 // when a daemon was added last
 	// deepest is the levels of the trees at the last round, in a large fleet.
 	deepest atomic.Int64
 
@@ -119,7 +120,9 @@
 
 // New returns an exchange.
 func New(peers Peers, state State, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source) *Exchange {
-	return &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}, asking: map[string]bool{}, askedAt: map[string]spanrill.Millis{}, fetching: make(chan struct{}, 1), mute: map[string]bool{}}
+	e := &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}, asking: map[string]bool{}, askedAt: map[string]spanrill.Millis{}, fetching: make(chan struct{}, 1), mute: map[string]bool{}}
+	e.grewAt.Store(int64(clock.Now()))
+	return e
 }
 
 // Run asks for news until the context ends.
--- a/coordination/exchange/exchange_test.go
+++ b/coordination/exchange/exchange_test.go
@@ -196,7 +196,11 @@
 // The retries that a peer has made are taken off what may be spent here: half
 // of what is left of 0.75 x 200.
 func TestRetriesOfPeer(t *testing.T) {
-	_, here, there, _ := pair(1)
+	c, here, there, _ := pair(1)
+	here.exchange.Round(context.Background())
+	c.Advance(settleTime)
+	there.budgets.Of("s")
+	there.budgets.Round(nil, retry.Fleet{Heard: 2, Daemons: 2, Rounds: 1, Settled: true})
 	spent := 0
 	for there.budgets.Of("s").Take() {
 		spent++
--- a/coordination/exchange/tree.go
+++ b/coordination/exchange/tree.go
@@ -23,7 +23,9 @@
 // were not asked for longest.
 func (e *Exchange) targets() []target {
 	others := e.peers.Others()
-	e.others.Store(int64(len(others)))
+	if int64(len(others)) > e.others.Swap(int64(len(others))) {
+		e.grewAt.Store(int64(e.clock.Now()))
+	}
 	var out []target
 	if len(others) > fanout {
 		out = e.chosen(others)
@@ -167,6 +169,15 @@
 	return int(max(1, e.deepest.Load()))
 }
 
+// settleTime is how long no daemon was added before the fleet is taken as known:
+// three rounds of the members' gossip.
+const settleTime spanrill.Millis = 1500
+
+// Settled reports whether this daemon knows how many others there are.
+func (e *Exchange) Settled() bool {
+	return e.clock.Now()-spanrill.Millis(e.grewAt.Load()) >= settleTime
+}
+
 // depth is the levels of a tree over these daemons.
 func depth(ranked []peermsg.Member) int {
 	sizes := map[string]int{}
--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -29,7 +29,8 @@
 type Fleet struct {
 	Heard   int // daemons of which something is known, this one included
 	Daemons int
-	Rounds  int // of news until every daemon was heard of once
+	Rounds  int  // of news until every daemon was heard of once
+	Settled bool // whether Daemons is known to be all of them
 }
 
 // Limits is a retry budget.
@@ -49,11 +50,11 @@
 // count do not begin at the same moment, and news are a quarter of a second old.
 const margin = 0.75
 
-// NewShared returns a budget for a fleet of that many daemons.
+// NewShared returns a budget for a fleet of that many daemons. There is nothing
+// to spend before the first round.
 func NewShared(clock spanrill.Clock, limits Limits, daemons int) *Shared {
 	s := &Shared{clock: clock, limits: limits, fleet: Fleet{Heard: 1, Daemons: max(1, daemons), Rounds: 1}}
 	s.own.width = limits.Window / buckets
-	s.left = s.part(Count{})
 	return s
 }
 
@@ -70,13 +71,20 @@
 //
 // Where it takes several rounds to hear of every daemon, what the others spend
 // meanwhile is not known. All then have half of what is left to spend at once,
-// and the other half in as many rounds as it takes.
+// and the other half in as many rounds as it takes. A daemon that does not know
+// yet how many there are, because all have just started, earns retries by its own
+// requests alone, which is safe for any number.
 func (s *Shared) Round(others Count, fleet Fleet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fleet.Daemons, fleet.Rounds = max(1, fleet.Daemons), max(1, fleet.Rounds)
 	s.others, s.fleet = others, fleet
-	part := s.part(s.own.count(s.clock.Now()))
+	own := s.own.count(s.clock.Now())
+	if !fleet.Settled {
+		s.left = max(0, margin*s.limits.Ratio*float64(own.Requests)-float64(own.Retries))
+		return
+	}
+	part := s.part(own)
 	if fleet.Rounds == 1 {
 		s.left = part
 		return
--- a/coordination/retry/shared_test.go
+++ b/coordination/retry/shared_test.go
@@ -67,7 +67,7 @@
 					others.Retries += heard[i][k].Retries
 				}
 			}
-			s.Round(others, Fleet{Heard: min(daemons, (round+1)*daemons/rounds), Daemons: daemons, Rounds: rounds})
+			s.Round(others, Fleet{Heard: min(daemons, (round+1)*daemons/rounds), Daemons: daemons, Rounds: rounds, Settled: true})
 		}
 		in := func(list []spend) (n int64) {
 			for _, x := range list {
@@ -101,7 +101,7 @@
 	for range 8 {
 		n += takeAll(s)
 		c.Advance(250)
-		s.Round(Count{Requests: 500}, Fleet{Heard: daemons, Daemons: daemons, Rounds: 1})
+		s.Round(Count{Requests: 500}, Fleet{Heard: daemons, Daemons: daemons, Rounds: 1, Settled: true})
 	}
 	if n < 100 {
 		t.Fatalf("it got %d retries in two seconds, want at least 100 of 300", n)
@@ -117,9 +117,29 @@
 	for range 36 {
 		n += takeAll(s)
 		c.Advance(250)
-		s.Round(Count{}, Fleet{Heard: 1, Daemons: daemons, Rounds: 1})
+		s.Round(Count{}, Fleet{Heard: 1, Daemons: daemons, Rounds: 1, Settled: true})
 	}
 	if limit := int(testLimits.Slack / daemons); n > limit {
 		t.Fatalf("it took %d retries, its part is %d", n, limit)
 	}
 }
+
+// Daemons that have all just started, and know of few others, do not spend the
+// slack of the budget many times over: they earn retries by their requests.
+func TestUnsettledDaemonsEarnRetries(t *testing.T) {
+	const daemons, requests = 71, 40
+	c := clock.NewManual()
+	spent := 0
+	for range daemons {
+		s := NewShared(c, testLimits, 1)
+		spent += takeAll(s)
+		for range requests {
+			s.Request()
+		}
+		s.Round(Count{}, Fleet{Heard: 1, Daemons: 2, Rounds: 1})
+		spent += takeAll(s)
+	}
+	if limit := testLimits.Ratio*daemons*requests + testLimits.Slack; spent == 0 || float64(spent) > limit {
+		t.Fatalf("%d retries, want some and at most %.0f", spent, limit)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -352,7 +352,7 @@
 		g.prober.Recheck(ctx, g.fleet.View())
 		g.noteFreshness()
 		g.noteDropped()
-		g.router.SetFleet(len(g.peers.list.Live()), g.exchange.Rounds())
+		g.router.SetFleet(len(g.peers.list.Live()), g.exchange.Rounds(), g.exchange.Settled())
 		select {
 		case <-ctx.Done():
 		case <-g.clock.After(upkeepGap):
