Let a chain wait only for changes that concern it, and spread moves over equal engines

Change: a chain waits for its own engines and for those on their way to layers it misses; of engines that reach as far, a move takes one at random by free memory.

--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -271,7 +271,7 @@
 // availability zone of the part that they replace: every token so far has to be
 // sent to an engine that takes a part over. The caller releases both paths.
 func (r *Router) Replace(service string, m *spanrill.EngineModel, p *Path, need Need, near bool) (*Path, error) {
-	s := &search{view: r.table.View(), service: service, model: m, need: need, now: r.clock.Now(), pipes: &r.pipes}
+	s := &search{view: r.table.View(), service: service, model: m, need: need, now: r.clock.Now(), pipes: &r.pipes, draw: r.random.Float64}
 	s.need.Urgent = true
 	parts := p.Parts()
 	used := map[string]bool{}
--- a/coordination/chainrouting/search.go
+++ b/coordination/chainrouting/search.go
@@ -18,8 +18,9 @@
 	now     spanrill.Millis
 	none    error
 	pipes   *pipes
-	lag     float64 // how old the figures of other daemons are, from 0 to 1
-	zone    string  // bridges are taken from this availability zone alone, unless ""
+	lag     float64        // how old the figures of other daemons are, from 0 to 1
+	draw    func() float64 // from 0 to 1, to choose among equal engines, or nil for the emptiest
+	zone    string         // bridges are taken from this availability zone alone, unless ""
 }
 
 func (s *search) usable(u *fleet.Upstream) bool {
@@ -87,7 +88,7 @@
 	var parts []Part
 	full := false
 	for at := hole.From; at < hole.To; {
-		best, bestTo := (*fleet.Upstream)(nil), at
+		best, bestTo, weight := (*fleet.Upstream)(nil), at, 0.0
 		for _, u := range s.view.Of(s.service) {
 			l := u.Layers()
 			if used[u.ID()] || !s.usable(u) || l.From > at || l.To <= at || s.zone != "" && u.Zone() != s.zone {
@@ -98,7 +99,7 @@
 				full = true
 				continue
 			}
-			if to > bestTo || to == bestTo && s.free(u) > s.free(best) {
+			if to > bestTo || to == bestTo && s.better(u, best, &weight) {
 				best, bestTo = u, to
 			}
 		}
@@ -115,6 +116,22 @@
 	return parts, nil
 }
 
+// better reports whether an engine is to be preferred to one that reaches as far.
+// Where many requests move at the same moment, each takes one at random by how
+// empty they are: all would queue at the same one otherwise, which reads the
+// tokens of one after the other. Weight is the sum over those seen so far.
+func (s *search) better(u, than *fleet.Upstream, weight *float64) bool {
+	if s.draw == nil {
+		return s.free(u) > s.free(than)
+	}
+	if *weight == 0 {
+		*weight = max(1, s.free(than))
+	}
+	free := max(1, s.free(u))
+	*weight += free
+	return s.draw()*(*weight) < free
+}
+
 func (s *search) kind(u *fleet.Upstream) spanrill.KindModel { return s.model.Kinds[u.Entry().Kind] }
 
 // capacity is for how many tokens an engine has memory beside its layers.
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -148,8 +148,9 @@
 	return hole.CoveredBy(ranges)
 }
 
-// changing reports whether an engine of the chain or of its zone is still
-// changing.
+// changing reports whether an engine of the chain is still changing, or one of
+// its zone to layers that the chain misses. Changes to other chains of the zone
+// say nothing of this one.
 func (r *repair) changing(c *chain.Chain) bool {
 	for _, p := range c.Parts() {
 		if r.byID[p.ID].Fixed {
@@ -157,7 +158,16 @@
 		}
 	}
 	for _, e := range r.byID {
-		if e.Fixed && e.Zone == c.Zone() {
+		if e.Fixed && e.Zone == c.Zone() && overlapsAny(e.Layers, c.Holes()) {
+			return true
+		}
+	}
+	return false
+}
+
+func overlapsAny(layers spanrill.LayerRange, holes []spanrill.LayerRange) bool {
+	for _, h := range holes {
+		if layers.From < h.To && h.From < layers.To {
 			return true
 		}
 	}
