Keep paths and gossip in availability zones where they are nearly equal

A path in another zone counted as 20 ms slower than one here, of estimates of 700 to 10,000 ms; gossip went to three random members of all zones. Change: a factor of 1.15 for a path that begins in another zone; in fleets of more than 16 others two of three gossip messages stay in the zone.

--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -72,9 +72,10 @@
 	// fullness weighs how full a chain is against its speed: a chain that is
 	// half full counts half as slow again.
 	fullness = 2.0
-	// otherZoneMillis is added for a path whose first engine is in another
-	// availability zone, so that equal paths stay inside one.
-	otherZoneMillis = 20.0
+	// otherZone is by how much a path whose first engine is in another
+	// availability zone is taken to be slower, so that paths which are nearly
+	// equal stay inside one: bytes between zones are paid for.
+	otherZone = 1.15
 	// riskWeight makes a path longer by the share of failures of its engines.
 	riskWeight = 3.0
 	// spread varies the estimates of choices that all daemons make at once, or
--- a/coordination/chainrouting/search.go
+++ b/coordination/chainrouting/search.go
@@ -187,7 +187,7 @@
 		millis *= 1 + riskWeight*p.Upstream.Risk(s.now)
 	}
 	if parts[0].Upstream.Zone() != s.need.Zone {
-		millis += otherZoneMillis
+		millis *= otherZone
 	}
 	return millis, base
 }
--- a/coordination/membership/gossip.go
+++ b/coordination/membership/gossip.go
@@ -19,13 +19,18 @@
 }
 
 // targets returns a few random live members, those suspected, which are asked
-// to answer, and one box that is not known to be alive.
+// to answer, and one box that is not known to be alive. All but one of the random
+// members are of this daemon's availability zone in a large fleet, because bytes
+// between zones are paid for.
 func (l *List) targets() []peermsg.Member {
 	others := l.Others()
 	for i := len(others) - 1; i > 0; i-- {
 		k := l.random.IntN(i + 1)
 		others[i], others[k] = others[k], others[i]
 	}
+	if len(others) > largeFleet {
+		nearFirst(others[1:], l.self.Zone)
+	}
 	targets := append(others[:min(l.fanout, len(others)):min(l.fanout, len(others))], l.suspects()...)
 	if unknown := l.unknownSeeds(); len(unknown) > 0 {
 		targets = append(targets, unknown[l.random.IntN(len(unknown))])
@@ -33,6 +38,17 @@
 	return targets
 }
 
+// largeFleet is the number of other members from which gossip stays near: fewer
+// are all reached within a few rounds.
+const largeFleet = 16
+
+// nearFirst brings members of a zone to the front and keeps their order.
+func nearFirst(members []peermsg.Member, zone string) {
+	sort.SliceStable(members, func(i, k int) bool {
+		return members[i].Zone == zone && members[k].Zone != zone
+	})
+}
+
 // suspects returns suspected members. Each of them is tried in every round
 // until it is heard of or dead.
 func (l *List) suspects() []peermsg.Member {
