--- a/coordination/chainrouting/router_test.go
+++ b/coordination/chainrouting/router_test.go
@@ -225,3 +225,31 @@
 		t.Fatalf("anywhere: path %v, error %v", far, err)
 	}
 }
+
+// Requests that move at the same moment spread over the engines that hold the
+// layers: all at one would be read there one after the other.
+func TestMovesSpread(t *testing.T) {
+	half := func(id string, from int) spanrill.EngineEntry {
+		return spanrill.EngineEntry{ID: id, Service: service, Addr: id, Zone: "z", Kind: "card", Slots: 64, Layers: spanrill.LayerRange{From: from, To: from + 6}}
+	}
+	w := newWorld(half("first", 0), half("lost", 6), half("one", 6), half("other", 6))
+	taken := map[string]int{}
+	for range 64 {
+		p, err := w.router.Pick(service, model, Need{Prompt: 10, Answer: 10, Avoid: map[string]bool{"one": true, "other": true}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.table.View().ByID("lost").SetDead(true)
+		next, err := w.router.Replace(service, model, p, Need{Prompt: 10, Answer: 10}, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken[next.Parts()[1].Upstream.ID()]++
+		next.Release()
+		p.Release()
+		w.table.View().ByID("lost").SetDead(false)
+	}
+	if taken["one"] < 16 || taken["other"] < 16 {
+		t.Fatalf("moves went to %v", taken)
+	}
+}
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -105,6 +105,8 @@
 	sums   sums         // in a large fleet
 	others atomic.Int64 // daemons that are alive, without this one, at the last round
 	grewAt atomic.Int64 // when a daemon was added last
+	// wasSettled is whether the fleet was known at the last round.
+	wasSettled atomic.Bool
 	// deepest is the levels of the trees at the last round, in a large fleet.
 	deepest atomic.Int64
 
--- a/coordination/exchange/tree.go
+++ b/coordination/exchange/tree.go
@@ -3,7 +3,10 @@
 import (
 	"sort"
 
+	"github.com/sirupsen/logrus"
+
 	"spanrill"
+	"spanrill/events"
 	"spanrill/protocol/peermsg"
 )
 
@@ -26,6 +29,9 @@
 	if int64(len(others)) > e.others.Swap(int64(len(others))) {
 		e.grewAt.Store(int64(e.clock.Now()))
 	}
+	if settled := e.Settled(); settled != e.wasSettled.Swap(settled) && settled {
+		events.FleetKnown.Log(e.log, logrus.Fields{"daemons": 1 + len(others)})
+	}
 	var out []target
 	if len(others) > fanout {
 		out = e.chosen(others)
--- a/coordination/exchange/tree_test.go
+++ b/coordination/exchange/tree_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 
 	"spanrill"
@@ -17,6 +18,7 @@
 	members []peermsg.Member
 	daemons map[string]*daemon
 	cut     map[string]bool
+	fetches atomic.Int64 // of the configuration
 }
 
 // end is one daemon's view of the network.
@@ -41,6 +43,9 @@
 	if e.cut[addr] || e.cut[e.name] {
 		return errSilent
 	}
+	if kind == uint8(peermsg.KindRouteConfig) {
+		e.fetches.Add(1)
+	}
 	var asked peermsg.AskNews
 	if kind == uint8(peermsg.KindNews) {
 		data, err := peermsg.Encode(req)
@@ -160,3 +165,18 @@
 		}
 	}
 }
+
+// A new configuration is fetched once, although all peers that were asked at the
+// same time have it: eight copies side by side fill a slow link.
+func TestOneFetch(t *testing.T) {
+	n := newNetwork(8)
+	for _, m := range n.members[1:] {
+		n.daemons[m.Name].take(5, 50, n.clock.Now())
+	}
+	behind := n.daemons[n.members[0].Name]
+	behind.exchange.Round(context.Background())
+	_ = behind.exchange.asks.Wait() // silent peers were asked again
+	if got := n.fetches.Load(); got != 1 || behind.config.Revision() != 50 {
+		t.Fatalf("%d fetches, revision %d", got, behind.config.Revision())
+	}
+}
--- a/coordination/layout/layout_test.go
+++ b/coordination/layout/layout_test.go
@@ -296,3 +296,17 @@
 		t.Fatalf("still moving: %v", moves)
 	}
 }
+
+// A chain is repaired while an engine of its zone changes to layers of another
+// chain.
+func TestChangeOfAnotherChainHoldsUpNothing(t *testing.T) {
+	engines := []Engine{
+		quarter("a1", 0), quarter("a2", 20), quarter("a3", 40), quarter("a4", 60),
+		quarter("b1", 0), quarter("b2", 20), quarter("b3", 60), // the hole is 40-60
+	}
+	engines[0].Fixed = true // of the whole chain, or the copy of it in the other
+	moves := Repair(hugeModel(), engines)
+	if len(moves) == 0 {
+		t.Fatal("the chain waits for a change that is not its own")
+	}
+}
--- a/coordination/layout/relieve.go
+++ b/coordination/layout/relieve.go
@@ -11,7 +11,7 @@
 // part of the tight engine's layers, and then the tight one gives these up.
 func (r *repair) relieve(chains []*chain.Chain) {
 	for _, c := range chains {
-		if !c.Whole() || r.changing(c) {
+		if !c.Whole() || r.changingIn(c.Zone()) {
 			continue
 		}
 		tight, capacity := r.tightest(c)
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -165,6 +165,16 @@
 	return false
 }
 
+// changingIn reports whether any engine of a zone is changing.
+func (r *repair) changingIn(zone string) bool {
+	for _, e := range r.byID {
+		if e.Fixed && e.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
 func overlapsAny(layers spanrill.LayerRange, holes []spanrill.LayerRange) bool {
 	for _, h := range holes {
 		if layers.From < h.To && h.From < layers.To {
--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -50,11 +50,21 @@
 // count do not begin at the same moment, and news are a quarter of a second old.
 const margin = 0.75
 
-// NewShared returns a budget for a fleet of that many daemons. There is nothing
-// to spend before the first round.
+// unsettled is what a daemon may spend that does not know how many there are: what
+// its own requests earn, and its part of the slack in a large fleet.
+func (s *Shared) unsettled(own Count) float64 {
+	return margin*(s.limits.Ratio*float64(own.Requests)+s.limits.Slack/unsettledFleet) - float64(own.Retries)
+}
+
+// unsettledFleet is the number of daemons that is assumed until it is known: the
+// largest fleet that is planned for.
+const unsettledFleet = 350
+
+// NewShared returns a budget for a fleet of that many daemons.
 func NewShared(clock spanrill.Clock, limits Limits, daemons int) *Shared {
 	s := &Shared{clock: clock, limits: limits, fleet: Fleet{Heard: 1, Daemons: max(1, daemons), Rounds: 1}}
 	s.own.width = limits.Window / buckets
+	s.left = s.unsettled(Count{})
 	return s
 }
 
@@ -73,7 +83,7 @@
 // meanwhile is not known. All then have half of what is left to spend at once,
 // and the other half in as many rounds as it takes. A daemon that does not know
 // yet how many there are, because all have just started, earns retries by its own
-// requests alone, which is safe for any number.
+// requests, which is safe for any number.
 func (s *Shared) Round(others Count, fleet Fleet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,7 +91,7 @@
 	s.others, s.fleet = others, fleet
 	own := s.own.count(s.clock.Now())
 	if !fleet.Settled {
-		s.left = max(0, margin*s.limits.Ratio*float64(own.Requests)-float64(own.Retries))
+		s.left = max(0, s.unsettled(own))
 		return
 	}
 	part := s.part(own)
@@ -163,6 +173,8 @@
 	clock    spanrill.Clock
 	limits   Limits
 	daemons  int
+	fleet    Fleet            // of the last round
+	others   map[string]Count // by service, of the last round
 	services map[string]*Shared
 }
 
@@ -178,6 +190,9 @@
 	s := b.services[service]
 	if s == nil {
 		s = NewShared(b.clock, b.limits, b.daemons)
+		if b.fleet.Settled {
+			s.Round(b.others[service], b.fleet)
+		}
 		b.services[service] = s
 	}
 	return s
@@ -199,7 +214,7 @@
 func (b *Budgets) Round(others map[string]Count, fleet Fleet) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.daemons = fleet.Daemons
+	b.daemons, b.fleet, b.others = fleet.Daemons, fleet, others
 	for name, s := range b.services {
 		s.Round(others[name], fleet)
 	}
--- a/coordination/retry/shared_test.go
+++ b/coordination/retry/shared_test.go
@@ -143,3 +143,14 @@
 		t.Fatalf("%d retries, want some and at most %.0f", spent, limit)
 	}
 }
+
+// The budget of a service that is asked for after the fleet was known is the same
+// as that of one known before.
+func TestBudgetOfNewService(t *testing.T) {
+	b := NewBudgets(clock.NewManual(), testLimits, 1)
+	b.Of("old")
+	b.Round(nil, Fleet{Heard: 2, Daemons: 2, Rounds: 1, Settled: true})
+	if first, second := b.Of("old").Left(), b.Of("new").Left(); first != second {
+		t.Fatalf("%v retries are left for the old service, %v for the new one", first, second)
+	}
+}
--- a/events/events.go
+++ b/events/events.go
@@ -84,6 +84,7 @@
 	PeerLost      = define(402, logrus.WarnLevel, "peer lost")
 	PeerReturned  = define(403, logrus.InfoLevel, "peer returned")
 	PeerLeft      = define(404, logrus.InfoLevel, "peer left")
+	FleetKnown    = define(405, logrus.InfoLevel, "number of daemons is known")
 	PeerRefused   = define(410, logrus.WarnLevel, "peer refused")
 	FrameRefused  = define(411, logrus.WarnLevel, "frame refused")
 	PeerQueueFull = define(412, logrus.WarnLevel, "message to peer dropped because its queue is full")
