--- a/gateway/due.go
+++ b/gateway/due.go
@@ -5,6 +5,7 @@
 
 	"spanrill"
 	"spanrill/events"
+	"spanrill/state/follow"
 )
 
 // mayPlace reports whether this daemon may order engines: it holds the lease,
@@ -88,6 +89,19 @@
 	return proofPoll
 }
 
+// retryPause is the longest pause between failed calls of the store. In a fleet
+// where news goes through several daemons those without a rank leave it to the
+// others to find a store that has come back.
+func (g *Gateway) retryPause() spanrill.Millis {
+	if g.exchange.Rounds() > 1 && g.peers.rank(askStore) >= ranks {
+		return unrankedPause
+	}
+	return follow.LongestPause
+}
+
+// unrankedPause is a third of the time that a proof of the configuration lasts.
+const unrankedPause spanrill.Millis = 1600
+
 // storeCalled notes calls of the store that failed.
 func (g *Gateway) storeCalled(_ string, err error) {
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -207,10 +207,10 @@
 	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
 	g.meters.Gauge("spanrill_config_proof_age_seconds", func() float64 { return float64(g.config.Age()) / float64(spanrill.Second) })
 	g.callers = callerhttp.New(g.relay.Serve, g.limits)
-	jitter := follow.WithJitter(g.random.Float64)
-	g.configs = follow.New(g.adapter.Config, g.clock, configSink{g}, follow.WithDue(g.proofDue), jitter,
+	jitter, patience := follow.WithJitter(g.random.Float64), follow.WithLongestPause(g.retryPause)
+	g.configs = follow.New(g.adapter.Config, g.clock, configSink{g}, follow.WithDue(g.proofDue), jitter, patience,
 		follow.WithLogger(g.log, "configuration"))
-	g.upstreams = follow.New(g.adapter.Upstreams, g.clock, g.fleet, follow.WithDue(g.upstreamsDue), follow.WithAt(g.fleet.At), jitter,
+	g.upstreams = follow.New(g.adapter.Upstreams, g.clock, g.fleet, follow.WithDue(g.upstreamsDue), follow.WithAt(g.fleet.At), jitter, patience,
 		follow.WithLogger(g.log, "upstreams"))
 	return nil
 }
--- a/state/follow/follow.go
+++ b/state/follow/follow.go
@@ -42,6 +42,7 @@
 	due    func() spanrill.Millis
 	jitter func() float64
 	known  func() uint64
+	pause  func() spanrill.Millis // the longest between failed calls
 
 	at     uint64
 	listed bool
@@ -75,6 +76,12 @@
 	return func(f *Follower) { f.known = at }
 }
 
+// WithLongestPause sets where the longest pause between failed calls is read: in a
+// large fleet not every daemon needs to find a store at once that has come back.
+func WithLongestPause(pause func() spanrill.Millis) Option {
+	return func(f *Follower) { f.pause = pause }
+}
+
 // WithLogger sets where events go, and the name of the collection in them.
 func WithLogger(log logrus.FieldLogger, name string) Option {
 	return func(f *Follower) { f.log, f.name = log, name }
@@ -88,12 +95,14 @@
 const (
 	// defaultWait is the longest watch that the store takes.
 	defaultWait = 30 * spanrill.Second
+	// maxDoublings bounds how often the pause doubles.
+	maxDoublings = 4
 	// firstPause follows the first failed call: 25 times the store's usual
 	// answer, so that a store that has just come back is found at once.
 	firstPause spanrill.Millis = 100
-	// longestPause bounds the pause between failed calls. It is a fraction of
+	// LongestPause bounds the pause between failed calls. It is a fraction of
 	// the freshness that requests with a key need.
-	longestPause spanrill.Millis = 400
+	LongestPause spanrill.Millis = 400
 )
 
 // New returns a follower that has read nothing.
@@ -101,6 +110,7 @@
 	f := &Follower{
 		source: source, clock: clock, sink: sink, log: logrus.StandardLogger(),
 		wait: defaultWait, jitter: func() float64 { return 0 }, known: func() uint64 { return 0 },
+		pause: func() spanrill.Millis { return LongestPause },
 	}
 	for _, o := range opts {
 		o(f)
@@ -187,6 +197,6 @@
 		f.lost = true
 		events.PlatformLost.Log(f.log, logrus.Fields{"collection": f.name, "error": err})
 	}
-	pause := min(longestPause, firstPause<<min(f.tries-1, 4))
+	pause := min(f.pause(), firstPause<<min(f.tries-1, maxDoublings))
 	return pause/2 + spanrill.Millis(float64(pause)*f.jitter()/2)
 }
--- a/state/follow/follow_test.go
+++ b/state/follow/follow_test.go
@@ -95,7 +95,7 @@
 	f.Step(context.Background())
 	src.err = spanrill.ErrUnavailable
 	for range 20 {
-		if pause := f.Step(context.Background()); pause <= 0 || pause > longestPause {
+		if pause := f.Step(context.Background()); pause <= 0 || pause > LongestPause {
 			t.Fatalf("pause of %d ms", pause)
 		}
 	}
