Cut nothing for engines whose entries have gone, and count a hold from the last proof

Change: the planner is told of engines whose entries went in the last 4 s as ones that leave, unless they do not answer; a hold counts from the last proof that the entry was there, if proofs followed one another closely, so that the store was there.

--- a/coordination/layoutrun/doubt.go
+++ b/coordination/layoutrun/doubt.go
@@ -47,7 +47,7 @@
 func (p *Placer) judge(ctx context.Context, u *fleet.Upstream, now spanrill.Millis, may bool) (lost, leaves bool) {
 	id := u.ID()
 	d := p.doubts[id]
-	if !u.Dead() && !u.Refusing(now) && (d == nil || now-u.RefusedAt() > doubtTime) {
+	if !u.Removed() && !u.Dead() && !u.Refusing(now) && (d == nil || now-u.RefusedAt() > doubtTime) {
 		delete(p.doubts, id)
 		return false, false
 	}
@@ -59,7 +59,7 @@
 		d.asking, d.askedAt = true, now
 		p.orders.Start(ctx, "ask about a doubt", func(ctx context.Context) error { return p.settle(ctx, u, d) })
 	}
-	return d.lost && u.Dead(), d.leaves
+	return d.lost && (u.Dead() || u.Removed()), d.leaves
 }
 
 // settle asks an engine for its report and notes what that says.
--- a/coordination/layoutrun/doubt_test.go
+++ b/coordination/layoutrun/doubt_test.go
@@ -82,3 +82,43 @@
 		})
 	}
 }
+
+// An engine whose entry has gone without a word serves on what runs there, so that
+// nothing is cut for its sake, unless it has crashed.
+func TestEngineLeavesWithoutAWord(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		silent bool
+		want   int // leaving engines that the planner is told of
+	}{
+		{"it serves on", false, 1},
+		{"it has crashed", true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			manual := clock.NewManual()
+			manual.Advance(100 * spanrill.Second)
+			table := fleet.New(manual, func(item spanrill.Item) (spanrill.EngineEntry, error) {
+				return spanrill.EngineEntry{ID: item.Name, Service: "s", Addr: item.Name, Layers: spanrill.LayerRange{From: 0, To: 4}}, nil
+			}, fleet.WithLogger(log))
+			table.Listed([]spanrill.Item{{Name: "stays"}, {Name: "goes"}}, 1, manual.Now())
+			table.Changed([]spanrill.Change{{Item: spanrill.Item{Name: "goes"}, Gone: true}}, 2, manual.Now())
+			p := New(always, &teller{silent: c.silent}, table, nil, manual, log)
+			var leaving int
+			for range 2 { // to ask, and to see the answer
+				engines, _ := p.look(context.Background(), &spanrill.ServiceInfo{Name: "s"}, true)
+				_ = p.orders.Wait()
+				leaving = 0
+				for _, e := range engines {
+					if e.Leaves {
+						leaving++
+					}
+				}
+			}
+			if leaving != c.want {
+				t.Fatalf("%d leaving engines, want %d", leaving, c.want)
+			}
+		})
+	}
+}
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -179,7 +179,24 @@
 		anyHeld = anyHeld || e.Layers.Len() > 0
 		engines = append(engines, e)
 	}
-	return engines, anyHeld
+	return append(engines, p.departed(ctx, s, now, may)...), anyHeld
+}
+
+// departed returns the engines of a service whose entries have gone and that serve
+// on what runs there. Those that do not answer have crashed. The caller holds the
+// lock.
+func (p *Placer) departed(ctx context.Context, s *spanrill.ServiceInfo, now spanrill.Millis, may bool) []layout.Engine {
+	var engines []layout.Engine
+	for _, u := range p.table.Departed() {
+		if u.Service() != s.Name || u.Dead() {
+			continue
+		}
+		if lost, _ := p.judge(ctx, u, now, may); !lost {
+			entry := u.Entry()
+			engines = append(engines, layout.Engine{ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers, Leaves: true})
+		}
+	}
+	return engines
 }
 
 // forgetOld forgets orders that the store shows, and those of engines that are
@@ -188,8 +205,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, view := p.clock.Now(), p.table.View()
+	left := map[string]bool{}
+	for _, u := range p.table.Departed() {
+		left[u.ID()] = true
+	}
 	for id := range p.doubts {
-		if view.ByID(id) == nil {
+		if view.ByID(id) == nil && !left[id] {
 			delete(p.doubts, id)
 		}
 	}
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -7,7 +7,12 @@
 //
 // An entry that goes means that its upstream has left, except around an outage
 // of the store, where entries of upstreams that live may lapse: those are kept
-// for HoldTime after they were seen to be missing.
+// for HoldTime after they were seen to be missing. Where the store has answered
+// some daemon all the while, the time counts from when the entry was last known
+// to be there.
+//
+// An upstream may leave without a word: its entry goes, and it serves on what runs
+// there for some seconds. Departed returns those.
 //
 // # Usage
 //
@@ -32,6 +37,15 @@
 // was seen to go, so that it has to be a little less.
 const HoldTime spanrill.Millis = 1700
 
+// closeProofs is how close proofs follow one another if the store has answered
+// some daemon all the while: a few polls. In an outage of the store nobody has any.
+const closeProofs spanrill.Millis = 1500
+
+// departTime is how long after its entry has gone an upstream may serve what runs
+// there: the users' page says 2 to 3 s and at times many more, and a longer wait
+// would hold up repairs.
+const departTime = 4 * spanrill.Second
+
 // outageMemory is how long after the last failed call of the store an entry
 // that goes may have lapsed: three missed heartbeats of 1.2 s.
 const outageMemory spanrill.Millis = 3600
@@ -44,7 +58,8 @@
 
 	mu      sync.Mutex
 	all     map[string]*Upstream
-	held    map[string]spanrill.Millis // by id, when the entry was seen to go
+	held    map[string]spanrill.Millis // by id, since when the entry may be gone
+	left    map[string]departed        // by id, upstreams whose entries have gone lately
 	view    atomic.Pointer[View]
 	outage  atomic.Int64 // end of the last failed call of the store
 	version uint64
@@ -67,7 +82,7 @@
 func New(clock spanrill.Clock, decode func(spanrill.Item) (spanrill.EngineEntry, error), opts ...Option) *Table {
 	t := &Table{
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
-		all: map[string]*Upstream{}, held: map[string]spanrill.Millis{}, seen: make(chan struct{}),
+		all: map[string]*Upstream{}, held: map[string]spanrill.Millis{}, left: map[string]departed{}, seen: make(chan struct{}),
 	}
 	t.outage.Store(-int64(outageMemory) * 2)
 	for _, o := range opts {
@@ -233,6 +248,7 @@
 	for id, u := range t.all {
 		if id != entry.ID && u.Addr() == entry.Addr {
 			t.remove(id, "another upstream has its address")
+			delete(t.left, id) // it has ended
 		}
 	}
 }
@@ -248,15 +264,41 @@
 	now := t.clock.Now()
 	if since := now - spanrill.Millis(t.outage.Load()); since < outageMemory && !t.all[id].Entry().Leaving {
 		t.held[id] = now
+		if now-t.proved < closeProofs {
+			t.held[id] = t.proved
+		}
 		events.UpstreamHeld.Log(t.log, logrus.Fields{"upstream": id, "ms_since_outage": since})
 		return
 	}
 	t.remove(id, "entry gone")
 }
 
+// departed is an upstream whose entry has gone.
+type departed struct {
+	upstream *Upstream
+	at       spanrill.Millis
+}
+
+// Departed returns the upstreams whose entries have gone lately: unless they have
+// crashed, they serve on what runs there.
+func (t *Table) Departed() []*Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []*Upstream
+	for id, d := range t.left {
+		if t.clock.Now()-d.at >= departTime {
+			delete(t.left, id)
+			continue
+		}
+		all = append(all, d.upstream)
+	}
+	return all
+}
+
 func (t *Table) remove(id, why string) {
 	u := t.all[id]
 	u.removed.Store(true)
+	t.left[id] = departed{upstream: u, at: t.clock.Now()}
 	delete(t.all, id)
 	delete(t.held, id)
 	events.UpstreamGone.Log(t.log, logrus.Fields{"upstream": id, "why": why})
