--- a/cli/spanrillcmd/fleet.go
+++ b/cli/spanrillcmd/fleet.go
@@ -96,8 +96,15 @@
 func statusCommand() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "show the boxes, the revision in force on each, and the upstreams",
-		Description: "spanrill status\nspanrill --json status",
+		Description: "spanrill status\nspanrill --json status\n" +
+			"spanrill --platform 10.200.1.7:8107 status --gateways\n\n" +
+			"With --gateways it shows what the users' platform holds of a fleet of gateways:\n" +
+			"the configuration, the holder of the lease of placement, and the upstreams.",
+		Flags: []cli.Flag{&cli.BoolFlag{Name: flagGateways, Usage: "read the users' platform"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Bool(flagGateways) {
+				return runGatewayStatus(ctx, c)
+			}
 			boxes, err := entryBoxes(ctx, c)
 			if err != nil {
 				return err
--- a/cli/spanrillcmd/root.go
+++ b/cli/spanrillcmd/root.go
@@ -77,6 +77,7 @@
 const (
 	flagPlatform = "platform"
 	flagJSON     = "json"
+	flagGateways = "gateways"
 )
 
 func command() *cli.Command {
--- a/coordination/exchange/tree.go
+++ b/coordination/exchange/tree.go
@@ -10,8 +10,8 @@
 	"spanrill/protocol/peermsg"
 )
 
-// roots is how many daemons ask the platform's store, each the root of a tree
-// over all daemons: one may be cut off, and the second goes on.
+// roots is the number of trees over all daemons. Their roots are the first in the
+// order in which daemons ask the platform's store: news goes on when one is cut off.
 const roots = 2
 
 // target is a daemon to ask, and the numbers of the trees in which it is the
@@ -43,6 +43,7 @@
 	return out
 }
 
+// chosen returns whom to ask in a large fleet.
 func (e *Exchange) chosen(others []peermsg.Member) []target {
 	ranked := e.peers.Ranked()
 	parents, holder := e.near(ranked)
