Cut a chain only for engines that have just crashed, or holes that nobody serves

Five engines left while a configuration changed; zones of that fleet have three chains, which are read anew without the engines that leave, so that no leaving engine held just a hole, and orders to close up cut 85 streams. Ruled out: the configuration (streams of its routes were not touched), false verdicts (no engine was taken for dead). Change: a hole is served if an engine of the zone that leaves holds a part of it; the planner is told which engines have just crashed, and their holes are cut. TestRequestsAreNotCutWhereChainsAreReadAnew red before.

--- a/coordination/layout/layout.go
+++ b/coordination/layout/layout.go
@@ -29,6 +29,7 @@
 	Layers spanrill.LayerRange `json:"layers"`           // held, or ordered and on the way
 	Fixed  bool                `json:"fixed,omitempty"`  // takes no order now: it loads, or is not well
 	Leaves bool                `json:"leaves,omitempty"` // serves what runs, and takes nothing new
+	Lost   bool                `json:"lost,omitempty"`   // has crashed not long ago: what ran there is lost
 	Slow   bool                `json:"slow,omitempty"`   // serves, but holds up its chain
 	Tokens int64               `json:"tokens,omitempty"` // reserved by requests that run
 }
@@ -55,7 +56,7 @@
 func candidates(m *spanrill.EngineModel, engines []Engine) []candidate {
 	out := make([]candidate, 0, len(engines))
 	for _, e := range engines {
-		if e.Leaves {
+		if e.Leaves || e.Lost {
 			continue
 		}
 		if k, ok := m.Kinds[e.Kind]; ok && cost.Fit(m, k) > 0 {
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -13,7 +13,9 @@
 	all := candidates(m, engines)
 	r := &repair{model: m, byID: map[string]candidate{}, taken: map[string]bool{}}
 	for _, e := range engines {
-		if e.Leaves {
+		if e.Lost {
+			r.crashed = append(r.crashed, e)
+		} else if e.Leaves {
 			r.leaving = append(r.leaving, e)
 		}
 	}
@@ -66,20 +68,28 @@
 
 	outside []chain.Holder // belong to no chain
 	leaving []Engine
+	crashed []Engine
 	cut     bool // the moves that follow may cut requests
 }
 
-// lost reports whether requests on a chain are lost because of its holes:
-// engines that leave serve on what runs.
+// lost reports whether requests on a chain are lost because of its holes: engines
+// that leave serve on what runs, unless another one of the hole has crashed. Where a zone has several chains, their parts are
+// read anew without the engines that leave, so that a hole need not be just what
+// one of these holds: a part of it is enough.
 func (r *repair) lost(c *chain.Chain) bool {
-	var served []spanrill.LayerRange
-	for _, e := range r.leaving {
-		if e.Zone == c.Zone() {
-			served = append(served, e.Layers)
+	for _, hole := range c.Holes() {
+		if anyHolds(r.crashed, c.Zone(), hole) || !anyHolds(r.leaving, c.Zone(), hole) {
+			return true
 		}
 	}
-	for _, hole := range c.Holes() {
-		if !hole.CoveredBy(served) {
+	return false
+}
+
+// anyHolds reports whether one of some engines is in a zone and holds layers of a
+// hole.
+func anyHolds(engines []Engine, zone string, hole spanrill.LayerRange) bool {
+	for _, e := range engines {
+		if e.Zone == zone && overlapsAny(e.Layers, []spanrill.LayerRange{hole}) {
 			return true
 		}
 	}
--- a/coordination/layout/spare_test.go
+++ b/coordination/layout/spare_test.go
@@ -34,6 +34,34 @@
 	}
 }
 
+// Two chains of a zone lose an engine each without a word, and what is left is read
+// as other chains than those that requests run on: nothing is cut.
+func TestRequestsAreNotCutWhereChainsAreReadAnew(t *testing.T) {
+	gone := Engine{ID: "leaving", Zone: "a", Kind: "huge", Layers: spanrill.LayerRange{From: 0, To: 20}, Leaves: true}
+	overlap := Engine{ID: "overlap", Zone: "a", Kind: "huge", Layers: spanrill.LayerRange{From: 12, To: 20}}
+	engines := []Engine{gone, overlap, quarter("a1", 0), quarter("a2", 20), quarter("a3", 40), quarter("a4", 60), quarter("b2", 20), quarter("b3", 40), quarter("b4", 60)}
+	moves := Repair(hugeModel(), engines)
+	if len(moves) == 0 {
+		t.Fatal("the hole is not filled")
+	}
+	for _, move := range moves {
+		if move.Cut {
+			t.Errorf("%v cuts what runs", move)
+		}
+	}
+}
+
+// Where an engine of the hole has crashed, what ran there is lost, and nothing waits
+// for it although another engine leaves.
+func TestRequestsOfACrashedEngineAreCut(t *testing.T) {
+	crash, leave := quarter("crashed", 20), quarter("leaving", 40)
+	crash.Lost, leave.Leaves = true, true
+	moves := Repair(hugeModel(), []Engine{quarter("first", 0), quarter("spare", 0), crash, leave, quarter("last", 60)})
+	if len(moves) == 0 || !moves[0].Cut {
+		t.Fatalf("moves %v, want ones that cut", moves)
+	}
+}
+
 // Of two engines with the same layers that one is moved which serves less.
 func TestTheLessUsedEngineMoves(t *testing.T) {
 	for _, c := range []struct {
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -162,10 +162,14 @@
 	now := p.clock.Now()
 	for _, u := range p.table.View().Of(s.Name) {
 		lost, leaves := p.judge(ctx, u, now, may)
-		if u.Removed() || lost {
+		entry := u.Entry()
+		if u.Removed() {
+			continue
+		}
+		if lost {
+			engines = append(engines, layout.Engine{ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers, Lost: true})
 			continue
 		}
-		entry := u.Entry()
 		e := layout.Engine{
 			ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers,
 			Leaves: !u.Takes() || leaves, Slow: u.Slow(), Tokens: u.Tokens(),
