Do not tell peers of held entries; ask the store by half of what a bound allows

A daemon that the store is silent to holds an entry that goes for 1.7 s, in case it has only lapsed. It told the entry on to peers as there, with the store's newest revision. A peer that had seen no outage took it for proved and kept it until the next change of any entry.

Ruled out: the order of polls alone.

Change: held entries are not told. Beside it the ages follow drain_ms, a new setting, in place of constants: the first in rank asks at a fifth, whoever has heard nothing at half, and an entry is held for drain_ms less 300 ms, counted from the last proof. A daemon that the store has not answered for 300 ms says so, and others take its rank.

--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -58,8 +58,10 @@
 	Fleet     *fleet.Table
 	Placement func() bool // holds the lease of placement
 	Leaving   func() bool
-	Budgets   *retry.Budgets
-	Lease     *lease.Lease // of placement
+	// StoreSilent reports whether the platform's store does not answer this daemon.
+	StoreSilent func() bool
+	Budgets     *retry.Budgets
+	Lease       *lease.Lease // of placement
 	// Targets returns what this daemon is ordering engines to hold, by id.
 	Targets func() map[string]fleet.Target
 	// Decode decodes a configuration as it lies in the store.
@@ -301,11 +303,20 @@
 	return nil
 }
 
+// SaysStoreSilent reports whether a peer has said lately that the platform's store
+// does not answer it, so that others ask the store in its place.
+func (e *Exchange) SaysStoreSilent(peer string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h, ok := e.heard[peer]
+	return ok && h.news.StoreSilent && e.clock.Now()-h.at <= keep
+}
+
 // News answers a question for news.
 func (e *Exchange) News(asked *peermsg.AskNews) *peermsg.News {
 	n := &peermsg.News{
 		Name: e.state.Name, Revision: e.state.Config.Revision(), ProofAge: e.state.Config.Age(),
-		Placement: e.placementNews(), Leaving: e.state.Leaving(),
+		Placement: e.placementNews(), Leaving: e.state.Leaving(), StoreSilent: e.state.StoreSilent(),
 	}
 	n.UpstreamsAt, n.UpstreamsChange, n.UpstreamsAge = e.state.Fleet.Proof()
 	e.takeBelow(asked)
--- a/coordination/exchange/exchange_test.go
+++ b/coordination/exchange/exchange_test.go
@@ -61,12 +61,13 @@
 
 // daemon is the state that an exchange works with.
 type daemon struct {
-	config    *routes.Current
-	table     *fleet.Table
-	exchange  *Exchange
-	targets   map[string]fleet.Target
-	placement bool
-	budgets   *retry.Budgets
+	config      *routes.Current
+	table       *fleet.Table
+	exchange    *Exchange
+	targets     map[string]fleet.Target
+	placement   bool
+	storeSilent bool
+	budgets     *retry.Budgets
 }
 
 func decodeConfig(value []byte) (*spanrill.RouteConfig, error) {
@@ -86,8 +87,9 @@
 	d.exchange = New(peers, State{
 		Name: name, Config: d.config, Fleet: d.table, Decode: decodeConfig, Budgets: d.budgets,
 		Placement: func() bool { return d.placement }, Leaving: func() bool { return false },
-		Targets: func() map[string]fleet.Target { return d.targets },
-		Lease:   lease.New(nil, c, "placement", "d"),
+		StoreSilent: func() bool { return d.storeSilent },
+		Targets:     func() map[string]fleet.Target { return d.targets },
+		Lease:       lease.New(nil, c, "placement", "d"),
 	}, c, log, rng.New(1))
 	return d
 }
@@ -251,3 +253,25 @@
 	close(both.let)
 	<-ended
 }
+
+// A daemon that the store does not answer says so, and is asked for nothing in its
+// rank until it takes that back or is not heard of any more.
+func TestStoreSilenceIsTold(t *testing.T) {
+	c := clock.NewManual()
+	p := &peer{clock: c, takes: 1}
+	other := newDaemon(c, "peer", nil)
+	p.exchange = other.exchange
+	d := newDaemon(c, "here", p)
+	for _, step := range []struct {
+		silent bool
+		wait   spanrill.Millis
+		want   bool
+	}{{false, 0, false}, {true, 0, true}, {true, keep + 1, false}} {
+		other.storeSilent = step.silent
+		d.exchange.Round(context.Background())
+		c.Advance(step.wait)
+		if got := d.exchange.SaysStoreSilent("peer"); got != step.want {
+			t.Fatalf("silent %t, %d ms ago: taken for silent %t", step.silent, step.wait, got)
+		}
+	}
+}
--- a/coordination/membership/owners.go
+++ b/coordination/membership/owners.go
@@ -25,13 +25,19 @@
 // OwnsAmong reports whether this daemon is among the n owners of a key, when
 // only the members that match count.
 func (l *List) OwnsAmong(key string, n int, match func(peermsg.Member) bool) bool {
+	return l.Rank(key, match) < n
+}
+
+// Rank returns this daemon's place among the owners of a key, from 0, when only
+// it and the members that match count.
+func (l *List) Rank(key string, match func(peermsg.Member) bool) int {
 	mine, better := rank(key, l.self.Name), 0
 	for _, m := range l.Live() {
 		if m.Name != l.self.Name && match(m) && rank(key, m.Name) > mine {
 			better++
 		}
 	}
-	return better < n
+	return better
 }
 
 func rank(key, name string) uint64 {
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -5,6 +5,7 @@
 
 	"spanrill"
 	"spanrill/events"
+	"spanrill/protocol/peermsg"
 	"spanrill/state/follow"
 )
 
@@ -65,35 +66,71 @@
 // proofDue returns when to look again whether the configuration has to be
 // proved, or 0 if it has to be now.
 func (g *Gateway) proofDue() spanrill.Millis {
-	return g.due(g.config.Age(), proofGoal)
+	return g.due(g.config.Age(), proofGoal, g.settings.Bounds.Revoke/latestPart)
 }
 
 // upstreamsDue is the same for the entries of upstreams.
 func (g *Gateway) upstreamsDue() spanrill.Millis {
 	_, _, age := g.fleet.Proof()
-	return g.due(age, upstreamsGoal)
+	return g.due(age, g.settings.Bounds.Drain/upstreamsPart, g.settings.Bounds.Drain/latestPart)
 }
 
+const (
+	// upstreamsPart is the part of the time after which an upstream that leaves
+	// may get nothing more, at which the first daemon in rank asks for entries.
+	upstreamsPart = 5
+	// latestPart is the part of what a bound allows at which every daemon asks
+	// that has heard nothing. The other half is left for one call that gets no
+	// answer in a second, a round of news and the send of a request.
+	latestPart = 2
+)
+
 // due compares the age of knowledge with the age at which a daemon of this rank
 // asks the store.
-func (g *Gateway) due(age, goal spanrill.Millis) spanrill.Millis {
+func (g *Gateway) due(age, goal, latest spanrill.Millis) spanrill.Millis {
 	if age < goal {
 		return proofPoll
 	}
-	if rank := g.peers.rank(askStore); rank > 0 {
-		goal += g.exchange.SpreadTime() - newsRound + rankDelay + rankStep*spanrill.Millis(rank-1) + spanrill.Millis(g.random.Float64()*float64(rankStep))
-	}
-	if age >= goal {
+	if age >= askAge(goal, latest, g.askRank(), g.exchange.SpreadTime(), g.random.Float64()) {
 		return 0
 	}
 	return proofPoll
 }
 
+// askAge returns the age of knowledge at which a daemon asks the store: the first
+// in rank at the goal, the others later, once news of its answer should have come,
+// and all of them soon after the latest age. Draw, from 0 to 1, keeps daemons of
+// one rank apart.
+func askAge(goal, latest spanrill.Millis, rank int, spread spanrill.Millis, draw float64) spanrill.Millis {
+	if rank == 0 {
+		return goal
+	}
+	later := goal + spread - newsRound + rankDelay + rankStep*spanrill.Millis(rank-1)
+	return min(later, latest) + spanrill.Millis(draw*float64(rankStep))
+}
+
+// askRank returns this daemon's place among those that ask the store for news.
+// Daemons that the store does not answer have none, once they have said so: the
+// next in rank asks in their place without waiting for them each time.
+func (g *Gateway) askRank() int {
+	return g.peers.rankAmong(askStore, func(m peermsg.Member) bool { return !g.exchange.SaysStoreSilent(m.Name) })
+}
+
+// storeSilent reports whether the store gives this daemon no good answers.
+func (g *Gateway) storeSilent() bool {
+	return max(g.configs.Unanswered(), g.upstreams.Unanswered()) > storeSilence
+}
+
+// storeSilence is how long the store gives no good answer before other daemons are
+// told: 75 times its usual answer of 4 ms, and more than an answer takes when it is
+// 60 times slower.
+const storeSilence spanrill.Millis = 300
+
 // retryPause is the longest pause between failed calls of the store. In a fleet
 // where news goes through several daemons those without a rank leave it to the
 // others to find a store that has come back.
 func (g *Gateway) retryPause() spanrill.Millis {
-	if g.exchange.Rounds() > 1 && g.peers.rank(askStore) >= ranks {
+	if g.exchange.Rounds() > 1 && g.askRank() >= ranks {
 		return unrankedPause
 	}
 	return follow.LongestPause
--- /dev/null
+++ b/gateway/due_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"testing"
+
+	"spanrill"
+)
+
+// Whoever is cut off, a daemon that hears nothing has asked the store itself early
+// enough that an upstream which leaves gets nothing too late: after the oldest
+// entries, a look, a call and a request there is time left.
+func TestAskAge(t *testing.T) {
+	const drain = 2 * spanrill.Second
+	goal, latest := drain/upstreamsPart, drain/latestPart
+	for _, c := range []struct {
+		name   string
+		rank   int
+		spread spanrill.Millis
+		draw   float64
+		want   spanrill.Millis
+	}{
+		{"the first asks at the goal", 0, newsRound, 1, goal},
+		{"the second waits for news of the first", 1, newsRound, 0, goal + rankDelay},
+		{"the third asks at the latest age", 2, newsRound, 0, latest},
+		{"those without a rank too", ranks, newsRound, 1, latest + rankStep},
+		{"and where news takes long", ranks, 4 * newsRound, 1, latest + rankStep},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := askAge(goal, latest, c.rank, c.spread, c.draw)
+			if got != c.want {
+				t.Fatalf("asks at an age of %d ms, want %d", got, c.want)
+			}
+			if oldest := got + proofPoll + newsRound + dialTimeout; oldest >= drain {
+				t.Fatalf("requests can follow entries that are %d ms old, the bound is %d", oldest, drain)
+			}
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -148,9 +148,6 @@
 	ranks = 3
 	// proofPoll is how often the age is looked at.
 	proofPoll spanrill.Millis = 50
-	// upstreamsGoal is the same for the entries of upstreams. It is a quarter of
-	// the time after which an upstream that leaves may get nothing more.
-	upstreamsGoal spanrill.Millis = 400
 	// dialTimeout bounds a new connection. One whose first packet was lost
 	// comes up after a second; another upstream is faster.
 	dialTimeout spanrill.Millis = 350
@@ -182,7 +179,7 @@
 	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout))
 	g.config = routes.NewCurrent(g.clock)
 	g.adapter = connect(g.settings.Platform, g.http, g.storeCalled)
-	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log))
+	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain))
 	g.prober = probe.New(g.adapter.Engines, g.clock, g.log, probe.WithHeard(g.fleet.LastHeard))
 	b := g.settings.Bounds
 	g.budgets = retry.NewBudgets(g.clock, retry.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}, firstDaemons)
@@ -194,7 +191,7 @@
 		lease.WithLogger(g.log), lease.WithContends(g.contends))
 	g.exchange = exchange.New(g.peers, exchange.State{
 		Name: g.peers.name, Config: g.config, Fleet: g.fleet, Decode: g.adapter.DecodeConfig,
-		Placement: g.holdsLease, Leaving: g.draining.Load, Targets: g.targets, Budgets: g.budgets, Lease: g.lease,
+		Placement: g.holdsLease, Leaving: g.draining.Load, StoreSilent: g.storeSilent, Targets: g.targets, Budgets: g.budgets, Lease: g.lease,
 	}, g.clock, g.log, g.random)
 	g.placer = layoutrun.New(g.mayPlace, g.adapter.Engines, g.fleet, g.models, g.clock, g.log, layoutrun.WithSpread(g.exchange.SpreadTime))
 	g.router = chainrouting.New(g.fleet, g.clock, g.log, g.random)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -79,12 +79,12 @@
 // rank returns this daemon's place among those that ask the store for
 // something, from 0 to ranks.
 func (p *peers) rank(what string) int {
-	for i, m := range p.list.Owners(what, ranks) {
-		if m.Name == p.name {
-			return i
-		}
-	}
-	return ranks
+	return p.rankAmong(what, func(peermsg.Member) bool { return true })
+}
+
+// rankAmong is the same if only this daemon and the members that match count.
+func (p *peers) rankAmong(what string, match func(peermsg.Member) bool) int {
+	return min(ranks, p.list.Rank(what, match))
 }
 
 // Ask sends a request to a peer and decodes its reply.
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -229,6 +229,8 @@
 	UpstreamsAt     uint64          // revision of the store up to which all upstreams are known
 	UpstreamsChange uint64          // revision up to which there were changes of them
 	UpstreamsAge    spanrill.Millis // of that knowledge, when the answer was made
+
+	StoreSilent bool // the platform's store does not answer this daemon
 }
 
 // Placement is what the holder of the lease of placement says. Other daemons
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -37,16 +37,21 @@
 type Bounds struct {
 	Revoke      spanrill.Millis `json:"revoke_ms"` // after this no request runs under a withdrawn key
 	Grace       spanrill.Millis `json:"grace_ms"`  // from the request to stop to the kill
+	Drain       spanrill.Millis `json:"drain_ms"`  // after this an upstream that leaves gets nothing new
 	RetryRatio  float64         `json:"retry_ratio"`
 	RetrySlack  float64         `json:"retry_slack"`
 	RetryWindow spanrill.Millis `json:"retry_window_ms"`
 }
 
+// DefaultDrain is the shortest time that the users' deployments give an upstream
+// that leaves.
+const DefaultDrain = 2 * spanrill.Second
+
 // DefaultGateway returns settings in which all optional fields have their value.
 func DefaultGateway() Gateway {
 	return Gateway{
 		Peers: []string{}, Log: Log{Level: "info"},
-		Bounds: Bounds{RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * spanrill.Second},
+		Bounds: Bounds{Drain: DefaultDrain, RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * spanrill.Second},
 	}
 }
 
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -7,7 +7,7 @@
 //
 // An entry that goes means that its upstream has left, except around an outage
 // of the store, where entries of upstreams that live may lapse: those are kept
-// for HoldTime after they were seen to be missing. Where the store has answered
+// for a while after they were seen to be missing. Where the store has answered
 // some daemon all the while, the time counts from when the entry was last known
 // to be there.
 //
@@ -31,15 +31,16 @@
 	"spanrill/events"
 )
 
-// HoldTime is how long an upstream is kept whose entry lapsed around an outage
-// of the store. The users' page: such entries are back about 2 s after the
-// store's return, and an upstream that left may get nothing 2 s after its entry
-// was seen to go, so that it has to be a little less.
-const HoldTime spanrill.Millis = 1700
+// holdMargin is by how much less than an upstream that left may still get requests
+// one is kept whose entry lapsed around an outage of the store: the pause between
+// two looks, and the time to send a request. The users' page: such entries are back
+// about 2 s after the store's return, and 2 s is also the shortest time after which
+// one that left may get nothing, so that no more can be given.
+const holdMargin spanrill.Millis = 300
 
-// closeProofs is how close proofs follow one another if the store has answered
-// some daemon all the while: a few polls. In an outage of the store nobody has any.
-const closeProofs spanrill.Millis = 1500
+// defaultDrain is how long after its entry has gone an upstream may get requests
+// where nothing else is set: the least of the users' deployments.
+const defaultDrain = 2 * spanrill.Second
 
 // departTime is how long after its entry has gone an upstream may serve what runs
 // there: the users' page says 2 to 3 s and at times many more, and a longer wait
@@ -68,6 +69,7 @@
 	proved  spanrill.Millis // before the read was sent that told of at
 	seen    chan struct{}
 	once    sync.Once
+	hold    spanrill.Millis // how long an upstream is kept whose entry may have lapsed
 }
 
 // Option changes a default of New.
@@ -78,11 +80,17 @@
 	return func(t *Table) { t.log = log }
 }
 
+// WithDrain sets how long after its entry has gone an upstream may get requests.
+func WithDrain(d spanrill.Millis) Option {
+	return func(t *Table) { t.hold = max(0, d-holdMargin) }
+}
+
 // New returns an empty table. Decode reads the items of the collection.
 func New(clock spanrill.Clock, decode func(spanrill.Item) (spanrill.EngineEntry, error), opts ...Option) *Table {
 	t := &Table{
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
 		all: map[string]*Upstream{}, held: map[string]spanrill.Millis{}, left: map[string]departed{}, seen: make(chan struct{}),
+		hold: defaultDrain - holdMargin,
 	}
 	t.outage.Store(-int64(outageMemory) * 2)
 	for _, o := range opts {
@@ -150,13 +158,17 @@
 	return true
 }
 
-// Knowledge returns all entries, for a peer.
+// Knowledge returns all entries, for a peer. Those that are held are not among
+// them: the store no longer has them, and a peer that has seen no outage must not
+// keep them.
 func (t *Table) Knowledge() Knowledge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k := Knowledge{At: t.at, Change: t.change}
-	for _, u := range t.all {
-		k.Entries = append(k.Entries, *u.Entry())
+	for id, u := range t.all {
+		if _, held := t.held[id]; !held {
+			k.Entries = append(k.Entries, *u.Entry())
+		}
 	}
 	return k
 }
@@ -263,9 +275,9 @@
 	}
 	now := t.clock.Now()
 	if since := now - spanrill.Millis(t.outage.Load()); since < outageMemory && !t.all[id].Entry().Leaving {
-		t.held[id] = now
-		if now-t.proved < closeProofs {
-			t.held[id] = t.proved
+		t.held[id] = t.proved
+		if now-t.proved >= t.hold {
+			t.held[id] = now // nobody had an answer: entries may have lapsed meanwhile
 		}
 		events.UpstreamHeld.Log(t.log, logrus.Fields{"upstream": id, "ms_since_outage": since})
 		return
@@ -310,7 +322,7 @@
 	defer t.mu.Unlock()
 	now, changed := t.clock.Now(), false
 	for id, since := range t.held {
-		if now-since >= HoldTime {
+		if now-since >= t.hold {
 			t.remove(id, "entry did not come back")
 			changed = true
 		}
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -30,6 +30,9 @@
 	return spanrill.Change{Item: spanrill.Item{Name: id}, Gone: true}
 }
 
+// holdTime is how long a table of newTable keeps an entry that may have lapsed.
+const holdTime = defaultDrain - holdMargin
+
 // newTable returns a table with two upstreams, long after any outage.
 func newTable(t *testing.T) (*Table, *clock.Manual) {
 	t.Helper()
@@ -50,10 +53,11 @@
 		{"no outage: it has left", -1, 400, 0, false},
 		{"an outage long ago: it has left", outageMemory + 1, outageMemory + 1, 0, false},
 		{"an outage: it may come back", 500, 5000, 0, true},
-		{"an outage, just before the end of the wait", 500, 5000, HoldTime - 1, true},
-		{"an outage, and it did not come back", 500, 5000, HoldTime, false},
-		{"only this daemon had no answer: it may come back", 300, 400, HoldTime - 401, true},
-		{"only this daemon had no answer: the time counts from the proof", 300, 400, HoldTime - 400, false},
+		{"an outage, just before the end of the wait", 500, 5000, holdTime - 1, true},
+		{"an outage, and it did not come back", 500, 5000, holdTime, false},
+		{"only this daemon had no answer: it may come back", 300, 400, holdTime - 401, true},
+		{"only this daemon had no answer: the time counts from the proof", 300, 400, holdTime - 400, false},
+		{"the same, where the first in rank were cut off and the proof is older", 300, 1650, holdTime - 1650, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			table, manual := newTable(t)
@@ -183,3 +187,22 @@
 		t.Fatal("it is not left alone for roomyRefusal")
 	}
 }
+
+// What a daemon keeps only because its own calls of the store have failed is not told
+// as there: a daemon that the store has answered all the while would take it for
+// proved, and send requests to an upstream that has left.
+func TestHeldEntriesAreNotTold(t *testing.T) {
+	peer, manual := newTable(t)
+	peer.NoteOutage()
+	peer.Changed([]spanrill.Change{gone("a")}, 3, manual.Now())
+	if u := peer.View().ByID("a"); u == nil || !u.Takes() {
+		t.Fatal("the entry was not held")
+	}
+	table, _ := newTable(t)
+	if !table.Merge(peer.Knowledge(), 0) || table.View().ByID("a") != nil {
+		t.Fatal("the upstream that has left is still there")
+	}
+	if table.View().ByID("b") == nil {
+		t.Fatal("the other upstream is gone")
+	}
+}
--- a/state/follow/follow.go
+++ b/state/follow/follow.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -48,6 +49,21 @@
 	listed bool
 	lost   bool
 	tries  int
+
+	askedAt atomic.Int64 // when the first call without a good answer was sent, or noCall
+}
+
+// noCall stands for a store that has answered the last call.
+const noCall = -1
+
+// Unanswered returns for how long the store has given no good answer to calls that
+// were made, or 0 if it has answered the last one. Other goroutines may call it.
+func (f *Follower) Unanswered() spanrill.Millis {
+	since := f.askedAt.Load()
+	if since == noCall {
+		return 0
+	}
+	return f.clock.Now() - spanrill.Millis(since)
 }
 
 // Option changes a default of New.
@@ -112,6 +128,7 @@
 		wait: defaultWait, jitter: func() float64 { return 0 }, known: func() uint64 { return 0 },
 		pause: func() spanrill.Millis { return LongestPause },
 	}
+	f.askedAt.Store(noCall)
 	for _, o := range opts {
 		o(f)
 	}
@@ -141,6 +158,7 @@
 		}
 	}
 	sent := f.clock.Now()
+	f.askedAt.CompareAndSwap(noCall, int64(sent))
 	var err error
 	changed := false
 	if !f.listed {
@@ -149,6 +167,7 @@
 		changed, err = f.watch(ctx, sent)
 	}
 	if errors.Is(err, spanrill.ErrHistoryGone) {
+		f.askedAt.Store(noCall) // that is an answer
 		events.HistoryGone.Log(f.log, logrus.Fields{"collection": f.name, "after": f.at})
 		f.listed = false
 		return 0
@@ -156,6 +175,7 @@
 	if err != nil {
 		return f.failed(ctx, err)
 	}
+	f.askedAt.Store(noCall)
 	if f.lost {
 		f.lost = false
 		events.PlatformFound.Log(f.log, logrus.Fields{"collection": f.name, "tries": f.tries})
--- a/state/follow/follow_test.go
+++ b/state/follow/follow_test.go
@@ -121,3 +121,26 @@
 		t.Fatalf("calls %v, the last one behind revision %d, want 9", src.calls, src.after)
 	}
 }
+
+// How long the store has not answered counts from the first call that got no good
+// answer, and ends with one.
+func TestUnanswered(t *testing.T) {
+	c := clock.NewManual()
+	src := &source{clock: c, at: 5, takes: 4}
+	f := New(src, c, &sink{}, WithLogger(quiet(), "test"))
+	f.Step(context.Background())
+	if d := f.Unanswered(); d != 0 {
+		t.Fatalf("%d ms after an answer", d)
+	}
+	src.err, src.takes = spanrill.ErrUnavailable, 1000
+	f.Step(context.Background())
+	f.Step(context.Background())
+	if d := f.Unanswered(); d != 2000 {
+		t.Fatalf("%d ms after two calls of a second", d)
+	}
+	src.err = nil
+	f.Step(context.Background())
+	if d := f.Unanswered(); d != 0 {
+		t.Fatalf("%d ms after the store has come back", d)
+	}
+}
