Count engines that leave toward the engines that one request may run on

Two of these had left one after the other: their entries had gone and they served on, and an engine without an entry was taken for ended.

Ruled out: engines that crash; both had answered when the third was asked.

Change: an engine counts until its entry has gone and it does not answer either.

--- a/coordination/relay/attempts.go
+++ b/coordination/relay/attempts.go
@@ -6,6 +6,7 @@
 
 	"spanrill"
 	"spanrill/meter"
+	"spanrill/state/fleet"
 )
 
 // sendError is why an attempt has brought no events.
@@ -114,21 +115,27 @@
 
 // mayFirst returns the engines that may be the first of the next path, or nil
 // for any: once the request was sent to as many engines as its route allows,
-// only these. Those whose entries are gone have ended and do not count.
+// only these.
 func (g *generation) mayFirst() map[string]bool {
 	n := 0
-	view := g.relay.Fleet.View()
-	for id := range g.sentTo {
-		if view.ByID(id) != nil {
+	ids := make(map[string]bool, len(g.sentTo))
+	for id, u := range g.sentTo {
+		ids[id] = true
+		if !hasEnded(u) {
 			n++
 		}
 	}
 	if n < g.route.MaxAttempts {
 		return nil
 	}
-	return g.sentTo
+	return ids
 }
 
+// hasEnded reports whether an engine has ended, as far as can be told: its entry has
+// gone, and it does not answer. One that leaves serves on for seconds after its entry
+// has gone, and one that only does not answer may come back.
+func hasEnded(u *fleet.Upstream) bool { return u.Removed() && u.Dead() }
+
 func (g *generation) giveUp(failure *sendError) *spanrill.Refusal {
 	if g.unknown {
 		return spanrill.NewRefusal(spanrill.ReasonUpstreamFailed, "%v", failure.cause).
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -28,14 +28,14 @@
 	moves   int
 	poke    atomic.Pointer[func()]
 	current atomic.Pointer[chainrouting.Path] // for other goroutines
-	sentTo  map[string]bool                   // first engines that the request was sent to
+	sentTo  map[string]*fleet.Upstream        // first engines that the request was sent to, by id
 	unknown bool                              // an attempt may have run
 }
 
 // serveChained finds a path, sends the request and leaves the events to the
 // body of the answer.
 func (q *request) serveChained() {
-	g := &generation{request: q, avoid: map[string]bool{}, sentTo: map[string]bool{}}
+	g := &generation{request: q, avoid: map[string]bool{}, sentTo: map[string]*fleet.Upstream{}}
 	leave := q.relay.streams.add(g)
 	end := q.finish
 	q.finish = func() {
@@ -216,7 +216,7 @@
 	req := g.upstreamRequest(spanrill.UpstreamSend{EngineID: g.first.ID(), Path: g.path.Wire(), LastEvent: lastEvent, Priority: g.urgency()})
 	defer fasthttp.ReleaseRequest(req)
 	g.sends++
-	g.sentTo[g.first.ID()] = true
+	g.sentTo[g.first.ID()] = g.first
 	g.quiet = r.Clock.Now()
 	g.logSent(g.first, g.path, lastEvent)
 	answer, err := r.HTTP.DoWatched(g.ctx, g.first.Addr(), req, g.reuse(), g.watchGap, g.onSilence, g.setPoke)
