Refuse at once where no chain has room, and let callers come back in turn

Change: no wait before the first send. Retry-After is the caller's turn: callers that are refused come back one after the other, at the pace at which streams have ended on this daemon lately, within 5 s.

--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -9,7 +9,6 @@
 
 	"spanrill"
 	"spanrill/coordination/chainrouting"
-	"spanrill/events"
 	"spanrill/meter"
 	"spanrill/state/fleet"
 	"spanrill/transport/httpcall"
@@ -110,7 +109,7 @@
 // open sends the request until an engine has begun its answer.
 func (g *generation) open() *spanrill.Refusal {
 	for {
-		if refusal := g.findPath(g.holdLimit()); refusal != nil {
+		if refusal := g.findPath(g.start); refusal != nil {
 			return g.orUnknown(refusal)
 		}
 		if refusal := g.stillAllowed(); refusal != nil {
@@ -150,26 +149,21 @@
 	return refusal
 }
 
-// holdLimit is how long a new request may wait for room: a quarter of its
-// target, after which the caller is told to come back.
-func (g *generation) holdLimit() spanrill.Millis {
-	return g.start + g.route.Target/holdPart
-}
-
 const (
-	holdPart = 4
 	// roomPoll is how often a request that waits looks for room: about the time
 	// of one token on a chain.
 	roomPoll spanrill.Millis = 15
-	// fullRetry is when a caller should come back to full chains: about the
-	// time in which a tenth of the requests that run have ended.
+	// fullRetry is the soonest that a caller should come back to full chains:
+	// about the time in which a tenth of the requests that run have ended.
 	fullRetry spanrill.Millis = 300
 	// brokenRetry is when a caller should come back when layers are missing:
 	// about the time to load one engine's part.
 	brokenRetry spanrill.Millis = 700
 )
 
-// findPath waits until a path has room, at most until the limit.
+// findPath waits until a path has room, at most until the limit. A new request does
+// not wait: nothing tells that there will be room for it before others come, and its
+// caller can come back in its turn.
 func (g *generation) findPath(limit spanrill.Millis) *spanrill.Refusal {
 	waited := false
 	for {
@@ -189,11 +183,7 @@
 		}
 		if !waited {
 			waited = true
-			g.relay.good.Log(events.RequestWaits, g.relay.Log, func() logrus.Fields {
-				f := g.fields()
-				f["why"] = err
-				return f
-			})
+			g.logWaits(err)
 		}
 		g.sleep(min(roomPoll, limit-now))
 	}
@@ -203,8 +193,10 @@
 	if g.ctx.Err() != nil {
 		return g.ended(g.unknown)
 	}
+	g.considered = consideredBy(err)
 	if errors.Is(err, chainrouting.ErrNoRoom) {
-		return spanrill.NewRefusal(spanrill.ReasonNoRoom, "%v", err).WithRetryAfter(fullRetry)
+		after, gap := g.relay.turns.take(g.relay.Clock.Now())
+		return spanrill.NewRefusal(spanrill.ReasonNoRoom, "%v, requests end every %d ms", err, gap).WithRetryAfter(after)
 	}
 	return spanrill.NewRefusal(spanrill.ReasonNoChain, "%v", err).WithRetryAfter(brokenRetry)
 }
--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
@@ -48,6 +49,24 @@
 	})
 }
 
+// logWaits says that a request waits for room, and what was wrong with each chain.
+func (g *generation) logWaits(err error) {
+	g.relay.good.Log(events.RequestWaits, g.relay.Log, func() logrus.Fields {
+		f := g.fields()
+		f["why"], f["considered"] = err, consideredBy(err)
+		return f
+	})
+}
+
+// consideredBy returns what was wrong with each chain, if an error tells it.
+func consideredBy(err error) []string {
+	var none *chainrouting.NoPathError
+	if !errors.As(err, &none) {
+		return nil
+	}
+	return none.Considered()
+}
+
 func (q *request) logEnded(status int, extra logrus.Fields) {
 	q.relay.good.Log(events.RequestEnded, q.relay.Log, func() logrus.Fields {
 		f := q.fields()
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -83,6 +83,9 @@
 		f := q.fields()
 		f["reason"], f["status"], f["outcome"] = refusal.Reason().Code(), status, refusal.Outcome().String()
 		f["detail"], f["retry_after_ms"] = refusal.Detail(), retryAfter(refusal, status)
+		if q.considered != nil {
+			f["considered"] = q.considered
+		}
 		return f
 	})
 }
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -72,6 +72,7 @@
 	bounds   Bounds
 	running  *callers
 	streams  *streams
+	turns    *turns
 	inFlight atomic.Int64
 	closing  atomic.Bool // answers end their connections
 	refusing atomic.Bool // new requests are refused
@@ -89,7 +90,7 @@
 // New returns a relay.
 func New(parts Parts, bounds Bounds) *Relay {
 	return &Relay{
-		Parts: parts, bounds: bounds, running: newCallers(), streams: newStreams(),
+		Parts: parts, bounds: bounds, running: newCallers(), streams: newStreams(), turns: &turns{},
 		good: events.NewLimiter(parts.Clock, goodLines), bad: events.NewLimiter(parts.Clock, badLines),
 	}
 }
@@ -119,6 +120,8 @@
 	body    []byte
 	finish  func()
 	sends   int
+
+	considered []string // what was wrong with each chain, of a request that found none
 }
 
 // Serve answers one request.
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -180,6 +180,7 @@
 // Close ends the request, whole or not.
 func (b *eventBody) Close() error {
 	g := b.g
+	g.relay.turns.ended(g.relay.Clock.Now())
 	whole := b.ended && len(b.ready) == 0
 	if whole {
 		g.first.Succeeded(g.relay.Clock.Now())
