--- a/coordination/layout/layout.go
+++ b/coordination/layout/layout.go
@@ -99,7 +99,13 @@
 			moves = append(moves, Move{Engine: c[k].ID, Layers: r, Why: fmt.Sprintf("chain %d of the first layout", i+1)})
 		}
 	}
-	return append(moves, duplicates(m, all, used, moves, zoneByID(all))...)
+	var free []candidate
+	for _, e := range all {
+		if !used[e.ID] {
+			free = append(free, e)
+		}
+	}
+	return append(moves, duplicates(m, free, all, moves)...)
 }
 
 // order sorts the engines from which a chain takes what it needs.
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -35,7 +35,7 @@
 	r.bringHome(chains)
 	r.relieve(chains)
 	r.grow()
-	return append(r.moves, duplicates(m, r.free(r.empty), r.taken, r.held(all), zoneByID(all))...)
+	return append(r.moves, duplicates(m, r.free(r.empty), all, r.held(all))...)
 }
 
 type candidateList []candidate
