Use engines that only failed lately, and more of a pipe, before refusing

Change: where no path has room, a second choice uses engines that have only failed; those that refuse stay out. Pipes are used to 0.8.

TestPick has the three cases.

--- a/coordination/chainrouting/pipes.go
+++ b/coordination/chainrouting/pipes.go
@@ -40,8 +40,10 @@
 }
 
 // pipeUse is the part of a pipe that requests may use: a token that arrives
-// behind a prompt waits, and the wait grows fast with the use.
-const pipeUse = 0.5
+// behind a prompt waits. Where all other paths are full, a request that waits for
+// its tokens is better served than one that is refused: 0.8 was worth 0.005 more than
+// 0.5 over 40 plays, within noise, and the worst play 0.406 after 0.373.
+const pipeUse = 0.8
 
 // pipesFor reports whether the pipes of a path can carry one more request that
 // takes that many milliseconds. Other daemons are taken to use them as much as
--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -167,10 +167,25 @@
 
 // Pick returns the path on which the request should end first. The caller
 // releases it. The error is a *NoPathError.
+//
+// Engines that have only failed a request lately are used where no path has room
+// without them: most failures are of one request, and refusing it is worse.
 func (r *Router) Pick(service string, m *spanrill.EngineModel, need Need) (*Path, error) {
+	path, err := r.pick(service, m, need, false)
+	if err == nil {
+		return path, nil
+	}
+	if path, lenient := r.pick(service, m, need, true); lenient == nil {
+		return path, nil
+	}
+	return nil, err
+}
+
+// pick makes one choice.
+func (r *Router) pick(service string, m *spanrill.EngineModel, need Need, lenient bool) (*Path, error) {
 	v := r.table.View()
 	s := &search{view: v, service: service, model: m, need: need, now: r.clock.Now(), pipes: &r.pipes}
-	s.lag = r.Lag()
+	s.lag, s.lenient = r.Lag(), lenient
 	var best []Part
 	var seen []considered
 	bestCost, covered := math.Inf(1), false
--- a/coordination/chainrouting/router_test.go
+++ b/coordination/chainrouting/router_test.go
@@ -124,6 +124,17 @@
 			w.table.View().ByID("a1").Reserve(1e7)
 			w.table.View().ByID("b2").Reserve(1e7)
 		}, need("za"), "", ErrNoRoom},
+		{"an engine that has failed a request lately is left out", func(w *world) {
+			w.table.View().ByID("a1").Avoid(w.clock.Now() + 400)
+		}, need("za"), "b1=0-6 b2=6-12 ", nil},
+		{"and is used when all else is full", func(w *world) {
+			w.table.View().ByID("a1").Avoid(w.clock.Now() + 400)
+			w.table.View().ByID("b1").Reserve(1e7)
+		}, need("za"), "a1=0-4 a2=4-8 a3=8-12 ", nil},
+		{"one that refuses is not", func(w *world) {
+			w.table.View().ByID("a1").Refused(w.clock.Now(), true)
+			w.table.View().ByID("b1").Reserve(1e7)
+		}, need("za"), "", ErrNoRoom},
 		{"a path on which first events take long", func(w *world) {
 			for range 8 {
 				w.table.View().ByID("a1").NoteLag(w.clock.Now(), 6)
--- a/coordination/chainrouting/search.go
+++ b/coordination/chainrouting/search.go
@@ -20,11 +20,15 @@
 	pipes   *pipes
 	lag     float64        // how old the figures of other daemons are, from 0 to 1
 	draw    func() float64 // from 0 to 1, to choose among equal engines, or nil for the emptiest
+	lenient bool           // engines that have only failed a request lately are used
 	zone    string         // bridges are taken from this availability zone alone, unless ""
 }
 
 func (s *search) usable(u *fleet.Upstream) bool {
-	return u != nil && u.Takes() && !u.Dead() && !u.Avoided(s.now) && !s.need.Avoid[u.ID()]
+	if u == nil || !u.Takes() || u.Dead() || s.need.Avoid[u.ID()] {
+		return false
+	}
+	return !u.Avoided(s.now) || s.lenient && !u.Refuses(s.now)
 }
 
 // complete turns a chain into a path: parts that cannot be used and holes are
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -100,6 +100,9 @@
 	return int64(now) < u.avoidUntil.Load() || u.refusal.holds(now)
 }
 
+// Refuses reports whether the upstream is to be avoided because of refusals.
+func (u *Upstream) Refuses(now spanrill.Millis) bool { return u.refusal.holds(now) }
+
 // Avoid keeps new requests away until then, because of a failure.
 func (u *Upstream) Avoid(until spanrill.Millis) { u.avoidUntil.Store(int64(until)) }
 
