Keep engines that have just joined for holes; no moves for a chain that stays broken

Change: an engine becomes a spare 2 s after it was first seen; holes take it at once. A chain is filled from afar only if it is whole then. A spare's value counts what its own zone lacks; a range that several others hold together counts as copied.

--- a/coordination/chain/chain_test.go
+++ b/coordination/chain/chain_test.go
@@ -31,6 +31,13 @@
 			holder("a", "z1", 0, 4), holder("c", "z1", 7, 12),
 			holder("d", "z2", 0, 4), holder("e", "z2", 4, 9),
 		}, "z2:2[{9 12}] z1:2[{4 7}] ", 0},
+		{"of series that hold the same the fastest", []Holder{
+			holder("a", "z1", 0, 6), holder("b", "z1", 6, 8), holder("c", "z1", 8, 10), holder("d", "z1", 10, 12),
+			{ID: "slow", Zone: "z1", Layers: spanrill.LayerRange{From: 6, To: 10}, Pace: 4},
+		}, "z1:4[] ", 1},
+		{"spares of several zones are no chain with holes", []Holder{
+			holder("a", "z1", 0, 12), holder("b", "z1", 0, 4), holder("c", "z2", 4, 8), holder("d", "z3", 9, 11),
+		}, "z1:1[] ", 3},
 		{"spares", []Holder{holder("a", "z1", 0, 12), holder("b", "z1", 3, 6)}, "z1:1[] ", 1},
 		{"a range outside of the model", []Holder{holder("a", "z1", 0, 12), holder("b", "z1", 6, 14)}, "z1:1[] ", 0},
 	} {
--- a/coordination/layout/copies.go
+++ b/coordination/layout/copies.go
@@ -11,8 +11,8 @@
 func duplicates(m *spanrill.EngineModel, free, all []candidate, held []Move) []Move {
 	var moves []Move
 	for i, e := range free {
-		if e.Fixed || e.Layers.Len() > 0 {
-			continue
+		if e.Fixed || e.Layers.Len() > 0 || e.Joined {
+			continue // one that has just joined often takes the place of one that is about to leave
 		}
 		r, ok := worthCopying(m, e, holdingsOf(all, held), mostLayers(m, without(free[i:], free[i:i+1])))
 		if !ok {
@@ -24,9 +24,13 @@
 	return moves
 }
 
-// mostLayers is the most layers that one of some engines can hold as a spare.
+// mostLayers is the most layers that one of some engines can hold as a spare, and at
+// least what the smallest kind can.
 func mostLayers(m *spanrill.EngineModel, engines []candidate) int {
-	most := 0
+	most := m.Layers
+	for _, k := range m.Kinds {
+		most = min(most, cost.Most(m, k, copyRequests*cost.Tokens(m)))
+	}
 	for _, e := range engines {
 		most = max(most, cost.Most(m, e.kind, copyRequests*cost.Tokens(m)))
 	}
@@ -109,7 +113,7 @@
 
 func coverWorthOf(e candidate, h holding, others int) int {
 	worth := coverWorth
-	if h.layers.Len() > others {
+	if h.layers.Len() > others && h.copies == 0 && h.zone == e.Zone {
 		worth *= scarceFactor
 	}
 	for range min(h.copies, mostCopies) {
@@ -128,21 +132,29 @@
 	coverWorth       = 100000
 	copyDivisor      = 10
 	mostCopies       = 3
-	otherZoneDivisor = 4
+	otherZoneDivisor = 20
 	// scarceFactor is by how much longer a chain is away that has lost a range which
 	// no free engine can hold alone: 5 to 10 s, against 1 to 2 s for one load.
 	scarceFactor = 5
 )
 
 // copiesOf counts the other engines in the availability zone of a holder that hold
-// its whole range. Those of other zones do not count: each hop between zones takes
-// a part of a pipe that all share.
+// its whole range; several that hold it together count as one. Those of other zones
+// do not count: each hop between zones takes a part of a pipe that all share.
 func copiesOf(h holding, held []holding) int {
 	n := 0
+	var others []spanrill.LayerRange
 	for _, o := range held {
-		if o.engine != h.engine && o.zone == h.zone && o.layers.From <= h.layers.From && o.layers.To >= h.layers.To {
+		if o.engine == h.engine || o.zone != h.zone {
+			continue
+		}
+		others = append(others, o.layers)
+		if o.layers.From <= h.layers.From && o.layers.To >= h.layers.To {
 			n++
 		}
 	}
+	if n == 0 && h.layers.CoveredBy(others) {
+		n = 1
+	}
 	return n
 }
--- a/coordination/layout/layout.go
+++ b/coordination/layout/layout.go
@@ -32,6 +32,7 @@
 	Lost   bool                `json:"lost,omitempty"`   // has crashed not long ago: what ran there is lost
 	Slow   bool                `json:"slow,omitempty"`   // serves, but holds up its chain
 	Tokens int64               `json:"tokens,omitempty"` // reserved by requests that run
+	Joined bool                `json:"joined,omitempty"` // has been there for a moment only
 }
 
 // Move gives an engine a range.
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -128,18 +128,28 @@
 		if r.fillNear(c) || r.changing(c) {
 			continue
 		}
-		for _, hole := range c.Holes() {
-			if r.bridged(hole) {
-				continue
-			}
-			if r.fillFrom(r.free(r.empty), c, hole, leastRequests, "hole of a chain") || r.fillFrom(r.free(r.spare), c, hole, leastRequests, "hole of a chain, from a spare") {
-				continue
-			}
-			if i < len(broken)-1 {
-				r.fillFrom(r.free(r.partsOf(broken[len(broken)-1])), c, hole, leastRequests, "hole of a chain, from one that misses more")
-			}
+		moves := len(r.moves)
+		if !r.fillFar(c, i < len(broken)-1, broken[len(broken)-1]) {
+			r.takeBack(moves) // a chain with another hole serves nobody
+		}
+	}
+}
+
+// fillFar fills all holes of a chain from any availability zone, and, if allowed,
+// from the chain that misses most. It reports whether the chain is whole then.
+func (r *repair) fillFar(c *chain.Chain, giveUp bool, worst *chain.Chain) bool {
+	for _, hole := range c.Holes() {
+		if r.bridged(hole) {
+			continue
+		}
+		if r.fillFrom(r.free(r.empty), c, hole, leastRequests, "hole of a chain") || r.fillFrom(r.free(r.spare), c, hole, leastRequests, "hole of a chain, from a spare") {
+			continue
+		}
+		if !giveUp || !r.fillFrom(r.free(r.partsOf(worst)), c, hole, leastRequests, "hole of a chain, from one that misses more") {
+			return false
 		}
 	}
+	return true
 }
 
 // bridged reports whether engines that belong to no chain hold a hole's layers,
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -67,9 +67,10 @@
 	grewAt  map[string]spanrill.Millis
 	firstAt map[string]spanrill.Millis
 	orders  task.Group
-	spread  func() spanrill.Millis // how long news takes to all daemons
-	doubts  map[string]*doubt      // by engine
-	askedAt spanrill.Millis        // when all engines were asked for their pace
+	spread  func() spanrill.Millis     // how long news takes to all daemons
+	doubts  map[string]*doubt          // by engine
+	askedAt spanrill.Millis            // when all engines were asked for their pace
+	seenAt  map[string]spanrill.Millis // by engine, when it was first seen
 }
 
 // order is a change that an engine is being brought to.
@@ -93,7 +94,7 @@
 		mayAct: mayAct, engines: engines, table: table, models: models, clock: clock, log: log,
 		ordered: map[string]*order{}, known: map[string]int{},
 		grewAt: map[string]spanrill.Millis{}, firstAt: map[string]spanrill.Millis{},
-		spread: func() spanrill.Millis { return usualSpread }, doubts: map[string]*doubt{},
+		spread: func() spanrill.Millis { return usualSpread }, doubts: map[string]*doubt{}, seenAt: map[string]spanrill.Millis{},
 	}
 	for _, o := range opts {
 		o(p)
@@ -172,7 +173,7 @@
 		}
 		e := layout.Engine{
 			ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers,
-			Leaves: !u.Takes() || leaves, Slow: u.Slow(), Tokens: u.Tokens(),
+			Leaves: !u.Takes() || leaves, Slow: u.Slow(), Tokens: u.Tokens(), Joined: p.joined(entry.ID, now),
 		}
 		if t := u.Target(); t != nil {
 			e.Layers, e.Fixed = t.Layers, !t.Done
@@ -186,6 +187,23 @@
 	return append(engines, p.departed(ctx, s, now, may)...), anyHeld
 }
 
+// joined reports whether an engine has been there for less than joinTime. The caller
+// holds the lock.
+func (p *Placer) joined(id string, now spanrill.Millis) bool {
+	at, seen := p.seenAt[id]
+	if !seen {
+		at = now
+		p.seenAt[id] = at
+	}
+	return now-at < joinTime
+}
+
+// joinTime is how long an engine that has joined is kept for holes alone, before it
+// becomes a spare: where engines are replaced one by one, the old one leaves about a
+// second after the new one has come, and a large engine that is given the wrong
+// layers meanwhile is busy with them for up to 6 s.
+const joinTime spanrill.Millis = 2000
+
 // departed returns the engines of a service whose entries have gone and that serve
 // on what runs there. Those that do not answer have crashed. The caller holds the
 // lock.
@@ -218,6 +236,11 @@
 			delete(p.doubts, id)
 		}
 	}
+	for id := range p.seenAt {
+		if view.ByID(id) == nil {
+			delete(p.seenAt, id)
+		}
+	}
 	for id, o := range p.ordered {
 		u := view.ByID(id)
 		if u == nil || o.drop > 0 && now >= o.drop || o.done && u.Entry().Layers == o.move.Layers {
