--- /dev/null
+++ b/cli/spanrillcmd/losses_test.go
@@ -0,0 +1,65 @@
+package spanrillcmd
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestLosses(t *testing.T) {
+	const stream = `"event":621,"status":200,"whole":true,"target_ms":500,"pause_target_ms":200,`
+	for _, c := range []struct{ name, line, want string }{
+		{"in time", `{` + stream + `"first_ms":80,"longest_pause_ms":90}`, inTime},
+		{"behind other text", `12.5 front-1 {` + stream + `"first_ms":80,"longest_pause_ms":90}`, inTime},
+		{"first event", `{` + stream + `"first_ms":501,"longest_pause_ms":900}`, "late: first event"},
+		{"taken up", `{` + stream + `"first_ms":80,"longest_pause_ms":201,"taken_up":1,"moves":2}`, "late: pause, taken up elsewhere"},
+		{"moved", `{` + stream + `"first_ms":80,"longest_pause_ms":201,"moves":2}`, "late: pause, moved"},
+		{"slow", `{` + stream + `"first_ms":80,"longest_pause_ms":201}`, "late: pause, engines slow or full"},
+		{"plain", `{"event":621,"status":200,"ms":90,"target_ms":100}`, inTime},
+		{"plain and late", `{"event":621,"status":200,"ms":101,"target_ms":100}`, "late: plain call"},
+		{"failed", `{"event":621,"status":500,"ms":10}`, "failed: the upstream's own 500"},
+		{"refused", `{"event":623,"reason":"no_room","status":503}`, "refused: no_room"},
+		{"cut", `{"event":602,"error":"no path has room: stream cannot be completed"}`, "cut: no room to take it up"},
+		{"another event", `{"event":620}`, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLosses(0)
+			if err := l.read(strings.NewReader(c.line + "\n")); err != nil {
+				t.Fatal(err)
+			}
+			if c.want == "" && len(l.counts) > 0 || c.want != "" && l.counts[c.want] != 1 {
+				t.Fatalf("counted as %v, want %q", l.counts, c.want)
+			}
+		})
+	}
+}
+
+// Torn lines and those of other programs are counted and skipped; spans are counted
+// apart, and what daemons left out is told.
+func TestLossesOfALog(t *testing.T) {
+	log := strings.Join([]string{
+		`{"event":623,"reason":"no_room","time":"2026-05-15T04:08:12.567Z","skipped_before":3}`,
+		`{"event":623,"reason":"no_room","time":"2026-05-15T04:08:13.900Z"}`,
+		`{"event":621,"status":200,"time":"2026-05-15T04:08:14.100Z"}`,
+		`{"event":621,"status":2`,
+		`another program's line`,
+		`{"level":"info","msg":"without a number"}`,
+	}, "\n")
+	l := newLosses(2 * time.Second)
+	if err := l.read(strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	l.print(&out)
+	want := `3 requests ended
+       2   66.7%  refused: no_room
+       1   33.3%  served in time
+2026-05-15T04:08:12Z  0 in time, 2 refused: no_room
+2026-05-15T04:08:14Z  1 in time
+3 lines were left out by daemons that had many to write
+3 lines skipped that are torn or another program's
+`
+	if out.String() != want {
+		t.Fatalf("printed:\n%s\nwant:\n%s", out.String(), want)
+	}
+}
