--- a/coordination/layout/copies_test.go
+++ b/coordination/layout/copies_test.go
@@ -85,10 +85,9 @@
 	}
 	engines := []Engine{
 		part("a1", "a", 0, 20), part("a2", "a", 20, 40), part("a3", "a", 40, 60), part("a4", "a", 60, 80),
-		part("b1", "b", 0, 20), part("b3", "b", 40, 60),
+		part("b1", "b", 0, 20), part("b2", "b", 24, 40), part("b3", "b", 40, 60),
 		{ID: "small", Zone: "c", Kind: "tiny", Layers: spanrill.LayerRange{From: 3, To: 6}},
 	}
-	engines[4].Fixed, engines[5].Fixed = false, false
 	for _, move := range Repair(m, engines) {
 		t.Errorf("%v: %s", move, move.Why)
 	}
--- a/coordination/layoutrun/placer_test.go
+++ b/coordination/layoutrun/placer_test.go
@@ -191,3 +191,32 @@
 		return done == 8
 	})
 }
+
+// An engine counts as just joined from when the placer first sees it, for a while,
+// and again when it comes back under another id.
+func TestJoined(t *testing.T) {
+	p, table := place(t, 2, newCards(), always)
+	look := func(now spanrill.Millis) map[string]bool {
+		joined := map[string]bool{}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, u := range table.View().Of("s") {
+			joined[u.ID()] = p.joined(u.ID(), now)
+		}
+		return joined
+	}
+	if got := look(100); !got["e0"] || !got["e1"] {
+		t.Fatalf("at first sight: %v", got)
+	}
+	if got := look(100 + joinTime); got["e0"] || got["e1"] {
+		t.Fatalf("after %d ms: %v", joinTime, got)
+	}
+	table.Merge(fleet.Knowledge{Entries: []spanrill.EngineEntry{{ID: "e0", Service: "s", Addr: "e0"}, {ID: "new", Service: "s", Addr: "e1"}}, At: 2}, 0)
+	if got := look(101 + joinTime); got["e0"] || !got["new"] {
+		t.Fatalf("one of them new: %v", got)
+	}
+	p.forgetOld()
+	if _, kept := p.seenAt["e1"]; kept {
+		t.Fatal("the engine that is gone is remembered")
+	}
+}
