--- a/coordination/chainrouting/considered.go
+++ b/coordination/chainrouting/considered.go
@@ -32,8 +32,9 @@
 	now            spanrill.Millis
 	full           []*fleet.Upstream // without room for the request
 
+	lenient bool   // engines that have only failed a request lately were used
 	zone    string // of a chain that is not complete
-	unusual []fault
+	faults  []fault
 }
 
 // fault is a part of a chain that cannot be used, or a hole if there is no engine.
@@ -60,11 +61,11 @@
 func (s *search) incomplete(c *chain.Chain) considered {
 	seen := considered{zone: c.Zone(), now: s.now}
 	for _, hole := range c.Holes() {
-		seen.unusual = append(seen.unusual, fault{layers: hole})
+		seen.faults = append(seen.faults, fault{layers: hole})
 	}
 	for _, p := range c.Parts() {
 		if u := s.view.ByID(p.ID); u != nil && !s.usable(u) {
-			seen.unusual = append(seen.unusual, fault{layers: p.Layers, upstream: u})
+			seen.faults = append(seen.faults, fault{layers: p.Layers, upstream: u})
 		}
 	}
 	return seen
@@ -73,19 +74,22 @@
 // String returns what decided about the path.
 func (c considered) String() string {
 	if c.first == nil {
-		return fmt.Sprintf("%s incomplete%s", c.zone, c.faults())
+		return fmt.Sprintf("%s incomplete%s", c.zone, c.describeFaults())
 	}
 	full := ""
 	for _, u := range c.full {
 		full += fmt.Sprintf(" full=%s:%d", u.ID(), u.Tokens())
 	}
+	if c.lenient {
+		full += " lenient=true"
+	}
 	return fmt.Sprintf("%s est=%.0f base=%.0f tokens=%d lag=%.1f risk=%.2f room=%t pipe=%t%s", c.first.ID(), c.estimate, c.base,
 		c.first.Tokens(), c.first.Lag(c.now), c.first.Risk(c.now), c.room, c.pipe, full)
 }
 
-func (c considered) faults() string {
+func (c considered) describeFaults() string {
 	var b strings.Builder
-	for _, f := range c.unusual {
+	for _, f := range c.faults {
 		if f.upstream == nil {
 			fmt.Fprintf(&b, " hole=%d-%d", f.layers.From, f.layers.To)
 			continue
--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -201,7 +201,7 @@
 		covered = true
 		estimate, base := s.estimate(parts)
 		room, pipe := s.roomFor(parts), s.pipesFor(parts, base)
-		seen = append(seen, considered{first: parts[0].Upstream, estimate: estimate, base: base, room: room, pipe: pipe, now: s.now, full: s.fullParts(parts, room)})
+		seen = append(seen, considered{first: parts[0].Upstream, estimate: estimate, base: base, room: room, pipe: pipe, now: s.now, full: s.fullParts(parts, room), lenient: lenient})
 		if !room || !pipe {
 			continue
 		}
