Ask for entries after news has come where it goes through several daemons

Read in the code: with drain_ms 2000 and news through three daemons the latest age of 1000 ms lay before the news of the first in rank (400 + 750 ms), so that every daemon would have asked the store by itself. The latest age is now after that news, and never later than a look, a call and a request before the bound. Fleets of up to nine daemons are as before.

--- a/gateway/due.go
+++ b/gateway/due.go
@@ -66,13 +66,13 @@
 // proofDue returns when to look again whether the configuration has to be
 // proved, or 0 if it has to be now.
 func (g *Gateway) proofDue() spanrill.Millis {
-	return g.due(g.config.Age(), proofGoal, g.settings.Bounds.Revoke/latestPart)
+	return g.due(g.config.Age(), proofGoal, g.settings.Bounds.Revoke-freshnessMargin)
 }
 
 // upstreamsDue is the same for the entries of upstreams.
 func (g *Gateway) upstreamsDue() spanrill.Millis {
 	_, _, age := g.fleet.Proof()
-	return g.due(age, g.settings.Bounds.Drain/upstreamsPart, g.settings.Bounds.Drain/latestPart)
+	return g.due(age, g.settings.Bounds.Drain/upstreamsPart, g.settings.Bounds.Drain)
 }
 
 const (
@@ -80,18 +80,20 @@
 	// may get nothing more, at which the first daemon in rank asks for entries.
 	upstreamsPart = 5
 	// latestPart is the part of what a bound allows at which every daemon asks
-	// that has heard nothing. The other half is left for one call that gets no
-	// answer in a second, a round of news and the send of a request.
+	// that has heard nothing, where news has come by then.
 	latestPart = 2
+	// askMargin is what is left of a bound when a daemon asks at the last moment: a
+	// look, the spread of ranks, the call and a request on a new connection.
+	askMargin = proofPoll + rankStep + 50 + dialTimeout
 )
 
 // due compares the age of knowledge with the age at which a daemon of this rank
 // asks the store.
-func (g *Gateway) due(age, goal, latest spanrill.Millis) spanrill.Millis {
+func (g *Gateway) due(age, goal, bound spanrill.Millis) spanrill.Millis {
 	if age < goal {
 		return proofPoll
 	}
-	if age >= askAge(goal, latest, g.askRank(), g.exchange.SpreadTime(), g.random.Float64()) {
+	if age >= askAge(goal, bound, g.askRank(), g.exchange.SpreadTime(), g.random.Float64()) {
 		return 0
 	}
 	return proofPoll
@@ -99,12 +101,13 @@
 
 // askAge returns the age of knowledge at which a daemon asks the store: the first
 // in rank at the goal, the others later, once news of its answer should have come,
-// and all of them soon after the latest age. Draw, from 0 to 1, keeps daemons of
-// one rank apart.
-func askAge(goal, latest spanrill.Millis, rank int, spread spanrill.Millis, draw float64) spanrill.Millis {
+// and all of them in time for the bound. Draw, from 0 to 1, keeps daemons of one rank
+// apart.
+func askAge(goal, bound spanrill.Millis, rank int, spread spanrill.Millis, draw float64) spanrill.Millis {
 	if rank == 0 {
 		return goal
 	}
+	latest := min(max(bound/latestPart, goal+spread+newsRound), bound-askMargin)
 	later := goal + spread - newsRound + rankDelay + rankStep*spanrill.Millis(rank-1)
 	return min(later, latest) + spanrill.Millis(draw*float64(rankStep))
 }
