--- a/coordination/layout/copies.go
+++ b/coordination/layout/copies.go
@@ -111,6 +111,7 @@
 	return score, covered <= 1 || slower
 }
 
+// coverWorthOf is what covering one holder adds to the score of a spare.
 func coverWorthOf(e candidate, h holding, others int) int {
 	worth := coverWorth
 	if h.layers.Len() > others && h.copies == 0 && h.zone == e.Zone {
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -84,7 +84,10 @@
 	latestPart = 2
 	// askMargin is what is left of a bound when a daemon asks at the last moment: a
 	// look, the spread of ranks, the call and a request on a new connection.
-	askMargin = proofPoll + rankStep + 50 + dialTimeout
+	askMargin = proofPoll + rankStep + storeAnswer + dialTimeout
+	// storeAnswer is what a call of the store takes at most in calm: a dozen times its
+	// usual answer of 4 ms.
+	storeAnswer spanrill.Millis = 50
 )
 
 // due compares the age of knowledge with the age at which a daemon of this rank
