--- a/cli/spanrillcmd/losses.go
+++ b/cli/spanrillcmd/losses.go
@@ -1,13 +1,10 @@
 package spanrillcmd
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"sort"
 	"strings"
 	"time"
@@ -38,15 +35,8 @@
 		return cli.Exit("--every must not be negative", exitBadInput)
 	}
 	l := newLosses(every)
-	if len(c.StringSlice("log")) == 0 {
-		if err := l.read(os.Stdin); err != nil {
-			return fmt.Errorf("read standard input: %w", err)
-		}
-	}
-	for _, name := range c.StringSlice("log") {
-		if err := l.readFile(name); err != nil {
-			return err
-		}
+	if err := eachLog(c.StringSlice("log"), l.read); err != nil {
+		return err
 	}
 	if c.Bool(flagJSON) {
 		return json.NewEncoder(c.Root().Writer).Encode(l.report())
@@ -68,36 +58,16 @@
 	return &losses{every: every, counts: map[string]int{}, spans: map[time.Time]map[string]int{}}
 }
 
-func (l *losses) readFile(name string) error {
-	f, err := os.Open(name)
-	if err != nil {
-		return fmt.Errorf("open log: %w", err)
-	}
-	defer func() { _ = f.Close() }()
-	if err := l.read(f); err != nil {
-		return fmt.Errorf("read %s: %w", name, err)
-	}
-	return nil
-}
-
-// read counts the lines of one log. What stands before the JSON object of a line
-// is skipped.
+// read counts the lines of one log.
 func (l *losses) read(r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		start := bytes.IndexByte(scanner.Bytes(), '{')
+	return scanLog(r, func(object []byte) {
 		var line lossLine
-		if start < 0 || json.Unmarshal(scanner.Bytes()[start:], &line) != nil || line.Event == 0 {
+		if json.Unmarshal(object, &line) != nil || line.Event == 0 {
 			l.skipped++
-			continue
+			return
 		}
 		l.take(&line)
-	}
-	if err := scanner.Err(); err != nil {
-		return fmt.Errorf("scan: %w", err)
-	}
-	return nil
+	})
 }
 
 // lossLine is what is read of a line of a log.
--- a/cli/spanrillcmd/trace.go
+++ b/cli/spanrillcmd/trace.go
@@ -1,13 +1,11 @@
 package spanrillcmd
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"sort"
 	"strings"
 
@@ -34,19 +32,13 @@
 		return cli.Exit("name the request or the upstream", exitBadInput)
 	}
 	var lines []traceLine
-	if len(c.StringSlice("log")) == 0 {
-		found, err := readTrace(os.Stdin, id)
-		if err != nil {
-			return fmt.Errorf("read standard input: %w", err)
-		}
-		lines = found
-	}
-	for _, name := range c.StringSlice("log") {
-		found, err := readTraceFile(name, id)
-		if err != nil {
-			return err
-		}
+	err := eachLog(c.StringSlice("log"), func(r io.Reader) error {
+		found, err := readTrace(r, id)
 		lines = append(lines, found...)
+		return err
+	})
+	if err != nil {
+		return err
 	}
 	if len(lines) == 0 {
 		return cli.Exit("no line names "+id, exitFailed)
@@ -58,19 +50,6 @@
 	return nil
 }
 
-func readTraceFile(name, id string) ([]traceLine, error) {
-	f, err := os.Open(name)
-	if err != nil {
-		return nil, fmt.Errorf("open log: %w", err)
-	}
-	defer func() { _ = f.Close() }()
-	lines, err := readTrace(f, id)
-	if err != nil {
-		return nil, fmt.Errorf("read %s: %w", name, err)
-	}
-	return lines, nil
-}
-
 // traceLine is one line of a log that names the id.
 type traceLine struct {
 	time   string
@@ -85,29 +64,17 @@
 	return fmt.Sprintf("%s %-22s %3.0f %s\n    %s", l.time, l.daemon, l.event, l.msg, strings.Join(l.rest, " "))
 }
 
-// maxLine bounds one line of a log.
-const maxLine = 1 << 20
-
 // readTrace returns the lines of a log that name an id. What stands before the
 // JSON object of a line, and lines without one, are skipped.
 func readTrace(r io.Reader, id string) ([]traceLine, error) {
 	var lines []traceLine
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		start := bytes.IndexByte(scanner.Bytes(), '{')
-		if start < 0 || !bytes.Contains(scanner.Bytes(), []byte(id)) {
-			continue
-		}
+	err := scanLog(r, func(object []byte) {
 		var fields map[string]any
-		if json.Unmarshal(scanner.Bytes()[start:], &fields) == nil {
+		if bytes.Contains(object, []byte(id)) && json.Unmarshal(object, &fields) == nil {
 			lines = append(lines, traceLineOf(fields))
 		}
-	}
-	if err := scanner.Err(); err != nil {
-		return nil, fmt.Errorf("scan: %w", err)
-	}
-	return lines, nil
+	})
+	return lines, err
 }
 
 func traceLineOf(fields map[string]any) traceLine {
