Keep a running attempt until another engine has accepted its continuation

Whenever an engine of a stream's path was taken for dead and none near by could take its part, or orders to move the stream failed, the daemon closed the attempt that ran and only then asked elsewhere. A refusal there, an empty retry budget or the limit on engines ended the caller's answer in the middle. Change: a continuation is a second attempt beside the running one. What runs stays until the other engine has answered; a refusal leaves everything as it was; events that come meanwhile end the continuation. A stream whose attempt was ended by its engine looks on for 1.2 s, instead of taking from the budget for each look. Engines that refused a stream that has begun do not count toward max_attempts: they have not run it. Sends that were refused no longer use up what is left for a take-up. A begun stream that hears nothing for 0.7 s although all its engines answer is continued too: its connection may be silent for good.

--- a/coordination/chainrouting/path.go
+++ b/coordination/chainrouting/path.go
@@ -95,6 +95,17 @@
 	return false
 }
 
+// Dead returns the ids of the engines that did not answer when they were asked last.
+func (p *Path) Dead() []string {
+	var ids []string
+	for _, part := range p.parts {
+		if part.Upstream.Dead() {
+			ids = append(ids, part.Upstream.ID())
+		}
+	}
+	return ids
+}
+
 // Wire returns the path as engines are told it.
 func (p *Path) Wire() []spanrill.PathPart {
 	out := make([]spanrill.PathPart, len(p.parts))
--- a/coordination/relay/attempts.go
+++ b/coordination/relay/attempts.go
@@ -11,9 +11,11 @@
 
 // sendError is why an attempt has brought no events.
 type sendError struct {
-	outcome spanrill.Outcome
-	retry   meter.Retry
-	cause   error
+	outcome     spanrill.Outcome
+	retry       meter.Retry
+	cause       error
+	fault       *fleet.Upstream // the engine that refused, or nil
+	misdirected bool            // it does not hold what its entry says
 }
 
 // Error returns the cause.
@@ -23,41 +25,66 @@
 func (e *sendError) Unwrap() error { return e.cause }
 
 // callFailed judges a call without an answer.
-func (g *generation) callFailed(err error) error {
-	now := g.relay.Clock.Now()
+func callFailed(err error) *sendError {
 	failure := &sendError{outcome: spanrill.OutcomeUnknown, retry: meter.RetryCut, cause: err}
 	var call *spanrill.CallError
 	if errors.As(err, &call) {
 		failure.outcome = call.Outcome()
 		if call.Phase == spanrill.PhaseDial {
-			delete(g.sentTo, g.first.ID())
 			failure.retry = meter.RetryDial
 		}
 	}
-	if g.ctx.Err() == nil {
-		g.avoid[g.first.ID()] = true
-		g.first.Failed(now)
-		g.first.Avoid(now + failedAvoid)
-	}
 	return failure
 }
 
 // refusedBy judges an engine's own word that it did not run the request. The
 // engine at fault may be a later one of the path.
-func (g *generation) refusedBy(head spanrill.UpstreamHead, status int) error {
-	now := g.relay.Clock.Now()
-	fault := g.first
+func (g *generation) refusedBy(first *fleet.Upstream, head spanrill.UpstreamHead, status int) *sendError {
+	fault := first
 	if u := g.relay.Fleet.View().ByAddr(head.AtFault); u != nil && head.AtFault != "" {
 		fault = u
 	}
+	return &sendError{
+		outcome: spanrill.OutcomeNotRun, retry: meter.RetryRefused, fault: fault,
+		misdirected: status == fasthttp.StatusMisdirectedRequest,
+		cause:       errors.Errorf("engine %s refused with status %d", fault.ID(), status),
+	}
+}
+
+// noteFailure notes what a failed attempt says of its engines.
+func (g *generation) noteFailure(first *fleet.Upstream, failure *sendError) {
+	now := g.relay.Clock.Now()
+	switch {
+	case failure.fault != nil:
+		g.noteRefusal(first, failure, now)
+	case failure.retry == meter.RetryBadToken:
+		first.Failed(now)
+	case g.ctx.Err() == nil && !errors.Is(failure, errStageLost):
+		g.avoid[first.ID()] = true
+		first.Failed(now)
+		first.Avoid(now + failedAvoid)
+	}
+	if failure.retry == meter.RetryDial {
+		delete(g.sentTo, first.ID())
+	}
+	if failure.outcome != spanrill.OutcomeNotRun {
+		g.unknown = true
+	}
+}
+
+// noteRefusal notes a refusal. An engine that refused has not run the request, and
+// the users' rules count the engines that run one: a stream that has begun may go to
+// another one instead.
+func (g *generation) noteRefusal(first *fleet.Upstream, failure *sendError, now spanrill.Millis) {
+	fault := failure.fault
+	g.refusals++
 	g.avoid[fault.ID()] = true
 	fault.Refused(now, g.relay.Router.HasRoom(g.service.Model, fault))
-	if status == fasthttp.StatusMisdirectedRequest {
+	if failure.misdirected {
 		fault.Avoid(now + misdirectedAvoid)
 	}
-	return &sendError{
-		outcome: spanrill.OutcomeNotRun, retry: meter.RetryRefused,
-		cause: errors.Errorf("engine %s refused with status %d", fault.ID(), status),
+	if g.begun {
+		delete(g.sentTo, first.ID())
 	}
 }
 
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -17,28 +18,39 @@
 // generation is a request that runs on a path of engines.
 type generation struct {
 	*request
-	path    *chainrouting.Path
-	avoid   map[string]bool // engines that failed this request
-	answer  *httpcall.Answer
-	first   *fleet.Upstream
-	begun   bool            // an event has reached the caller
-	quiet   spanrill.Millis // since when nothing has come from the path
-	askAt   spanrill.Millis // silence at which the engines are asked next
-	moves   int
-	poke    atomic.Pointer[func()]
-	current atomic.Pointer[chainrouting.Path] // for other goroutines
-	sentTo  map[string]*fleet.Upstream        // first engines that the request was sent to, by id
-	unknown bool                              // an attempt may have run
+	path        *chainrouting.Path
+	avoid       map[string]bool // engines that failed this request
+	answer      *httpcall.Answer
+	first       *fleet.Upstream
+	begun       bool            // an event has reached the caller
+	behind      string          // last event that the caller has, or ""
+	quiet       spanrill.Millis // when the running attempt was sent
+	lastHeard   spanrill.Millis // when an event came last, or the first attempt was sent
+	askAt       spanrill.Millis // silence at which the engines are asked next
+	moves       int
+	failedMoves int // orders to move that were not carried out
+	refusals    int // attempts that engines have refused
+	poke        atomic.Pointer[func()]
+	current     atomic.Pointer[chainrouting.Path] // for other goroutines
+	sentTo      map[string]*fleet.Upstream        // first engines that the request was sent to, by id
+	unknown     bool                              // an attempt may have run
+
+	next          *continuation   // under way, or nil
+	nextAt        spanrill.Millis // before this no other one begins
+	continuations []*continuation // all, to wait for their ends
+	silenceTried  bool            // a continuation was tried because of silence alone
+	waits         bool            // that it finds no path was logged
 }
 
 // serveChained finds a path, sends the request and leaves the events to the
 // body of the answer.
 func (q *request) serveChained() {
-	g := &generation{request: q, avoid: map[string]bool{}, sentTo: map[string]*fleet.Upstream{}}
+	g := &generation{request: q, avoid: map[string]bool{}, sentTo: map[string]*fleet.Upstream{}, behind: q.head.LastEvent, lastHeard: q.start}
 	leave := q.relay.streams.add(g)
 	end := q.finish
 	q.finish = func() {
 		leave()
+		g.endContinuations()
 		end()
 	}
 	if refusal := g.open(); refusal != nil {
@@ -109,13 +121,13 @@
 // open sends the request until an engine has begun its answer.
 func (g *generation) open() *spanrill.Refusal {
 	for {
-		if refusal := g.findPath(g.start); refusal != nil {
+		if refusal := g.findPath(); refusal != nil {
 			return g.orUnknown(refusal)
 		}
 		if refusal := g.stillAllowed(); refusal != nil {
 			return g.orUnknown(refusal)
 		}
-		err := g.send(g.head.LastEvent)
+		err := g.send()
 		if err == nil {
 			err = g.failedStart()
 		}
@@ -150,8 +162,8 @@
 }
 
 const (
-	// roomPoll is how often a request that waits looks for room: about the time
-	// of one token on a chain.
+	// roomPoll is how often a stream whose attempt has ended looks for room: about
+	// the time of one token on a chain.
 	roomPoll spanrill.Millis = 15
 	// fullRetry is the soonest that a caller should come back to full chains:
 	// about the time in which a tenth of the requests that run have ended.
@@ -161,32 +173,21 @@
 	brokenRetry spanrill.Millis = 700
 )
 
-// findPath waits until a path has room, at most until the limit. A new request does
-// not wait: nothing tells that there will be room for it before others come, and its
+// findPath chooses the path of a request that has not begun. It does not wait for
+// room: nothing tells that there will be room for it before others come, and its
 // caller can come back in its turn.
-func (g *generation) findPath(limit spanrill.Millis) *spanrill.Refusal {
-	waited := false
-	for {
-		path, err := g.relay.Router.Pick(g.service.Name, g.service.Model, g.need(g.begun))
-		if err == nil && !path.Whole(g.service.Model.Layers) {
-			path.Release()
-			return spanrill.NewRefusal(spanrill.ReasonInternal, "path %s does not run every layer once", path)
-		}
-		if err == nil {
-			g.setPath(path)
-			g.first = path.First()
-			return nil
-		}
-		now := g.relay.Clock.Now()
-		if now >= limit || g.ctx.Err() != nil {
-			return g.noPath(err)
-		}
-		if !waited {
-			waited = true
-			g.logWaits(err)
-		}
-		g.sleep(min(roomPoll, limit-now))
+func (g *generation) findPath() *spanrill.Refusal {
+	path, err := g.relay.Router.Pick(g.service.Name, g.service.Model, g.need(false))
+	if err != nil {
+		return g.noPath(err)
+	}
+	if !path.Whole(g.service.Model.Layers) {
+		path.Release()
+		return spanrill.NewRefusal(spanrill.ReasonInternal, "path %s does not run every layer once", path)
 	}
+	g.setPath(path)
+	g.first = path.First()
+	return nil
 }
 
 func (g *generation) noPath(err error) *spanrill.Refusal {
@@ -202,31 +203,61 @@
 }
 
 // send makes one attempt and leaves the answer in g.answer. The error is a
-// *sendError.
-func (g *generation) send(lastEvent string) error {
-	r := g.relay
-	req := g.upstreamRequest(spanrill.UpstreamSend{EngineID: g.first.ID(), Path: g.path.Wire(), LastEvent: lastEvent, Priority: g.urgency()})
+// *sendError. While the attempt waits for its answer a continuation may be accepted
+// in its place.
+func (g *generation) send() error {
+	req := g.requestFor(g.path)
 	defer fasthttp.ReleaseRequest(req)
 	g.sends++
 	g.sentTo[g.first.ID()] = g.first
-	g.quiet = r.Clock.Now()
-	g.logSent(g.first, g.path, lastEvent)
-	answer, err := r.HTTP.DoWatched(g.ctx, g.first.Addr(), req, g.reuse(), g.watchGap, g.onSilence, g.setPoke)
+	g.quiet = g.relay.Clock.Now()
+	g.logSent(g.first, g.path, g.behind)
+	answer, failure := g.try(g.ctx, g.path, req, g)
+	if failure == nil {
+		g.answer = answer
+		g.dropNext()
+		return nil
+	}
+	if !errors.Is(failure, errContinued) {
+		g.noteFailure(g.first, failure)
+	}
+	if g.awaitNext() {
+		g.adoptNext()
+		return nil
+	}
+	return failure
+}
+
+// requestFor builds the request for an attempt on a path.
+func (g *generation) requestFor(path *chainrouting.Path) *fasthttp.Request {
+	return g.upstreamRequest(spanrill.UpstreamSend{EngineID: path.First().ID(), Path: path.Wire(), LastEvent: g.behind, Priority: g.urgency()})
+}
+
+// watch is what is done while nothing arrives of an attempt; see httpcall.DoWatched.
+type watch interface {
+	every() spanrill.Millis
+	onSilence(silent spanrill.Millis) error
+	setPoke(poke func())
+}
+
+// try makes one attempt and judges its answer. It changes nothing of the generation,
+// so that two attempts may be under way.
+func (g *generation) try(ctx context.Context, path *chainrouting.Path, req *fasthttp.Request, w watch) (*httpcall.Answer, *sendError) {
+	r := g.relay
+	answer, err := r.HTTP.DoWatched(ctx, path.First().Addr(), req, g.reuse(), w.every, w.onSilence, w.setPoke)
 	if err != nil {
-		return g.callFailed(err)
+		return nil, callFailed(err)
 	}
 	head := r.Codec.ReadHead(answer.Header())
 	if err := g.genuine(head, answer.Header()); err != nil {
 		answer.Close()
-		g.first.Failed(r.Clock.Now())
-		return &sendError{outcome: spanrill.OutcomeUnknown, retry: meter.RetryBadToken, cause: err}
+		return nil, &sendError{outcome: spanrill.OutcomeUnknown, retry: meter.RetryBadToken, cause: err}
 	}
 	if head.NotRun {
 		answer.Close()
-		return g.refusedBy(head, answer.Status())
+		return nil, g.refusedBy(path.First(), head, answer.Status())
 	}
-	g.answer = answer
-	return nil
+	return answer, nil
 }
 
 // urgency is the priority for the engines. A stream that is taken up goes
--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -50,11 +50,16 @@
 	})
 }
 
-// logWaits says that a request waits for room, and what was wrong with each chain.
+// logWaits says once for each silence that a request finds no second path, and what
+// was wrong with each chain.
 func (g *generation) logWaits(err error) {
+	if g.waits {
+		return
+	}
+	g.waits = true
 	g.relay.good.Log(events.RequestWaits, g.relay.Log, func() logrus.Fields {
 		f := g.fields()
-		f["why"], f["considered"] = err, consideredBy(err)
+		f["why"], f["considered"], f["running"] = err, consideredBy(err), g.path != nil
 		return f
 	})
 }
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -70,6 +70,9 @@
 		b.ended = true
 		return nil
 	}
+	if b.g.checkNext() == nextAccepted {
+		return b.goOn()
+	}
 	return b.takeUp(err)
 }
 
@@ -93,7 +96,10 @@
 			p.Upstream.Accepted(g.quiet)
 		}
 	}
-	b.last, g.askAt = now, 0
+	g.dropNext() // the running attempt has shown that it goes on
+	g.behind = b.framer.lastID
+	b.last, g.lastHeard, g.askAt = now, now, 0
+	g.silenceTried, g.waits = false, false
 	b.events += count
 	g.relay.Meters.Tokens.Add(count)
 	for _, p := range g.path.Parts() {
@@ -114,69 +120,76 @@
 // errCutOff means that a stream cannot go on.
 var errCutOff = errors.New("stream cannot be completed")
 
-// takeUp goes on with the stream on another path behind its last event.
+// takeUp goes on with the stream on another path behind its last event, after its
+// attempt has ended. It looks for one as long as callers wait for an event: what was
+// refused, or found no room, may be accepted a moment later.
 func (b *eventBody) takeUp(cause error) error {
 	g := b.g
-	for {
+	b.framer.dropPartial()
+	g.lose()
+	for limit := g.relay.Clock.Now() + takeUpWait; ; {
+		if g.awaitNext() {
+			return b.goOn()
+		}
 		if g.ctx.Err() != nil {
 			return errors.Wrap(errCutOff, g.ended(true).Detail())
 		}
-		if g.route.Repeat != spanrill.RepeatResume || b.taken >= maxTakeUps {
+		if !g.mayContinue() || g.relay.Clock.Now() >= limit {
 			return errors.Wrapf(errCutOff, "%v", cause)
 		}
-		b.taken++
-		b.framer.dropPartial()
-		g.avoid[g.first.ID()] = true
-		g.first.Failed(g.relay.Clock.Now())
-		if refusal := g.afterFailure(&sendError{outcome: spanrill.OutcomeUnknown, retry: retryReason(cause), cause: cause}); refusal != nil {
+		if refusal := g.stillAllowed(); refusal != nil {
 			return errors.Wrapf(errCutOff, "%v", refusal)
 		}
-		if cause = b.resume(); cause == nil {
-			return nil
+		if !g.startNext(cause) {
+			g.sleep(roomPoll)
 		}
 	}
 }
 
-// maxTakeUps bounds how often one stream is taken up.
-const maxTakeUps = 4
-
-func retryReason(cause error) meter.Retry {
-	switch {
-	case errors.Is(cause, errFirstLost), errors.Is(cause, errNotThere):
-		return meter.RetryStageLost
-	default:
-		return meter.RetryCut
+// lose notes that the running attempt has ended before its answer was whole.
+func (g *generation) lose() {
+	g.unknown = true
+	if g.ctx.Err() == nil {
+		g.avoid[g.first.ID()] = true
+		g.first.Failed(g.relay.Clock.Now())
 	}
+	g.release()
 }
 
-// takeUpWait bounds how long a stream waits for room elsewhere. Callers give a
-// stream up after two seconds without an event.
-const takeUpWait spanrill.Millis = 1200
-
-// resume sends the request once more, behind the last event.
-func (b *eventBody) resume() error {
+// goOn takes the continuation that was accepted for the stream's attempt.
+func (b *eventBody) goOn() error {
 	g := b.g
-	if refusal := g.findPath(g.relay.Clock.Now() + takeUpWait); refusal != nil {
-		return refusal
-	}
-	if refusal := g.stillAllowed(); refusal != nil {
-		return refusal
-	}
-	if err := g.send(b.framer.lastID); err != nil {
-		return err
-	}
+	why := g.next.why
+	g.adoptNext()
+	b.framer.dropPartial()
+	b.taken++
 	if status := g.answer.Status(); status != fasthttp.StatusOK {
-		return errors.Errorf("engine %s answers %d", g.first.ID(), status)
+		return b.takeUp(errors.Errorf("engine %s answers %d", g.first.ID(), status))
 	}
 	g.relay.Meters.Resumed.Inc()
 	g.relay.bad.Log(events.StreamTaken, g.relay.Log, func() logrus.Fields {
 		f := g.fields()
-		f["path"], f["behind_event"], f["silent_ms"] = g.path.String(), b.framer.lastID, g.relay.Clock.Now()-b.last
+		f["path"], f["behind_event"], f["silent_ms"], f["why"] = g.path.String(), b.framer.lastID, g.relay.Clock.Now()-b.last, why
 		return f
 	})
 	return nil
 }
 
+func retryReason(cause error) meter.Retry {
+	switch {
+	case errors.Is(cause, errFirstLost), errors.Is(cause, errStageLost), errors.Is(cause, errNotThere):
+		return meter.RetryStageLost
+	case errors.Is(cause, errNoEvents):
+		return meter.RetryStalled
+	default:
+		return meter.RetryCut
+	}
+}
+
+// takeUpWait bounds how long a stream looks for another path after its attempt has
+// ended. Callers give a stream up after two seconds without an event.
+const takeUpWait spanrill.Millis = 1200
+
 // Close ends the request, whole or not.
 func (b *eventBody) Close() error {
 	g := b.g
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -35,15 +35,25 @@
 	maxMoves = 6
 )
 
-// errFirstLost means that the first engine of a path is dead: the request has
-// to go on elsewhere.
-var errFirstLost = errors.New("first engine of the path is dead")
+// Why a running attempt is in doubt.
+var (
+	// errFirstLost means that the first engine of the path did not answer.
+	errFirstLost = errors.New("first engine of the path is dead")
+	// errStageLost means that a later one did not, and no engine near by takes its part.
+	errStageLost = errors.New("engine of the path is dead")
+	// errNotThere means that orders to move the request have failed.
+	errNotThere = errors.New("engine does not move the request")
+	// errNoEvents means that nothing has come for long, although all engines of the
+	// path answer: the connection itself may be silent.
+	errNoEvents = errors.New("no events although the engines answer")
+)
 
-// errNotThere means that the first engine no longer knows the request.
-var errNotThere = errors.New("engine does not know the request")
+// every is how long nothing arrives before onSilence runs.
+func (g *generation) every() spanrill.Millis { return g.watchGap() }
 
-// onSilence runs on the request's goroutine while nothing comes from the path.
-// An error ends the attempt.
+// onSilence runs on the request's goroutine while nothing comes from the path. An
+// error ends the attempt: only when the request has ended, or a continuation was
+// accepted in its place. Silence alone is no reason to end what may still run.
 func (g *generation) onSilence(silent spanrill.Millis) error {
 	if err := g.ctx.Err(); err != nil {
 		return err
@@ -51,6 +61,32 @@
 	if g.path == nil {
 		return nil
 	}
+	switch g.checkNext() {
+	case nextAccepted:
+		return errContinued
+	case nextOpening:
+		return nil
+	}
+	answered := g.askWhenQuiet(silent)
+	switch {
+	case g.first.Dead():
+		g.startNext(errFirstLost)
+	case g.hasDead():
+		g.replaceDead()
+	case answered && g.begun && silent >= silentConnection && !g.silenceTried:
+		g.silenceTried = g.startNext(errNoEvents)
+	}
+	return nil
+}
+
+// silentConnection is the silence after which a stream whose engines all answer is
+// sent to another chain too: its connection may carry nothing any more. Callers give
+// a stream up after 2 s without an event, and a new attempt reads all tokens so far.
+const silentConnection spanrill.Millis = 700
+
+// askWhenQuiet asks the engines of the path once nothing has come for a while, and
+// reports whether the engines answer as far as is known.
+func (g *generation) askWhenQuiet(silent spanrill.Millis) bool {
 	gap := firstGap
 	if g.begun {
 		gap = g.watchGap()
@@ -60,13 +96,23 @@
 	if silent >= gap && silent >= g.askAt && g.askSuspects(silent) {
 		g.askAt = silent * askAgainFactor
 	}
-	if g.first.Dead() {
-		return errFirstLost
+	return !g.hasDead()
+}
+
+// replaceDead has the request go on without the dead engines of its path: by other
+// engines near by, on another chain, or by engines of other availability zones. If
+// none of these can be had, it waits on where it is.
+func (g *generation) replaceDead() {
+	if g.move(true) {
+		return
 	}
-	if g.hasDead() && g.moves < maxMoves {
-		return g.move()
+	why := errStageLost
+	if g.failedMoves >= movesBeforeElsewhere {
+		why = errNotThere
+	}
+	if !g.startNext(why) && g.next == nil {
+		g.move(false)
 	}
-	return nil
 }
 
 // watchGap is how long nothing comes from a path before the request looks at
@@ -174,66 +220,44 @@
 
 func (g *generation) hasDead() bool { return g.path.HasDead() }
 
-// move gives the running request another path with the same first engine. When
-// no other engine can take the part, the request waits on.
-func (g *generation) move() error {
+// move gives the running request another path with the same first engine, in which
+// the dead engines are replaced by others of their availability zones, or of any, and
+// reports whether it did.
+func (g *generation) move(near bool) bool {
 	r := g.relay
-	next, err := g.replacement()
-	if err != nil {
-		return err
+	if g.moves >= maxMoves || near && g.failedMoves >= movesBeforeElsewhere {
+		return false
 	}
-	if next == nil {
-		return nil
+	next, err := r.Router.Replace(g.service.Name, g.service.Model, g.path, g.need(true), near)
+	if err != nil {
+		if !near {
+			g.logMove(events.MoveFailed, g.path, err)
+		}
+		return false
 	}
 	g.moves++
 	ctx, cancel := context.WithTimeout(g.ctx, moveWait.Duration())
 	defer cancel()
 	if err := r.Engines.Repath(ctx, g.first.Addr(), g.head.ID, next.Wire()); err != nil {
+		g.failedMoves++
 		g.logMove(events.MoveFailed, next, err)
 		next.Release()
-		if g.moves >= movesBeforeElsewhere {
-			return errNotThere
-		}
-		return nil
+		return false
 	}
 	g.logMove(events.RequestMoved, next, nil)
 	g.path.Release()
 	g.setPath(next)
-	return nil
+	return true
 }
 
-// movesBeforeElsewhere is how many moves of one request fail before it goes on
+// movesBeforeElsewhere is how many orders to move one request fail before it goes on
 // on another chain.
 const movesBeforeElsewhere = 3
 
-// replacement returns a path without the dead engines: near by if there is one,
-// across availability zones if the request cannot go on on another chain, or
-// nil if there is none. An error ends the attempt, so that the request goes on
-// on another chain.
-func (g *generation) replacement() (*chainrouting.Path, error) {
-	router, service := g.relay.Router, g.service
-	next, err := router.Replace(service.Name, service.Model, g.path, g.need(true), true)
-	if err == nil {
-		return next, nil
-	}
-	if g.canGoElsewhere() {
-		return nil, errors.Wrap(err, "no engine near by can take the part over")
-	}
-	next, err = router.Replace(service.Name, service.Model, g.path, g.need(true), false)
-	if err != nil {
-		g.logMove(events.MoveFailed, g.path, err)
-		return nil, nil //nolint:nilnil // no path, and the request waits on where it is
-	}
-	return next, nil
-}
-
 // canGoElsewhere reports whether another path has room for the request and the
 // retry budget allows it.
 func (g *generation) canGoElsewhere() bool {
-	if g.route.Repeat != spanrill.RepeatResume || g.sends >= g.route.MaxAttempts+extraSends {
-		return false
-	}
-	if g.relay.Budgets.Of(g.service.Name).Left() < 1 {
+	if !g.mayContinue() || g.relay.Budgets.Of(g.service.Name).Left() < 1 {
 		return false
 	}
 	path, err := g.relay.Router.Pick(g.service.Name, g.service.Model, g.need(true))
