Cut only what is lost, let no engine grow into what runs, move around engines that leave

When engines leave, chains are read anew, and holes appear that no leaving engine held: the planner took the chain's requests for lost and cut what ran on up to eight engines, spares of other paths among them. And engines that were given more layers (closing up around a hole) broke off streams for want of memory. Change: an order cuts only where an engine of the hole has crashed, and only engines of that chain or ones on which nothing runs; an engine grows only as far as what runs on it leaves memory; a path to which a request is moved holds no engine that leaves or is being ordered to hold other layers, and holes side by side are bridged together. Tests seen to fail on the code before: TestHolesThatNobodyLeftAreNotCut, TestRequestsOnASpareAreNotCut, TestReplaceNeedsEnginesThatTakePart (3 cases); TestEngineDoesNotGrowIntoWhatRuns tests a new function.

--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -275,33 +275,42 @@
 // to 1.
 func (r *Router) Lag() float64 { return float64(r.lag.Load()) / lagUnit }
 
-// Replace returns a path that keeps the first engine and every other engine of
-// p that can be used, and bridges the rest. Near allows only bridges in the
-// availability zone of the part that they replace: every token so far has to be
-// sent to an engine that takes a part over. The caller releases both paths.
+// Replace returns a path that keeps the first engine and every other engine of p that
+// can be used, and bridges the rest. Engines that leave, or that are being ordered to
+// hold other layers, serve what runs on them, and take no part in an order to move a
+// request: they are bridged too. Near allows only bridges in the availability zone of
+// the part that they replace: every token so far has to be sent to an engine that
+// takes a part over. The caller releases both paths.
 func (r *Router) Replace(service string, m *spanrill.EngineModel, p *Path, need Need, near bool) (*Path, error) {
 	s := &search{view: r.table.View(), service: service, model: m, need: need, now: r.clock.Now(), pipes: &r.pipes, draw: r.random.Float64}
 	s.need.Urgent = true
 	parts := p.Parts()
+	if !s.takesMove(parts[0]) {
+		return nil, ErrNoPath
+	}
 	used := map[string]bool{}
 	for _, old := range parts {
 		used[old.Upstream.ID()] = true
 	}
 	next := []Part{parts[0]}
-	for _, old := range parts[1:] {
-		if s.usableRunning(old.Upstream) {
+	for i := 1; i < len(parts); {
+		old := parts[i]
+		if s.takesMove(old) {
 			next = append(next, old)
+			i++
 			continue
 		}
+		end := s.untilTaken(parts, i, near)
 		s.zone = ""
 		if near {
 			s.zone = old.Upstream.Zone()
 		}
-		bridge, err := s.bridge(old.Layers, used)
+		bridge, err := s.bridge(spanrill.LayerRange{From: old.Layers.From, To: parts[end-1].Layers.To}, used)
 		if err != nil {
 			return nil, err
 		}
 		next = append(next, bridge...)
+		i = end
 	}
 	if len(next) > maxParts {
 		return nil, ErrNoPath
--- a/coordination/chainrouting/router_test.go
+++ b/coordination/chainrouting/router_test.go
@@ -237,6 +237,50 @@
 	}
 }
 
+// A path to which a running request is moved holds no engine that refuses the move:
+// one that leaves, or that is being ordered to hold other layers.
+func TestReplaceNeedsEnginesThatTakePart(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(w *world)
+		want   string
+	}{
+		{"a later engine leaves", func(w *world) { w.leave("a3") }, "a1=0-4 a4=4-9 a5=9-12 "},
+		{"a later engine gives its layers up", func(w *world) {
+			w.table.View().ByID("a3").SetTarget(&fleet.Target{Layers: spanrill.LayerRange{From: 0, To: 4}})
+		}, "a1=0-4 a4=4-9 a5=9-12 "},
+		{"the first engine leaves", func(w *world) { w.leave("a1") }, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(append(chains(), engine("a4", "za", 3, 9), engine("a5", "za", 9, 12))...)
+			p, err := w.router.Pick(service, model, need("za"))
+			if err != nil || ids(p) != "a1=0-4 a2=4-8 a3=8-12 " {
+				t.Fatalf("path %v, error %v", p, err)
+			}
+			c.change(w)
+			w.table.View().ByID("a2").SetDead(true)
+			next, err := w.router.Replace(service, model, p, need("za"), true)
+			if c.want == "" {
+				if !errors.Is(err, ErrNoPath) {
+					t.Fatalf("path %v, error %v, want %v", next, err, ErrNoPath)
+				}
+				return
+			}
+			if err != nil || ids(next) != c.want {
+				t.Fatalf("path %v, error %v, want %s", next, err, c.want)
+			}
+		})
+	}
+}
+
+// leave has an engine say that it leaves.
+func (w *world) leave(id string) {
+	e := w.items[id]
+	e.Leaving = true
+	w.items[id] = e
+	w.list()
+}
+
 // Requests that move at the same moment spread over the engines that hold the
 // layers: all at one would be read there one after the other.
 func TestMovesSpread(t *testing.T) {
--- a/coordination/chainrouting/search.go
+++ b/coordination/chainrouting/search.go
@@ -196,8 +196,20 @@
 	return millis, base
 }
 
-// usableRunning reports whether a request that runs on an engine can stay: an
-// engine that leaves serves on.
-func (s *search) usableRunning(u *fleet.Upstream) bool {
-	return !u.Dead() && !s.need.Avoid[u.ID()]
+// takesMove reports whether an engine can keep its part of a path to which a running
+// request is moved.
+func (s *search) takesMove(p Part) bool {
+	u, held := p.Upstream, p.Upstream.Layers()
+	return u.Takes() && !u.Dead() && !s.need.Avoid[u.ID()] && held.From <= p.Layers.From && p.Layers.To <= held.To
+}
+
+// untilTaken returns the end of the series of parts from i on that have to be bridged
+// together: several small holes side by side may need one engine that spans them.
+func (s *search) untilTaken(parts []Part, i int, near bool) int {
+	zone := parts[i].Upstream.Zone()
+	end := i + 1
+	for end < len(parts) && !s.takesMove(parts[end]) && (!near || parts[end].Upstream.Zone() == zone) {
+		end++
+	}
+	return end
 }
--- a/coordination/layout/closeup.go
+++ b/coordination/layout/closeup.go
@@ -22,7 +22,7 @@
 	most := make([]int, len(parts))
 	total := 0
 	for i, e := range parts {
-		most[i] = cost.Most(m, e.kind, requests*cost.Tokens(m))
+		most[i] = mostBeside(m, e, requests)
 		total += most[i]
 	}
 	if total < m.Layers {
@@ -31,6 +31,18 @@
 	return fewestLoads(m.Layers, parts, most)
 }
 
+// mostBeside is how many layers an engine may be brought to hold: those that leave
+// memory for that many requests and, if it is to hold more than now, for what runs on
+// it. An engine that grows into that memory breaks requests off.
+func mostBeside(m *spanrill.EngineModel, e candidate, requests float64) int {
+	held, n := e.Layers.Len(), cost.Most(m, e.kind, requests*cost.Tokens(m))
+	running := float64(e.Tokens) * float64(held) // tokens times layers
+	for n > held && cost.Capacity(m, e.kind, n)*float64(n) < running {
+		n--
+	}
+	return n
+}
+
 // fewestLoads divides layers among engines in order, each within its most, so
 // that the sum of layers that engines do not hold yet is as small as it can be.
 // It works from the first engine on: for each layer up to which the engines so
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -69,22 +69,37 @@
 	outside []chain.Holder // belong to no chain
 	leaving []Engine
 	crashed []Engine
-	cut     bool // the moves that follow may cut requests
+	cut     *chain.Chain // whose requests are lost, so that the moves that follow may cut them, or nil
 }
 
-// lost reports whether requests on a chain are lost because of its holes: engines
-// that leave serve on what runs, unless another one of the hole has crashed. Where a zone has several chains, their parts are
-// read anew without the engines that leave, so that a hole need not be just what
-// one of these holds: a part of it is enough.
+// lost reports whether requests on a chain are lost because of its holes: an engine
+// that held a part of one has crashed. Engines that leave serve on what runs, and a
+// hole that neither has left comes of chains that are read anew, while requests run
+// on the paths of before.
 func (r *repair) lost(c *chain.Chain) bool {
 	for _, hole := range c.Holes() {
-		if anyHolds(r.crashed, c.Zone(), hole) || !anyHolds(r.leaving, c.Zone(), hole) {
+		if anyHolds(r.crashed, c.Zone(), hole) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayCut reports whether an order may cut what runs on an engine: the engine belongs
+// to the chain whose requests are lost, or nothing runs on it. What runs on other
+// engines is of other paths, and goes on.
+func (r *repair) mayCut(e candidate) bool {
+	if r.cut == nil {
+		return false
+	}
+	for _, p := range r.cut.Parts() {
+		if p.ID == e.ID {
+			return true
+		}
+	}
+	return e.Tokens == 0
+}
+
 // anyHolds reports whether one of some engines is in a zone and holds layers of a
 // hole.
 func anyHolds(engines []Engine, zone string, hole spanrill.LayerRange) bool {
@@ -111,7 +126,7 @@
 	if e.Layers == layers {
 		return // it holds them: nothing to order
 	}
-	r.moves = append(r.moves, Move{Engine: e.ID, Layers: layers, Why: why, Cut: r.cut})
+	r.moves = append(r.moves, Move{Engine: e.ID, Layers: layers, Why: why, Cut: r.mayCut(e)})
 }
 
 // fill fills the holes of chains, those of the fullest chain first. Engines in
@@ -122,9 +137,12 @@
 // worth more than two broken ones.
 func (r *repair) fill(chains []*chain.Chain) {
 	broken := brokenOf(chains)
-	defer func() { r.cut = false }()
+	defer func() { r.cut = nil }()
 	for i, c := range broken {
-		r.cut = r.lost(c)
+		r.cut = nil
+		if r.lost(c) {
+			r.cut = c
+		}
 		if r.fillNear(c) || r.changing(c) {
 			continue
 		}
--- a/coordination/layout/spare_test.go
+++ b/coordination/layout/spare_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"spanrill"
+	"spanrill/coordination/cost"
 )
 
 // quarter returns an engine that holds 20 of the 80 layers and could hold all.
@@ -62,6 +63,56 @@
 	}
 }
 
+// An engine leaves, and the zone's chains are read anew with a hole that it did not
+// hold: nothing has crashed, and what runs is not cut.
+func TestHolesThatNobodyLeftAreNotCut(t *testing.T) {
+	leaving := quarter("leaving", 0)
+	leaving.Leaves = true
+	engines := []Engine{leaving, quarter("a1", 0), quarter("a2", 20), quarter("spare", 0), quarter("a4", 60)}
+	moves := Repair(hugeModel(), engines)
+	if len(moves) == 0 {
+		t.Fatal("the hole is not filled")
+	}
+	for _, move := range moves {
+		if move.Cut {
+			t.Errorf("%v cuts what runs", move)
+		}
+	}
+}
+
+// What runs on a spare is of other paths than those of the engine that has crashed.
+func TestRequestsOnASpareAreNotCut(t *testing.T) {
+	crash, spare := quarter("crashed", 20), quarter("spare", 0)
+	crash.Lost, spare.Tokens = true, 5000
+	first := quarter("first", 0)
+	first.Tokens = 9000
+	moves := Repair(hugeModel(), []Engine{first, spare, crash, quarter("third", 40), quarter("last", 60)})
+	if len(moves) != 1 || moves[0].Engine != "spare" || moves[0].Cut {
+		t.Fatalf("moves %v, want one of the spare that cuts nothing", moves)
+	}
+}
+
+// An engine that is given more layers keeps memory for what runs on it.
+func TestEngineDoesNotGrowIntoWhatRuns(t *testing.T) {
+	m := hugeModel()
+	for _, c := range []struct {
+		name   string
+		filled float64 // part of its memory that requests hold
+		want   bool    // whether it may hold ten more layers
+	}{
+		{"nothing runs", 0, true},
+		{"it is nearly full", 0.98, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := candidate{Engine: quarter("e", 0), kind: m.Kinds["huge"]}
+			e.Tokens = int64(c.filled * cost.Capacity(m, e.kind, 20))
+			if got := mostBeside(m, e, leastRequests) >= 30; got != c.want {
+				t.Fatalf("up to %d layers", mostBeside(m, e, leastRequests))
+			}
+		})
+	}
+}
+
 // Of two engines with the same layers that one is moved which serves less.
 func TestTheLessUsedEngineMoves(t *testing.T) {
 	for _, c := range []struct {
