Move running requests off engines that give up layers; a silent connection needs proof

Change: a request on an engine that is being ordered to give its layers up moves to another holder near by while it runs. A stream is taken for unheard only if nothing waits at its first engine, it does not stand still there, and its path is not new.

--- a/coordination/chainrouting/path.go
+++ b/coordination/chainrouting/path.go
@@ -106,6 +106,18 @@
 	return ids
 }
 
+// GivenUp reports whether an engine of the path is being ordered to give layers up
+// that the path runs there. It serves on what runs, and the order waits for that.
+func (p *Path) GivenUp() bool {
+	for _, part := range p.parts {
+		target := part.Upstream.Target()
+		if target != nil && !target.Done && (part.Layers.From < target.Layers.From || part.Layers.To > target.Layers.To) {
+			return true
+		}
+	}
+	return false
+}
+
 // Wire returns the path as engines are told it.
 func (p *Path) Wire() []spanrill.PathPart {
 	out := make([]spanrill.PathPart, len(p.parts))
--- a/coordination/chainrouting/router_test.go
+++ b/coordination/chainrouting/router_test.go
@@ -273,6 +273,32 @@
 	}
 }
 
+// A path is told to leave engines that are to give up what it runs there, and no others.
+func TestGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		target *fleet.Target
+		want   bool
+	}{
+		{"no order", nil, false},
+		{"it keeps the part", &fleet.Target{Layers: spanrill.LayerRange{From: 2, To: 8}}, false},
+		{"it gives a part of it up", &fleet.Target{Layers: spanrill.LayerRange{From: 5, To: 9}}, true},
+		{"it has changed already", &fleet.Target{Layers: spanrill.LayerRange{From: 5, To: 9}, Done: true}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(chains()...)
+			p, err := w.router.Pick(service, model, need("za"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.table.View().ByID("a2").SetTarget(c.target)
+			if p.GivenUp() != c.want {
+				t.Fatalf("given up %t, want %t", p.GivenUp(), c.want)
+			}
+		})
+	}
+}
+
 // leave has an engine say that it leaves.
 func (w *world) leave(id string) {
 	e := w.items[id]
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -38,6 +38,8 @@
 	next          *continuation   // under way, or nil
 	nextAt        spanrill.Millis // before this no other one begins
 	continuations []*continuation // all, to wait for their ends
+	vacateAt      spanrill.Millis // before this it is not moved off engines that give layers up
+	reads         bool            // engines that are new on its path read its tokens first
 	silenceTried  bool            // a continuation was tried because of silence alone
 	waits         bool            // that it finds no path was logged
 }
--- a/coordination/relay/continuation.go
+++ b/coordination/relay/continuation.go
@@ -226,7 +226,7 @@
 	c := g.next
 	g.next = nil
 	g.release()
-	g.answer, g.first, g.quiet, g.askAt, g.silenceTried = c.answer, c.path.First(), c.sentAt, 0, false
+	g.answer, g.first, g.quiet, g.askAt, g.reads = c.answer, c.path.First(), c.sentAt, 0, true
 	c.answer = nil // it is the generation's
 	g.setPath(c.path)
 	c.taken.Store(true)
--- a/coordination/relay/gone.go
+++ b/coordination/relay/gone.go
@@ -57,10 +57,12 @@
 // a caller that left is cancelled within half a second.
 const lookGap spanrill.Millis = 150
 
-// Run looks for callers that left until the context ends.
+// Run looks for callers that left, and for requests that run where layers are given
+// up, until the context ends.
 func (r *Relay) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		r.running.look()
+		r.streams.pokeGivenUp()
 		select {
 		case <-ctx.Done():
 		case <-r.Clock.After(lookGap):
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -99,7 +99,7 @@
 	g.dropNext() // the running attempt has shown that it goes on
 	g.behind = b.framer.lastID
 	b.last, g.lastHeard, g.askAt = now, now, 0
-	g.silenceTried, g.waits = false, false
+	g.silenceTried, g.waits, g.reads = false, false, false
 	b.events += count
 	g.relay.Meters.Tokens.Add(count)
 	for _, p := range g.path.Parts() {
--- a/coordination/relay/streams.go
+++ b/coordination/relay/streams.go
@@ -1,6 +1,10 @@
 package relay
 
-import "sync"
+import (
+	"sync"
+
+	"spanrill/coordination/chainrouting"
+)
 
 // streams are the generations that run, so that all of them can look at once
 // when one of them has found a dead engine.
@@ -28,12 +32,17 @@
 
 // pokeDead makes every generation look at its path whose path has a dead
 // engine.
-func (s *streams) pokeDead() {
+func (s *streams) pokeDead() { s.pokeIf((*chainrouting.Path).HasDead) }
+
+// pokeGivenUp does so where an engine is to give up what the path runs there.
+func (s *streams) pokeGivenUp() { s.pokeIf((*chainrouting.Path).GivenUp) }
+
+func (s *streams) pokeIf(matches func(*chainrouting.Path) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, g := range s.all {
 		path, poke := g.current.Load(), g.poke.Load()
-		if path != nil && poke != nil && path.HasDead() {
+		if path != nil && poke != nil && matches(path) {
 			(*poke)()
 		}
 	}
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -68,22 +69,50 @@
 		return nil
 	}
 	answered := g.askWhenQuiet(silent)
+	if answered && g.begun && g.path.GivenUp() {
+		g.vacate()
+		return nil
+	}
 	switch {
 	case g.first.Dead():
 		g.startNext(errFirstLost)
 	case g.hasDead():
 		g.replaceDead()
-	case answered && g.begun && silent >= silentConnection && !g.silenceTried:
+	case g.begun && silent >= silentConnection && !g.silenceTried && !g.reads && g.runsUnheard():
 		g.silenceTried = g.startNext(errNoEvents)
 	}
 	return nil
 }
 
+// vacate moves the request off engines that are to give its layers up, if others near
+// by hold them: the order waits for what runs there, and a chain may wait for it.
+func (g *generation) vacate() {
+	if now := g.relay.Clock.Now(); now >= g.vacateAt {
+		g.vacateAt = now + vacateGap
+		g.move(true)
+	}
+}
+
+// vacateGap is the pause between two tries to leave an engine: what others hold
+// changes with orders and losses, every few hundred milliseconds at most.
+const vacateGap spanrill.Millis = 400
+
 // silentConnection is the silence after which a stream whose engines all answer is
 // sent to another chain too: its connection may carry nothing any more. Callers give
 // a stream up after 2 s without an event, and a new attempt reads all tokens so far.
 const silentConnection spanrill.Millis = 700
 
+// runsUnheard reports whether the first engine answers, and nothing waits there: then
+// the request runs, and its events do not arrive. A request that was put back for want
+// of memory, or that waits for a dead engine, is silent too.
+func (g *generation) runsUnheard() bool {
+	report, ok := g.relay.Prober.Check(g.ctx, []*fleet.Upstream{g.first})[g.first.ID()]
+	if !ok || report.Waiting > 0 {
+		return false
+	}
+	return !slices.ContainsFunc(report.Stalled, func(s spanrill.Stalled) bool { return s.RequestID == g.head.ID })
+}
+
 // askWhenQuiet asks the engines of the path once nothing has come for a while, and
 // reports whether the engines answer as far as is known.
 func (g *generation) askWhenQuiet(silent spanrill.Millis) bool {
@@ -247,6 +276,7 @@
 	g.logMove(events.RequestMoved, next, nil)
 	g.path.Release()
 	g.setPath(next)
+	g.reads = true
 	return true
 }
 
