A running request waits out the pause after a refusal before it moves across zones

After a refusal no continuation begins for 30 ms, and in that pause the request was moved across availability zones; on a path that was new nothing noticed that no events came any more. Change: in the pause nothing is moved; a path that is new is given twice the time before its stream counts as unheard (1.4 s; callers give up after 2 s).

--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -78,7 +78,7 @@
 		g.startNext(errFirstLost)
 	case g.hasDead():
 		g.replaceDead()
-	case g.begun && silent >= silentConnection && !g.silenceTried && !g.reads && g.runsUnheard():
+	case g.begun && silent >= g.unheardAfter() && !g.silenceTried && g.runsUnheard():
 		g.silenceTried = g.startNext(errNoEvents)
 	}
 	return nil
@@ -102,6 +102,15 @@
 // a stream up after 2 s without an event, and a new attempt reads all tokens so far.
 const silentConnection spanrill.Millis = 700
 
+// unheardAfter is the same for the path as it is: engines that have just come to it
+// read all tokens so far, many requests in turn.
+func (g *generation) unheardAfter() spanrill.Millis {
+	if g.reads {
+		return 2 * silentConnection
+	}
+	return silentConnection
+}
+
 // runsUnheard reports whether the first engine answers, and nothing waits there: then
 // the request runs, and its events do not arrive. A request that was put back for want
 // of memory, or that waits for a dead engine, is silent too.
@@ -139,7 +148,7 @@
 	if g.failedMoves >= movesBeforeElsewhere {
 		why = errNotThere
 	}
-	if !g.startNext(why) && g.next == nil {
+	if pausing := g.relay.Clock.Now() < g.nextAt; !pausing && !g.startNext(why) {
 		g.move(false)
 	}
 }
