--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -206,3 +206,32 @@
 		t.Fatal("the other upstream is gone")
 	}
 }
+
+// News that an entry has gone may come late, over several daemons. What counts is when
+// the reads were sent that told of it: if the store has answered somebody all the while,
+// the entry may not be kept from when it is seen to be gone here.
+func TestEntryThatGoesIsToldLate(t *testing.T) {
+	table, manual := newTable(t)
+	table.NoteOutage()
+	manual.Advance(holdTime + 100)
+	table.NoteOutage()
+	table.Merge(Knowledge{Entries: []spanrill.EngineEntry{{ID: "b", Addr: "1:2"}}, At: 3, Change: 3}, 600)
+	table.Tend()
+	if u := table.View().ByID("a"); u != nil {
+		t.Fatalf("the upstream takes requests %d ms after the last proof", manual.Now())
+	}
+}
+
+// An answer of the store that was on its way while a peer told more brings nothing back.
+func TestOldChangesBringNothingBack(t *testing.T) {
+	table, manual := newTable(t)
+	table.NoteOutage()
+	manual.Advance(1000)
+	table.Merge(Knowledge{Entries: []spanrill.EngineEntry{{ID: "b", Addr: "1:2"}}, At: 8, Change: 7}, 900)
+	table.Changed([]spanrill.Change{{Item: item(t, "a", "1:1", 5, false)}, gone("a")}, 9, 950)
+	manual.Advance(holdTime - 1000)
+	table.Tend()
+	if table.View().ByID("a") != nil {
+		t.Fatal("the upstream is kept from when a later read was sent")
+	}
+}
