An entry that goes counts from its last proof where the store has answered others

Besides, an answer of the store that was on its way while a peer told more brought back an entry that was gone, and held it anew. Change: what counts are the times at which reads were sent, not when they are heard of. A table keeps the span through which the store has answered somebody without a break; daemons tell it one another (3 bytes more in a message of 73 bytes at rest, no message more). An entry is kept from when it was seen to be gone only if it was last known before that span; news of a longer span shortens what is held. Changes that are known from a peer are not taken twice, and an entry that is gone and back in one answer stays the same upstream. The time is 370 ms less than drain_ms instead of 300, since a dial takes up to 350 ms.

--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -203,6 +203,7 @@
 		return err
 	}
 	e.takeFleet(news.Fleet, sent)
+	e.takeAnswered(&news, sent)
 	e.mu.Lock()
 	e.heard[m.Name] = heard{news: news, at: sent}
 	e.mu.Unlock()
@@ -217,6 +218,19 @@
 	return e.catchUpEntries(ctx, m, &news, sent)
 }
 
+// takeAnswered notes that the platform's store has answered a peer or others that it
+// heard of. A span that begins later than it did, because the answer took its time, says
+// less, and one that ends earlier too.
+func (e *Exchange) takeAnswered(news *peermsg.News, sent spanrill.Millis) {
+	if news.UpstreamsAt != 0 {
+		e.state.Fleet.Answered(e.clock.Now()-news.StoreAnswered, sent-news.UpstreamsAge)
+	}
+}
+
+// answeredMost is more than an entry can have gone unheard of at a daemon that is still
+// among the members, and takes three bytes of a message.
+const answeredMost = 30 * spanrill.Second
+
 // catchUpConfig fetches a peer's configuration if it is newer. Several peers that
 // are asked at the same time have the same one, so that one fetch waits for the
 // other: large messages side by side would fill a slow link.
@@ -319,6 +333,7 @@
 		Placement: e.placementNews(), Leaving: e.state.Leaving(), StoreSilent: e.state.StoreSilent(),
 	}
 	n.UpstreamsAt, n.UpstreamsChange, n.UpstreamsAge = e.state.Fleet.Proof()
+	n.StoreAnswered = min(e.state.Fleet.AnsweredFor(), answeredMost)
 	e.takeBelow(asked)
 	e.takePlacement(asked.Placement, e.clock.Now())
 	n.Fleet = e.fleetNews(asked)
--- a/coordination/exchange/exchange_test.go
+++ b/coordination/exchange/exchange_test.go
@@ -275,3 +275,21 @@
 		}
 	}
 }
+
+// A daemon is told for how long the store has answered its peer. Answers that take their
+// time make that look shorter, never longer.
+func TestStoreAnswersPeer(t *testing.T) {
+	c, here, there, wire := pair(200)
+	entries(c, there, 9, spanrill.LayerRange{From: 0, To: 4})
+	wire.silent = true
+	for range 20 {
+		c.Advance(1000)
+		there.table.Prove(9, 9, c.Now())
+	}
+	wire.silent = false
+	before := there.table.AnsweredFor()
+	here.exchange.Round(context.Background())
+	if got := here.table.AnsweredFor(); got > before+200 || got < before {
+		t.Fatalf("the store has answered for %d ms, the peer says %d", got, before)
+	}
+}
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -231,6 +231,10 @@
 	UpstreamsAge    spanrill.Millis // of that knowledge, when the answer was made
 
 	StoreSilent bool // the platform's store does not answer this daemon
+
+	// StoreAnswered is for how long the store has answered daemons without a break, at
+	// least, up to UpstreamsAge ago.
+	StoreAnswered spanrill.Millis
 }
 
 // Placement is what the holder of the lease of placement says. Other daemons
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -31,12 +31,17 @@
 	"spanrill/events"
 )
 
-// holdMargin is by how much less than an upstream that left may still get requests
-// one is kept whose entry lapsed around an outage of the store: the pause between
-// two looks, and the time to send a request. The users' page: such entries are back
-// about 2 s after the store's return, and 2 s is also the shortest time after which
-// one that left may get nothing, so that no more can be given.
-const holdMargin spanrill.Millis = 300
+const (
+	// holdMargin is by how much less than an upstream that left may still get requests
+	// one is kept whose entry lapsed around an outage of the store: the longest dial of
+	// 350 ms, and the way of the request. The users' page: such entries are back about
+	// 2 s after the store's return, and 2 s is also the shortest time after which one
+	// that left may get nothing, so that no more can be given.
+	holdMargin spanrill.Millis = 370
+	// outageMargin is by how much less than that time the store has answered nobody
+	// when entries may have lapsed.
+	outageMargin spanrill.Millis = 300
+)
 
 // defaultDrain is how long after its entry has gone an upstream may get requests
 // where nothing else is set: the least of the users' deployments.
@@ -59,8 +64,8 @@
 
 	mu      sync.Mutex
 	all     map[string]*Upstream
-	held    map[string]spanrill.Millis // by id, since when the entry may be gone
-	left    map[string]departed        // by id, upstreams whose entries have gone lately
+	held    map[string]held     // by id, entries that may have lapsed
+	left    map[string]departed // by id, upstreams whose entries have gone lately
 	view    atomic.Pointer[View]
 	outage  atomic.Int64 // end of the last failed call of the store
 	version uint64
@@ -70,6 +75,9 @@
 	seen    chan struct{}
 	once    sync.Once
 	hold    spanrill.Millis // how long an upstream is kept whose entry may have lapsed
+
+	answered   answered
+	outageTime spanrill.Millis // how long the store has answered nobody when entries may have lapsed
 }
 
 // Option changes a default of New.
@@ -82,17 +90,18 @@
 
 // WithDrain sets how long after its entry has gone an upstream may get requests.
 func WithDrain(d spanrill.Millis) Option {
-	return func(t *Table) { t.hold = max(0, d-holdMargin) }
+	return func(t *Table) { t.hold, t.outageTime = max(0, d-holdMargin), max(0, d-outageMargin) }
 }
 
 // New returns an empty table. Decode reads the items of the collection.
 func New(clock spanrill.Clock, decode func(spanrill.Item) (spanrill.EngineEntry, error), opts ...Option) *Table {
 	t := &Table{
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
-		all: map[string]*Upstream{}, held: map[string]spanrill.Millis{}, left: map[string]departed{}, seen: make(chan struct{}),
-		hold: defaultDrain - holdMargin,
+		all: map[string]*Upstream{}, held: map[string]held{}, left: map[string]departed{}, seen: make(chan struct{}),
+		hold: defaultDrain - holdMargin, outageTime: defaultDrain - outageMargin,
 	}
 	t.outage.Store(-int64(outageMemory) * 2)
+	t.answered = answered{from: neverAnswered, to: neverAnswered}
 	for _, o := range opts {
 		o(t)
 	}
@@ -142,17 +151,18 @@
 	if k.At < t.at {
 		return false
 	}
-	there := make(map[string]bool, len(k.Entries))
+	there, before := make(map[string]bool, len(k.Entries)), t.proved
+	t.prove(sent)
 	for _, entry := range k.Entries {
 		there[entry.ID] = true
 		t.put(entry)
 	}
 	for id := range t.all {
 		if !there[id] {
-			t.gone(id)
+			t.gone(id, before, sent)
 		}
 	}
-	t.at, t.change, t.proved = k.At, max(t.change, k.Change), max(t.proved, sent)
+	t.at, t.change = k.At, max(t.change, k.Change)
 	t.publish()
 	t.once.Do(func() { close(t.seen) })
 	return true
@@ -196,7 +206,8 @@
 	if change > t.at {
 		return false
 	}
-	t.at, t.proved = max(t.at, at), max(t.proved, sent)
+	t.at = max(t.at, at)
+	t.prove(sent)
 	return true
 }
 
@@ -207,22 +218,35 @@
 	if at < t.at {
 		return
 	}
+	before, stays := t.proved, stay(changes)
+	t.prove(sent)
 	for _, c := range changes {
-		if c.Gone {
-			t.gone(c.Name)
-			continue
-		}
-		if entry, ok := t.read(c.Item); ok {
-			t.put(entry)
+		switch {
+		case c.Gone && !stays[c.Name]:
+			t.gone(c.Name, before, sent)
+		case c.Gone || c.Revision <= t.at: // there again, or known from a peer
+		default:
+			if entry, ok := t.read(c.Item); ok {
+				t.put(entry)
+			}
 		}
 	}
-	t.at, t.proved = at, max(t.proved, sent)
+	t.at = at
 	if len(changes) > 0 {
 		t.change = at
 		t.publish()
 	}
 }
 
+// stay returns the names of the items that are there after the changes.
+func stay(changes []spanrill.Change) map[string]bool {
+	names := map[string]bool{}
+	for _, c := range changes {
+		names[c.Name] = !c.Gone
+	}
+	return names
+}
+
 func (t *Table) read(item spanrill.Item) (spanrill.EngineEntry, bool) {
 	entry, err := t.decode(item)
 	if err != nil {
@@ -233,7 +257,7 @@
 
 // put takes one entry. The caller holds the lock.
 func (t *Table) put(entry spanrill.EngineEntry) {
-	delete(t.held, entry.ID)
+	t.release(entry.ID)
 	u := t.all[entry.ID]
 	if u == nil {
 		u = newUpstream(entry)
@@ -265,24 +289,26 @@
 	}
 }
 
-// gone takes the end of an entry. The caller holds the lock.
-func (t *Table) gone(id string) {
+// gone takes the end of an entry, which was last known to be there at the time given, and
+// not any more by a read that was sent then. The caller holds the lock.
+func (t *Table) gone(id string, there, sent spanrill.Millis) {
 	if t.all[id] == nil {
 		return
 	}
 	if _, holding := t.held[id]; holding {
 		return
 	}
-	now := t.clock.Now()
-	if since := now - spanrill.Millis(t.outage.Load()); since < outageMemory && !t.all[id].Entry().Leaving {
-		t.held[id] = t.proved
-		if now-t.proved >= t.hold {
-			t.held[id] = now // nobody had an answer: entries may have lapsed meanwhile
-		}
-		events.UpstreamHeld.Log(t.log, logrus.Fields{"upstream": id, "ms_since_outage": since})
+	since := t.clock.Now() - spanrill.Millis(t.outage.Load())
+	if since >= outageMemory || t.all[id].Entry().Leaving {
+		t.remove(id, "entry gone")
 		return
 	}
-	t.remove(id, "entry gone")
+	h := held{there: there, since: there}
+	if t.answered.from > there {
+		h.since = sent // nobody had an answer: entries may have lapsed meanwhile
+	}
+	t.keep(id, h)
+	events.UpstreamHeld.Log(t.log, logrus.Fields{"upstream": id, "ms_since_outage": since, "proof_age_ms": t.clock.Now() - there})
 }
 
 // departed is an upstream whose entry has gone.
@@ -321,8 +347,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, changed := t.clock.Now(), false
-	for id, since := range t.held {
-		if now-since >= t.hold {
+	for id, h := range t.held {
+		if now-h.since >= t.hold {
 			t.remove(id, "entry did not come back")
 			changed = true
 		}
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -235,3 +235,65 @@
 		t.Fatal("the upstream is kept from when a later read was sent")
 	}
 }
+
+// A daemon that has heard nothing for long keeps an entry that is gone as if the store
+// had been away, until a peer tells that the store has answered it all the while.
+func TestEntryThatGoesUnheard(t *testing.T) {
+	const unheard = 4 * spanrill.Second
+	for _, c := range []struct {
+		name     string
+		from, to spanrill.Millis // of what a peer tells
+		want     bool            // whether the upstream still takes requests
+	}{
+		{"a peer was answered all the while", 0, unheard - 10, false},
+		{"a peer was answered since the last proof here, and not lately", 0, 1000, true},
+		{"a peer was not answered until now", unheard - 200, unheard, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table, manual := newTable(t)
+			manual.Advance(unheard)
+			table.NoteOutage()
+			table.Changed([]spanrill.Change{gone("a")}, 3, manual.Now())
+			table.Answered(c.from, c.to)
+			table.Tend()
+			if got := table.View().ByID("a") != nil; got != c.want {
+				t.Fatalf("it takes requests: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// An entry that is there again after a gap in the same answer of the store is the same
+// upstream, with what runs on it.
+func TestEntryThatIsBackAtOnce(t *testing.T) {
+	table, manual := newTable(t)
+	before := table.View().ByID("a")
+	table.Changed([]spanrill.Change{gone("a"), {Item: item(t, "a", "1:1", 5, false)}}, 5, manual.Now())
+	if u := table.View().ByID("a"); u != before || !u.Takes() {
+		t.Fatal("it was replaced")
+	}
+}
+
+// Spans with a break between them are not one.
+func TestAnsweredSpans(t *testing.T) {
+	const pause = spanrill.Second
+	for _, c := range []struct {
+		name            string
+		known, told, is answered
+	}{
+		{"they overlap", answered{5000, 9000}, answered{2000, 6000}, answered{2000, 9000}},
+		{"no break is between them", answered{5000, 9000}, answered{2000, 4001}, answered{2000, 9000}},
+		{"the one told is before a break", answered{5000, 9000}, answered{2000, 4000}, answered{5000, 9000}},
+		{"the one told is behind a break", answered{5000, 9000}, answered{10_000, 11_000}, answered{10_000, 11_000}},
+		{"the one told goes on", answered{5000, 9000}, answered{9999, 11_000}, answered{5000, 11_000}},
+		{"nothing was known", answered{neverAnswered, neverAnswered}, answered{9999, 11_000}, answered{9999, 11_000}},
+		{"its answer took longer than it lasted", answered{5000, 9000}, answered{10_100, 10_000}, answered{5000, 9000}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := c.known
+			if a.join(c.told, pause); a != c.is {
+				t.Fatalf("%v, want %v", a, c.is)
+			}
+		})
+	}
+}
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -10,6 +10,7 @@
 type Upstream struct {
 	entry   atomic.Pointer[spanrill.EngineEntry]
 	removed atomic.Bool
+	until   atomic.Int64           // gets no requests from then on, unless its entry comes back, or 0
 	target  atomic.Pointer[Target] // what the engine is being ordered to hold, or nil
 
 	ownTokens  atomic.Int64 // reserved by requests of this daemon
@@ -91,6 +92,13 @@
 // entry is there and it is not leaving.
 func (u *Upstream) Takes() bool { return !u.removed.Load() && !u.Entry().Leaving }
 
+// TakesAt is Takes at the moment of sending: an upstream whose entry may have lapsed is
+// kept for a time that ends between two looks.
+func (u *Upstream) TakesAt(now spanrill.Millis) bool {
+	until := u.until.Load()
+	return u.Takes() && (until == 0 || int64(now) < until)
+}
+
 // Removed reports whether the entry is gone.
 func (u *Upstream) Removed() bool { return u.removed.Load() }
 
