Test of DRAIN: entries that a daemon cannot prove although it hears of newer ones

At the moment of sending nothing compares the age of the entries with drain_ms: a daemon that the store is silent to, and that hears of newer entries from its peers without getting them, goes on with what it holds. Seen: the new case of TestNoRequestAfterDrain fails; that daemon would send to both engines until the trial's end, 4,990 ms after the leaving; its proof was 6,513 ms old. Ruled out: that the other cases have it; in them every daemon that hears of newer entries gets them within a round or two.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -46,6 +46,7 @@
 	cut   func(asker, asked int, now spanrill.Millis) bool             // a question gets no answer
 	late  func(rank int) spanrill.Millis                               // how long answers of peers take
 	still func(rank int, now spanrill.Millis) bool                     // the daemon stands still
+	large func(rank int, now spanrill.Millis) bool                     // no large answers of peers reach the daemon
 	back  spanrill.Millis                                              // when the entry that went is there again, or 0
 }
 
@@ -143,7 +144,7 @@
 	other, now := d.fleet.byName[addr], spanrill.Millis(d.fleet.now.Load())
 	d.fleet.asks.Add(1)
 	tr := d.fleet.trouble
-	if tr.cut(d.rank, other.rank, now) || tr.still(other.rank, now) {
+	if tr.cut(d.rank, other.rank, now) || tr.still(other.rank, now) || kind == uint8(peermsg.KindEntries) && tr.large(d.rank, now) {
 		return errSim
 	}
 	var answer any
@@ -294,6 +295,7 @@
 		cut:   func(int, int, spanrill.Millis) bool { return false },
 		late:  func(int) spanrill.Millis { return 1 },
 		still: func(int, spanrill.Millis) bool { return false },
+		large: func(int, spanrill.Millis) bool { return false },
 	}
 }
 
@@ -325,11 +327,12 @@
 
 // drainTroubles is what daemons in touch have to bear.
 func drainTroubles() []trouble {
-	silent, refused, still, lossy, cut := calm("the store is silent to a third"),
+	silent, refused, still, lossy, cut, small := calm("the store is silent to a third"),
 		calm("the store refuses all but one, and news is late"),
 		calm("the store is silent to two thirds, and the first in rank stand still"),
 		calm("the store is silent to all but three, and half the news is lost"),
-		calm("the store is silent to one, and no peer answers it for a while")
+		calm("the store is silent to one, and no peer answers it for a while"),
+		calm("the store is silent to one, and only short answers of peers reach it")
 	silent.store = away(simDaemons/3, simSilence)
 	refused.store = away(simDaemons-1, simRefusal)
 	refused.late = func(int) spanrill.Millis { return simLate }
@@ -339,16 +342,12 @@
 	}
 	still.ends = func(rank int) bool { return rank < fewRanks }
 	lossy.store, lossy.cut = away(simDaemons-3, simSilence), lost(2)
-	cut.store = func(rank int, now spanrill.Millis) (spanrill.Millis, error) {
-		if rank == loneRank && now >= simLeaves-spanrill.Second {
-			return simSilence, spanrill.ErrUnavailable
-		}
-		return simCall, nil
-	}
+	cut.store, small.store = silentToOne, silentToOne
 	cut.cut = func(asker, _ int, now spanrill.Millis) bool {
 		return asker == loneRank && now > simLeaves-spanrill.Second/2 && now < simLeaves+2*spanrill.Second
 	}
-	return []trouble{calm("calm"), silent, refused, still, lossy, cut}
+	small.large = func(rank int, now spanrill.Millis) bool { return rank == loneRank && now >= simLeaves-spanrill.Second }
+	return []trouble{calm("calm"), silent, refused, still, lossy, cut, small}
 }
 
 const (
@@ -356,6 +355,13 @@
 	loneRank = 60
 )
 
+func silentToOne(rank int, now spanrill.Millis) (spanrill.Millis, error) {
+	if rank == loneRank && now >= simLeaves-spanrill.Second {
+		return simSilence, spanrill.ErrUnavailable
+	}
+	return simCall, nil
+}
+
 // Whatever else goes wrong, no daemon that is in touch sends a request to an engine
 // so late that it arrives later than drain_ms after the store has acknowledged that
 // the engine leaves.
