End a first call for entries in time for a second one

A daemon that asks at 1.6 s, the latest age in a fleet of 84, has its next answer at 2.8 s. That is behind the bound less a dial, and it is a gap after which an entry that went counted as one that may have lapsed. A shorter timeout for all calls: a slow store would answer none. Change: a call for entries that follows a good answer ends when a second one, after the pause of 100 ms, and a request on a new connection would be late; after 250 ms at least. The calls behind a failed one take up to 1 s as before. TestSecondCallIsInTime and TestLimitOfAFirstCall were seen to fail without the limit and without its end. Conclusion: in time at drain_ms 3000 up to four levels of daemons, and at 2000 in fleets of up to nine daemons. Not in larger fleets at 2000: they ask at 1,400 ms because news takes so long, and with a hung call a request can come up to 400 ms too late (reckoned, not run).

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -272,6 +272,9 @@
 		default:
 		}
 		takes, err := d.fleet.trouble.store(d.rank, now)
+		if limit := d.upstreamsLimit(); d.callErr == nil && takes > limit {
+			takes, err = limit, context.DeadlineExceeded
+		}
 		d.fleet.calls++
 		d.sentAt, d.callEnd, d.callErr = now, now+takes, err
 	}
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -90,6 +90,26 @@
 	storeAnswer spanrill.Millis = 50
 )
 
+// upstreamsLimit is how long a first call for the entries may take: until a second one,
+// after a pause, and a request on a new connection are still in time.
+func (g *Gateway) upstreamsLimit() spanrill.Millis {
+	_, _, age := g.fleet.Proof()
+	return callLimit(age, g.settings.Bounds.Drain)
+}
+
+func callLimit(age, bound spanrill.Millis) spanrill.Millis {
+	return max(leastCall, bound-age-secondCall-dialTimeout)
+}
+
+const (
+	// secondCall is what a second call of the store takes: the pause before it, a new
+	// connection in calm, and the answer.
+	secondCall = follow.FirstPause + 2*storeAnswer
+	// leastCall is what a call of the store may take in any case: 60 times its usual
+	// answer of 4 ms.
+	leastCall spanrill.Millis = 250
+)
+
 // due compares the age of knowledge with the age at which a daemon of this rank
 // asks the store.
 func (g *Gateway) due(age, goal, bound spanrill.Millis) spanrill.Millis {
--- a/gateway/due_test.go
+++ b/gateway/due_test.go
@@ -37,3 +37,27 @@
 		})
 	}
 }
+
+// A call of the store that hangs ends early enough for a second one and a request on a
+// new connection, except in the largest fleets with the shortest bound, where no daemon
+// may ask so early.
+func TestSecondCallIsInTime(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		drain  spanrill.Millis
+		levels spanrill.Millis // that news goes through
+	}{
+		{"a small fleet, the shortest bound", 2 * spanrill.Second, 1},
+		{"a large fleet", 3 * spanrill.Second, 3},
+		{"the largest fleet", 3 * spanrill.Second, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for rank := range ranks + 1 {
+				age := askAge(c.drain/upstreamsPart, c.drain, rank, c.levels*newsRound, 1) + proofPoll
+				if end := age + callLimit(age, c.drain) + secondCall + dialTimeout; end > c.drain {
+					t.Errorf("rank %d: a request can follow entries that are %d ms old, the bound is %d", rank, end, c.drain)
+				}
+			}
+		})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -208,7 +208,7 @@
 	g.configs = follow.New(g.adapter.Config, g.clock, configSink{g}, follow.WithDue(g.proofDue), jitter, patience,
 		follow.WithLogger(g.log, "configuration"))
 	g.upstreams = follow.New(g.adapter.Upstreams, g.clock, g.fleet, follow.WithDue(g.upstreamsDue), follow.WithAt(g.fleet.At), jitter, patience,
-		follow.WithLogger(g.log, "upstreams"))
+		follow.WithLimit(g.upstreamsLimit), follow.WithLogger(g.log, "upstreams"))
 	return nil
 }
 
--- a/state/follow/follow.go
+++ b/state/follow/follow.go
@@ -44,6 +44,7 @@
 	jitter func() float64
 	known  func() uint64
 	pause  func() spanrill.Millis // the longest between failed calls
+	limit  func() spanrill.Millis // of a first call
 
 	at     uint64
 	listed bool
@@ -98,6 +99,13 @@
 	return func(f *Follower) { f.pause = pause }
 }
 
+// WithLimit sets where it is read how long a call may take that follows an answer, so
+// that a second one is in time: a connection may have gone silent. Calls that follow it
+// take as long as the source lets them, since the source may just be slow.
+func WithLimit(limit func() spanrill.Millis) Option {
+	return func(f *Follower) { f.limit = limit }
+}
+
 // WithLogger sets where events go, and the name of the collection in them.
 func WithLogger(log logrus.FieldLogger, name string) Option {
 	return func(f *Follower) { f.log, f.name = log, name }
@@ -113,9 +121,9 @@
 	defaultWait = 30 * spanrill.Second
 	// maxDoublings bounds how often the pause doubles.
 	maxDoublings = 4
-	// firstPause follows the first failed call: 25 times the store's usual
+	// FirstPause follows the first failed call: 25 times the store's usual
 	// answer, so that a store that has just come back is found at once.
-	firstPause spanrill.Millis = 100
+	FirstPause spanrill.Millis = 100
 	// LongestPause bounds the pause between failed calls. It is a fraction of
 	// the freshness that requests with a key need.
 	LongestPause spanrill.Millis = 400
@@ -159,13 +167,7 @@
 	}
 	sent := f.clock.Now()
 	f.askedAt.CompareAndSwap(noCall, int64(sent))
-	var err error
-	changed := false
-	if !f.listed {
-		err = f.list(ctx, sent)
-	} else {
-		changed, err = f.watch(ctx, sent)
-	}
+	changed, err := f.call(ctx, sent)
 	if errors.Is(err, spanrill.ErrHistoryGone) {
 		f.askedAt.Store(noCall) // that is an answer
 		events.HistoryGone.Log(f.log, logrus.Fields{"collection": f.name, "after": f.at})
@@ -187,6 +189,19 @@
 	return 0
 }
 
+// call makes one call, which ends early if a second one would be late otherwise.
+func (f *Follower) call(ctx context.Context, sent spanrill.Millis) (changed bool, err error) {
+	if !f.listed {
+		return false, f.list(ctx, sent)
+	}
+	if f.limit != nil && f.tries == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, f.limit().Duration())
+		defer cancel()
+	}
+	return f.watch(ctx, sent)
+}
+
 func (f *Follower) list(ctx context.Context, sent spanrill.Millis) error {
 	items, at, err := f.source.List(ctx)
 	if err != nil {
@@ -217,6 +232,6 @@
 		f.lost = true
 		events.PlatformLost.Log(f.log, logrus.Fields{"collection": f.name, "error": err})
 	}
-	pause := min(f.pause(), firstPause<<min(f.tries-1, maxDoublings))
+	pause := min(f.pause(), FirstPause<<min(f.tries-1, maxDoublings))
 	return pause/2 + spanrill.Millis(float64(pause)*f.jitter()/2)
 }
--- a/state/follow/follow_test.go
+++ b/state/follow/follow_test.go
@@ -144,3 +144,36 @@
 		t.Fatalf("%d ms after the store has come back", d)
 	}
 }
+
+// hanging is a source whose calls end with their context.
+type hanging struct {
+	*source
+	limited []bool // for each call, whether it was limited
+}
+
+func (h *hanging) Watch(ctx context.Context, after uint64, wait spanrill.Millis) ([]spanrill.Change, uint64, error) {
+	_, limited := ctx.Deadline()
+	h.limited = append(h.limited, limited)
+	if !limited {
+		return h.source.Watch(ctx, after, wait)
+	}
+	<-ctx.Done()
+	return nil, 0, spanrill.ErrUnavailable
+}
+
+// A call on a connection that has gone silent ends at the limit. The next one may take
+// its time, and the one after a good answer is limited again.
+func TestLimitOfAFirstCall(t *testing.T) {
+	c := clock.NewManual()
+	src := &hanging{source: &source{clock: c, at: 5}}
+	f := New(src, c, &sink{}, WithLogger(quiet(), "test"), WithLimit(func() spanrill.Millis { return 1 }))
+	for range 4 {
+		f.Step(context.Background())
+	}
+	want := []bool{true, false, true}
+	for i := range want {
+		if src.limited[i] != want[i] {
+			t.Fatalf("calls with a limit: %v, want %v", src.limited, want)
+		}
+	}
+}
