Test of DRAIN: the shortest bound in a large fleet

Cause: sites of 60 and more daemons may have drain_ms 2000. In a trial with that bound, daemons that the store is silent to sent by entries of more than the bound. Seen: two new cases of TestNoRequestAfterDrain fail at drain_ms 2000, 84 daemons: the store silent to a third, entries of up to 1,783 ms; silent to two thirds with ten daemons standing still, 2,052 ms. A dial of 350 ms comes on top. The age is taken from 2 s after the trouble's beginning on. Ruled out: asking more peers in a round. Conclusion: those that the store answers ask too late for those that depend on them.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -34,7 +34,7 @@
 	trouble trouble
 	end     spanrill.Millis
 	calls   int             // of the store
-	blind   spanrill.Millis // the greatest age of entries by which a daemon in touch sends
+	blind   spanrill.Millis // the greatest age of entries by which a daemon in touch sends, after the leaving
 	asks    atomic.Int64
 }
 
@@ -49,7 +49,8 @@
 	still func(rank int, now spanrill.Millis) bool                     // the daemon stands still
 	large func(rank int, now spanrill.Millis) bool                     // no large answers of peers reach the daemon
 	back  spanrill.Millis                                              // when the entry that went is there again, or 0
-	deaf  bool                                                         // nobody tells a daemon that the store answers others, so that it goes on
+	drain spanrill.Millis
+	deaf  bool // nobody tells a daemon that the store answers others, so that it goes on
 }
 
 // The times of a trial. The revision of the store rises all the time, and another
@@ -189,10 +190,10 @@
 func (f *drainFleet) add(m peermsg.Member, seed uint64, log *logrus.Logger) *drainDaemon {
 	d := &drainDaemon{fleet: f, member: m}
 	g := &Gateway{clock: d, log: logrus.NewEntry(log), random: rng.New(seed), settings: settings.Gateway{}}
-	g.settings.Bounds.Drain, g.settings.Bounds.Revoke = simDrain, 5*spanrill.Second
+	g.settings.Bounds.Drain, g.settings.Bounds.Revoke = f.trouble.drain, 5*spanrill.Second
 	g.peers = &peers{gateway: g, name: m.Name, list: membership.New(m, d, func(string, *peermsg.Gossip) error { return nil }, membership.WithLogger(log))}
 	g.config = routes.NewCurrent(d)
-	g.fleet = fleet.New(d, simDecode, fleet.WithLogger(log), fleet.WithDrain(simDrain))
+	g.fleet = fleet.New(d, simDecode, fleet.WithLogger(log), fleet.WithDrain(f.trouble.drain))
 	g.exchange = exchange.New(d, exchange.State{
 		Name: m.Name, Config: g.config, Fleet: g.fleet, Budgets: retry.NewBudgets(d, retry.Limits{}, firstDaemons),
 		Placement: func() bool { return false }, Leaving: func() bool { return false }, StoreSilent: g.storeSilent,
@@ -301,6 +302,7 @@
 func calm(name string) trouble {
 	return trouble{
 		name:  name,
+		drain: simDrain,
 		ends:  func(int) bool { return false },
 		store: func(int, spanrill.Millis) (spanrill.Millis, error) { return simCall, nil },
 		cut:   func(int, int, spanrill.Millis) bool { return false },
@@ -371,7 +373,11 @@
 		}
 		return simCall, nil
 	}
-	return []trouble{calm("calm"), silent, refused, still, lossy, cut, small, hangs}
+	quick, quickStill := silent, still
+	for _, tr := range []*trouble{&quick, &quickStill} {
+		tr.name, tr.drain = tr.name+", with the shortest bound", 2*spanrill.Second
+	}
+	return []trouble{calm("calm"), silent, refused, still, lossy, cut, small, hangs, quick, quickStill}
 }
 
 const (
@@ -397,10 +403,10 @@
 			last, who := f.run(t)
 			t.Logf("the last request is sent %d ms after the leaving, and by entries of at most %d ms; the oldest were %d ms old; %d calls of the store, %d questions",
 				last, f.blind, f.oldest(), f.calls, f.asks.Load())
-			if last+dialTimeout > simDrain {
+			if last+dialTimeout > tr.drain {
 				t.Fatalf("rank %d would send %d ms after the store has acknowledged that the engine leaves", who, last)
 			}
-			if f.blind+dialTimeout > simDrain && !tr.deaf {
+			if f.blind+dialTimeout > tr.drain && !tr.deaf {
 				t.Fatalf("a daemon sends requests by entries that are %d ms old", f.blind)
 			}
 		})
