Ask for entries sooner while the store is silent to some daemons

In a large fleet those without a rank ask at 1,400 ms (drain_ms 2000) or 1,600 ms, since in calm the news of the first in rank comes by then; when these are silent, nobody asks before. Change: a daemon that has heard within 2 s of one to which the store is silent asks when its entries are between one and four rounds of news older than the goal, drawn anew at each look.

--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -326,6 +326,20 @@
 	return ok && h.news.StoreSilent && e.clock.Now()-h.at <= keep
 }
 
+// StoreSilentToSome reports whether a peer has said lately that the platform's store does
+// not answer it.
+func (e *Exchange) StoreSilentToSome() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	for _, h := range e.heard {
+		if h.news.StoreSilent && now-h.at <= keep {
+			return true
+		}
+	}
+	return false
+}
+
 // News answers a question for news.
 func (e *Exchange) News(asked *peermsg.AskNews) *peermsg.News {
 	n := &peermsg.News{
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -72,9 +72,23 @@
 // upstreamsDue is the same for the entries of upstreams.
 func (g *Gateway) upstreamsDue() spanrill.Millis {
 	_, _, age := g.fleet.Proof()
-	return g.due(age, g.settings.Bounds.Drain/upstreamsPart, g.settings.Bounds.Drain)
+	goal := g.settings.Bounds.Drain / upstreamsPart
+	if age >= goal+newsRound && g.exchange.StoreSilentToSome() && age >= goal+newsRound+g.toldDelay() {
+		return 0
+	}
+	return g.due(age, goal, g.settings.Bounds.Drain)
 }
 
+// toldDelay keeps daemons apart that ask for entries, whatever their rank, because the
+// store is silent to some, who depend on what the others have. In its rounds the news of
+// the first that ask arrives.
+func (g *Gateway) toldDelay() spanrill.Millis {
+	return spanrill.Millis(g.random.Float64() * float64(toldRounds*newsRound))
+}
+
+// toldRounds is the rounds of news that one answer takes to those that the others ask.
+const toldRounds = 3
+
 const (
 	// upstreamsPart is the part of the time after which an upstream that leaves
 	// may get nothing more, at which the first daemon in rank asks for entries.
