Test of DRAIN: proofs are never younger than they are, over any number of daemons

Change: in every case of TestNoRequestAfterDrain no daemon may take its entries for proved by a read from behind the leaving without knowing of the leaving.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -76,6 +76,7 @@
 	rank    int
 	member  peermsg.Member
 	behind  atomic.Int64
+	zero    spanrill.Millis // no two clocks tell the same
 	entries *follow.Follower
 	sentAt  spanrill.Millis // of the call of the store under way
 	callEnd spanrill.Millis // or 0
@@ -87,7 +88,7 @@
 }
 
 func (d *drainDaemon) Now() spanrill.Millis {
-	return spanrill.Millis(d.fleet.now.Load() - d.behind.Load())
+	return spanrill.Millis(d.fleet.now.Load()-d.behind.Load()) + d.zero
 }
 func (d *drainDaemon) Unix() spanrill.Millis                        { return d.Now() }
 func (d *drainDaemon) After(spanrill.Millis) <-chan spanrill.Millis { return nil }
@@ -188,7 +189,7 @@
 }
 
 func (f *drainFleet) add(m peermsg.Member, seed uint64, log *logrus.Logger) *drainDaemon {
-	d := &drainDaemon{fleet: f, member: m}
+	d := &drainDaemon{fleet: f, member: m, zero: spanrill.Millis(seed) * 977}
 	g := &Gateway{clock: d, log: logrus.NewEntry(log), random: rng.New(seed), settings: settings.Gateway{}}
 	g.settings.Bounds.Drain, g.settings.Bounds.Revoke = f.trouble.drain, 5*spanrill.Second
 	g.peers = &peers{gateway: g, name: m.Name, list: membership.New(m, d, func(string, *peermsg.Gossip) error { return nil }, membership.WithLogger(log))}
@@ -213,6 +214,9 @@
 	for now := simStart; now < f.end; now += simStep {
 		f.move(now)
 		for _, d := range f.daemons {
+			if u := d.Gateway.fleet.View().ByID(simSays); u != nil && u.Takes() && d.proved() >= simLeaves {
+				t.Fatalf("rank %d takes its entries for proved by a read of %d, and does not know of the leaving at %d", d.rank, d.proved(), simLeaves)
+			}
 			if !f.trouble.ends(d.rank) && now > simLeaves && d.sends(simStays) {
 				_, _, age := d.Gateway.fleet.Proof()
 				f.blind = max(f.blind, age)
@@ -243,6 +247,12 @@
 	return u != nil && u.TakesAt(d.Now()) && !behind
 }
 
+// proved returns since when this daemon takes its entries for proved.
+func (d *drainDaemon) proved() spanrill.Millis {
+	_, _, age := d.Gateway.fleet.Proof()
+	return spanrill.Millis(d.fleet.now.Load()) - age
+}
+
 // move does what this daemon has to do by now.
 func (d *drainDaemon) move(now spanrill.Millis) {
 	if _, _, age := d.Gateway.fleet.Proof(); now > simStart+2*spanrill.Second {
