Fault proxy: connections that go silent

No stand-in could show it: Freeze holds new connections too and ends with the fault. Ruled out: Freeze with a list of connections; a silent one must also not pass on that its other end has closed, and never wakes. Change: Faults.Silence. Connections open when it is set carry neither bytes nor their end until the proxy is closed; those made later work until it is set again. Conclusion: the proxy can play the fault for the tests that follow.

--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -1,6 +1,6 @@
 // Package faultproxy is a TCP proxy that injects faults between two processes:
-// connections that are refused, cut, slowed or frozen, before, within or after
-// a request.
+// connections that are refused, cut, slowed, frozen or silent, before, within or
+// after a request.
 //
 // # Usage
 //
@@ -29,6 +29,9 @@
 	CutRequestAfter int  `json:"cut_request_after"` // cut once this many bytes of requests have passed
 	CutAnswerAfter  int  `json:"cut_answer_after"`  // cut once this many bytes of answers have passed
 	CutBeforeAnswer bool `json:"cut_before_answer"` // cut when the first byte of an answer comes
+	// Silence makes the connections that are open when it is set carry nothing
+	// more for good, neither bytes nor their end; new ones work.
+	Silence bool `json:"silence"`
 }
 
 // Proxy passes connections on to one address.
@@ -38,14 +41,19 @@
 	faults   Faults
 	changed  chan struct{}
 	conns    map[net.Conn]bool
+	hush     chan struct{} // closed once the connections made until now are silent
 	accepted atomic.Int64
 	ln       net.Listener
 	closed   bool
+	ended    chan struct{} // closed with the proxy
 }
 
 // New returns a proxy to the address.
 func New(to string) *Proxy {
-	return &Proxy{to: to, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	return &Proxy{
+		to: to, changed: make(chan struct{}), conns: map[net.Conn]bool{},
+		hush: make(chan struct{}), ended: make(chan struct{}),
+	}
 }
 
 // Listen passes connections on from addr and returns the address in use.
@@ -77,6 +85,10 @@
 	p.faults = f
 	close(p.changed)
 	p.changed = make(chan struct{})
+	if f.Silence {
+		close(p.hush)
+		p.hush = make(chan struct{})
+	}
 }
 
 // Cut closes all open connections.
@@ -94,7 +106,10 @@
 // Close stops the proxy and cuts all connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
-	p.closed = true
+	if !p.closed {
+		p.closed = true
+		close(p.ended)
+	}
 	p.mu.Unlock()
 	if p.ln != nil {
 		_ = p.ln.Close()
@@ -119,11 +134,19 @@
 			_ = c.Close()
 			continue
 		}
-		go p.pass(c)
+		go p.pass(c, p.hushed())
 	}
 }
 
-func (p *Proxy) pass(c net.Conn) {
+// hushed returns the channel that is closed when a connection made now goes
+// silent.
+func (p *Proxy) hushed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hush
+}
+
+func (p *Proxy) pass(c net.Conn, hush <-chan struct{}) {
 	up, err := net.Dial("tcp", p.to)
 	if err != nil {
 		_ = c.Close()
@@ -134,8 +157,8 @@
 	}
 	cut := func() { _ = c.Close(); _ = up.Close() }
 	done := make(chan struct{}, 2)
-	go func() { p.copy(up, c, cut, requestSide); done <- struct{}{} }()
-	go func() { p.copy(c, up, cut, answerSide); done <- struct{}{} }()
+	go func() { p.copy(up, c, cut, hush, requestSide); done <- struct{}{} }()
+	go func() { p.copy(c, up, cut, hush, answerSide); done <- struct{}{} }()
 	<-done
 	cut()
 	<-done
@@ -184,11 +207,17 @@
 	return -1
 }
 
-func (p *Proxy) copy(dst, src net.Conn, cut func(), s side) {
+func (p *Proxy) copy(dst, src net.Conn, cut func(), hush <-chan struct{}, s side) {
 	buf := make([]byte, 32<<10)
 	passed := 0
 	for {
 		n, err := src.Read(buf)
+		select {
+		case <-hush:
+			<-p.ended
+			return
+		default:
+		}
 		if n > 0 {
 			f := p.thaw()
 			if f.DelayMillis > 0 {
