Peer links: a silent link is replaced; making a link no longer stops all of them

Questions on it time out after 400 ms, but the link stays and every later one goes the same way. A connection that ended while another one was being made stopped every message of the daemon for good. Ruled out: a keep-alive of our own (frames on healthy links); TCP_USER_TIMEOUT (shows only bytes without acknowledgement, not a link that is read and says nothing). Change: two questions in a row without an answer and without any byte close the link, and the next message dials. If another link misses answers as well, all go that have said nothing since: those that carry gossip alone are never asked anything. Connections that peers made and that say nothing for 5 minutes are closed when another one comes, since the end of a silent one is not heard. Making a link has a lock of its own; OnClose notes the end before it forgets. Seen to fail: TestConnectionsEndWhileOthersAreMade on the code before: 'the questions have not ended' after 30 s.

--- a/events/events.go
+++ b/events/events.go
@@ -77,7 +77,7 @@
 	HistoryGone   = define(302, logrus.WarnLevel, "platform has forgotten the changes asked for, listing again")
 )
 
-// Membership and peers, 400 to 499.
+// Membership and peers, 400 to 449.
 var (
 	PeerJoined    = define(400, logrus.InfoLevel, "peer joined")
 	PeerSuspect   = define(401, logrus.WarnLevel, "peer suspected")
@@ -90,6 +90,11 @@
 	PeerQueueFull = define(412, logrus.WarnLevel, "message to peer dropped because its queue is full")
 )
 
+// Connections, 450 to 499.
+var (
+	ChannelSilent = define(450, logrus.WarnLevel, "open connection says nothing more, given up")
+)
+
 // Upstreams, 500 to 599.
 var (
 	UpstreamFound   = define(500, logrus.InfoLevel, "upstream found")
--- a/transport/peernet/link.go
+++ b/transport/peernet/link.go
@@ -35,6 +35,8 @@
 	writer *frame.Writer
 	early  []message // sent before the keys were there
 	queued atomic.Int64
+	heard  atomic.Int64 // when bytes came last, as elapsed gives it
+	misses atomic.Int32 // questions without an answer since then
 }
 
 // message is what waits for the keys.
@@ -108,6 +110,10 @@
 		c.SetContext(l)
 	}
 	l.conn = c
+	l.hear()
+	if !l.dialed {
+		n.take(l)
+	}
 	close(l.opened)
 	payload, err := msgpack.Marshal(hello{Name: n.name, Nonce: l.nonce[:]})
 	if err != nil {
@@ -119,8 +125,8 @@
 // OnClose forgets the connection.
 func (n *Net) OnClose(c gnet.Conn, _ error) gnet.Action {
 	if l, ok := c.Context().(*link); ok {
-		n.forget(l)
 		close(l.closed)
+		n.forget(l)
 	}
 	return gnet.None
 }
@@ -131,6 +137,7 @@
 	if !ok {
 		return gnet.Close
 	}
+	l.hear()
 	for {
 		buf, err := c.Peek(c.InboundBuffered())
 		if err != nil || len(buf) == 0 {
--- a/transport/peernet/peernet.go
+++ b/transport/peernet/peernet.go
@@ -8,7 +8,8 @@
 // The callbacks of the event loop never wait: what arrives is handed to a few
 // workers over a bounded queue, and what is sent is bounded for each peer. What
 // does not fit is dropped and counted, since every message is repeated or asked
-// for again by the layers above.
+// for again by the layers above. A connection that stays open and says nothing
+// more is replaced (silence.go).
 //
 // # Usage
 //
@@ -61,10 +62,14 @@
 	engine  gnet.Engine
 	booted  chan struct{}
 	client  *gnet.Client
-	started chan struct{} // closed once the client may dial
-	mu      sync.Mutex
-	stopped bool
+	started chan struct{}    // closed once the client may dial
+	joining sync.Mutex       // makes one link at a time
+	stopped bool             // guarded by joining
+	mu      sync.Mutex       // guards links and taken
 	links   map[string]*link // by address dialed
+	taken   map[*link]bool   // that peers have dialed
+	idle    time.Duration    // after which one of these is closed
+	begun   time.Time
 	work    chan inbound
 	nextID  atomic.Uint64
 	pending sync.Map // id to chan []byte
@@ -93,6 +98,12 @@
 	return func(n *Net) { n.meters = m }
 }
 
+// WithIdleLimit sets after how long without a byte a connection that a peer made
+// may be closed.
+func WithIdleLimit(d time.Duration) Option {
+	return func(n *Net) { n.idle = d }
+}
+
 const (
 	inboundQueue = 1024
 	workers      = 4
@@ -114,6 +125,7 @@
 		listen: listen, name: name, secret: []byte(secret), handler: handler,
 		log: logrus.StandardLogger(), meters: meter.New(),
 		booted: make(chan struct{}), started: make(chan struct{}), links: map[string]*link{}, work: make(chan inbound, inboundQueue),
+		taken: map[*link]bool{}, idle: defaultIdle, begun: time.Now(),
 	}
 	for _, o := range opts {
 		o(n)
@@ -171,9 +183,9 @@
 
 // stopDialing ends the connections that were dialed and allows no more.
 func (n *Net) stopDialing() {
-	n.mu.Lock()
+	n.joining.Lock()
 	n.stopped = true
-	n.mu.Unlock()
+	n.joining.Unlock()
 	_ = n.client.Stop()
 }
 
@@ -199,6 +211,7 @@
 	answer := make(chan []byte, 1)
 	n.pending.Store(id, answer)
 	defer n.pending.Delete(id)
+	sent := n.elapsed()
 	if err := l.send(kind, id, payload); err != nil {
 		return nil, err
 	}
@@ -208,16 +221,16 @@
 	case <-l.closed:
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseAnswer, Written: len(payload), Cause: ErrNoPeer}
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			n.unanswered(l, sent)
+		}
 		return nil, fmt.Errorf("ask %s: %w", addr, ctx.Err())
 	}
 }
 
 // link returns the connection to a peer, and makes one if there is none.
 func (n *Net) link(addr string) (*link, error) {
-	n.mu.Lock()
-	l := n.links[addr]
-	n.mu.Unlock()
-	if l != nil {
+	if l := n.linkTo(addr); l != nil {
 		return l, nil
 	}
 	select {
@@ -232,10 +245,12 @@
 	return n.enroll(addr, conn)
 }
 
+// enroll makes a link of a connection. It waits for the event loop, which takes
+// mu when another connection ends; mu is therefore not held meanwhile.
 func (n *Net) enroll(addr string, conn net.Conn) (*link, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if l := n.links[addr]; l != nil {
+	n.joining.Lock()
+	defer n.joining.Unlock()
+	if l := n.linkTo(addr); l != nil {
 		_ = conn.Close()
 		return l, nil
 	}
@@ -248,13 +263,28 @@
 	if _, err := n.client.EnrollContext(conn, l); err != nil {
 		return nil, errors.Wrapf(ErrNoPeer, "%s: %v", addr, err)
 	}
+	n.mu.Lock()
 	n.links[addr] = l
+	n.mu.Unlock()
+	select {
+	case <-l.closed: // before it was kept
+		n.forget(l)
+	default:
+	}
 	return l, nil
 }
 
+// linkTo returns the link to a peer that is kept, or nil.
+func (n *Net) linkTo(addr string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.links[addr]
+}
+
 func (n *Net) forget(l *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	delete(n.taken, l)
 	if n.links[l.addr] == l {
 		delete(n.links, l.addr)
 	}
--- a/transport/peernet/peernet_test.go
+++ b/transport/peernet/peernet_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"spanrill/meter"
@@ -17,7 +19,7 @@
 const testKind Kind = 9
 
 // start runs a net on a free port and returns it with its address.
-func start(t *testing.T, name, secret string, h Handler) (*Net, string) {
+func start(t *testing.T, name, secret string, h Handler, opts ...Option) (*Net, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -27,7 +29,7 @@
 	_ = ln.Close()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n, err := New(addr, name, secret, h, WithLogger(log), WithMeters(meter.New()))
+	n, err := New(addr, name, secret, h, append([]Option{WithLogger(log), WithMeters(meter.New())}, opts...)...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -112,3 +114,36 @@
 	ne, ok := err.(net.Error)
 	return ok && ne.Timeout()
 }
+
+// Connections that end while others are made hold nobody up: the event loop that
+// learns of the end is the one that new connections wait for.
+func TestConnectionsEndWhileOthersAreMade(t *testing.T) {
+	a, _ := start(t, "a", "secret-of-the-fleet", echo)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var asking sync.WaitGroup
+	for _, name := range []string{"b", "c", "d", "e"} {
+		proxy, addr, _ := between(t, name)
+		asking.Add(1)
+		go func() {
+			defer asking.Done()
+			for range 100 {
+				if _, err := a.Ask(ctx, addr, testKind, nil); errors.Is(err, context.DeadlineExceeded) {
+					t.Errorf("a question to %s: %v", addr, err)
+					return
+				}
+				proxy.Cut()
+			}
+		}()
+	}
+	done := make(chan struct{})
+	go func() {
+		asking.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the questions have not ended")
+	}
+}
