Calls: a connection that is silent takes the idle ones of its address with it

Change: a call on a reused connection that ends by its own time-out drops the idle connections of the address (pool.Drop) and its error holds ErrSilent, in the head and in ReadAll. Anew: a context whose calls make new connections. DoTwice: a request that may run twice goes once more on a new connection if no byte has come within a patience, in the bound of the same context. Seen to fail, each with its mechanism taken out: no Drop: TestSilentConnectionTakes...: the second call runs into 5 s too. Every failed call judged silent, or a cancelled one: TestOtherEndsKeepIdleConnections. No second call: TestDoTwice ends with EOF at 50 ms. First byte not looked at: TestBegunAnswerIsNotAskedForTwice: 3 requests, want 2. Figures: 3 idle connections, all silent: 3 calls lost before, 1 after. Conclusion: bounded by one call for each address and silence.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -81,6 +81,18 @@
 	return true
 }
 
+// Drop discards the idle values of a key and returns how many there were.
+func (p *Pool[K, V]) Drop(key K) int {
+	p.mu.Lock()
+	stack := p.idle[key]
+	delete(p.idle, key)
+	p.mu.Unlock()
+	for _, v := range stack {
+		p.discard(v)
+	}
+	return len(stack)
+}
+
 // Close discards all values and keeps none from now on.
 func (p *Pool[K, V]) Close() {
 	p.mu.Lock()
--- a/transport/httpcall/answer.go
+++ b/transport/httpcall/answer.go
@@ -17,6 +17,7 @@
 	addr   string
 	conn   *conn
 	stop   func() bool
+	ended  func() error // why the call's context has ended, or nil
 	resp   fasthttp.Response
 	whole  bool
 	closed bool
@@ -70,6 +71,7 @@
 		err = ErrTooLarge
 	}
 	if err != nil {
+		err = a.client.judge(a.ended(), a.addr, a.conn, err)
 		return nil, &spanrill.CallError{
 			Phase: spanrill.PhaseAnswer, Written: a.conn.written,
 			Cause: fmt.Errorf("read body of %s: %w", a.addr, err),
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -1,7 +1,7 @@
 // Package httpcall makes single HTTP calls and says how far each one got.
 //
 // A call is attempted once. There is no retry of any kind in this package, so
-// that the layers above decide alone. A failed call returns a
+// that the layers above decide alone; DoTwice is asked for by them. A failed call returns a
 // *spanrill.CallError, whose phase and count of written bytes tell whether the
 // upstream can have seen the request.
 //
@@ -30,9 +30,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"spanrill"
+	"spanrill/meter"
 	"spanrill/pool"
 )
 
@@ -53,6 +55,8 @@
 	unacked     spanrill.Millis
 	idle        *pool.Pool[string, *conn]
 	dialer      net.Dialer
+	log         logrus.FieldLogger
+	meters      *meter.Meters
 }
 
 // Option changes a default of New.
@@ -68,6 +72,16 @@
 	return func(c *Client) { c.unacked = d }
 }
 
+// WithLogger sets where events go.
+func WithLogger(log logrus.FieldLogger) Option {
+	return func(c *Client) { c.log = log }
+}
+
+// WithMeters sets the counters.
+func WithMeters(m *meter.Meters) Option {
+	return func(c *Client) { c.meters = m }
+}
+
 const (
 	defaultDialTimeout spanrill.Millis = 1000
 	// defaultUnacked is several retransmissions on a link with loss.
@@ -76,7 +90,7 @@
 
 // New returns a client with no connections.
 func New(opts ...Option) *Client {
-	c := &Client{dialTimeout: defaultDialTimeout, unacked: defaultUnacked}
+	c := &Client{dialTimeout: defaultDialTimeout, unacked: defaultUnacked, log: logrus.StandardLogger(), meters: meter.New()}
 	for _, o := range opts {
 		o(c)
 	}
@@ -124,40 +138,48 @@
 ) (*Answer, error) {
 	cn, err := c.connect(ctx, addr, reuse)
 	if err != nil {
-		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("connect to %s: %w", addr, err)}
+		return nil, err
 	}
 	if onSilence != nil {
 		cn.silence = &silence{every: every, do: onSilence}
 		poke(cn.poke)
 	}
+	return c.exchange(ctx, addr, cn, req)
+}
+
+// exchange sends a request and reads the headers of its answer.
+func (c *Client) exchange(ctx context.Context, addr string, cn *conn, req *fasthttp.Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, cn.interrupt)
-	a := &Answer{client: c, addr: addr, conn: cn, stop: stop}
+	a := &Answer{client: c, addr: addr, conn: cn, stop: stop, ended: ctx.Err}
+	cn.heard = time.Now()
 	if err := cn.send(req); err != nil {
 		a.drop()
+		err = c.judge(ctx.Err(), addr, cn, err)
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseSend, Written: cn.written, Cause: fmt.Errorf("send to %s: %w", addr, err)}
 	}
 	if err := a.readHeader(); err != nil {
 		a.drop()
+		err = c.judge(ctx.Err(), addr, cn, err)
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseAnswer, Written: cn.written, Cause: fmt.Errorf("answer of %s: %w", addr, err)}
 	}
 	return a, nil
 }
 
 func (c *Client) connect(ctx context.Context, addr string, reuse Reuse) (*conn, error) {
-	for reuse == Reused {
+	for reuse.mayReuse(ctx) {
 		cn, ok := c.idle.Get(addr)
 		if !ok {
 			break
 		}
 		if cn.proveOpen() {
-			cn.written = 0
+			cn.written, cn.received, cn.reused = 0, false, true
 			return cn, nil
 		}
 		_ = cn.Close()
 	}
 	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
+		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("connect to %s: dial: %w", addr, err)}
 	}
 	return newConn(nc), nil
 }
@@ -168,6 +190,10 @@
 	r           *bufio.Reader
 	w           *bufio.Writer
 	written     int
+	reused      bool      // by the call under way
+	received    bool      // something of its answer
+	gaveUp      bool      // the call has given up waiting for the first byte
+	heard       time.Time // when bytes came last, at first when the call began
 	interrupted atomic.Bool
 	silence     *silence // or nil
 }
@@ -184,7 +210,12 @@
 
 // Read waits for bytes. While none arrive, the silence function runs every so
 // often. No deadline interrupts a reader above in the middle of a message.
-func (cn *conn) Read(b []byte) (int, error) {
+func (cn *conn) Read(b []byte) (n int, err error) {
+	defer func() {
+		if n > 0 {
+			cn.received, cn.heard = true, time.Now()
+		}
+	}()
 	if cn.silence == nil {
 		return cn.Conn.Read(b)
 	}
--- /dev/null
+++ b/transport/httpcall/silence_test.go
@@ -0,0 +1,183 @@
+package httpcall
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
+
+	"spanrill/events"
+	"spanrill/meter"
+	"spanrill/standin/faultproxy"
+)
+
+const (
+	wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	// briefly bounds a call that is to time out.
+	briefly = 100 * time.Millisecond
+	// amply bounds a call that is to be answered.
+	amply = 5 * time.Second
+)
+
+// used returns a client with idle connections through a proxy, which is told apart
+// by the log lines that it keeps.
+func used(t *testing.T, idle int) (c *Client, p *faultproxy.Proxy, addr string, log *logtest.Hook) {
+	t.Helper()
+	p = faultproxy.New(serve(t, answerEach(wholeAnswer)))
+	addr, err := p.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	logger, log := logtest.NewNullLogger()
+	c = New(WithLogger(logger), WithMeters(meter.New()))
+	t.Cleanup(c.Close)
+	open := make([]*Answer, idle)
+	for i := range open {
+		if open[i], err = c.Do(context.Background(), addr, request(addr), Reused); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, a := range open {
+		if _, err := a.ReadAll(10); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return c, p, addr, log
+}
+
+func request(addr string) *fasthttp.Request {
+	req := &fasthttp.Request{}
+	req.SetRequestURI("http://" + addr + "/")
+	return req
+}
+
+// call makes one call within a time.
+func call(c *Client, addr string, within time.Duration, do func(context.Context) (*Answer, error)) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	if do == nil {
+		do = func(ctx context.Context) (*Answer, error) { return c.Do(ctx, addr, request(addr), Reused) }
+	}
+	a, err := do(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = a.ReadAll(10)
+	return err
+}
+
+func wantSilences(t *testing.T, c *Client, log *logtest.Hook, alsoClosed ...int) {
+	t.Helper()
+	if got := c.meters.SilentChannels.Get(); got != uint64(len(alsoClosed)) {
+		t.Errorf("%d silences were counted, want %d", got, len(alsoClosed))
+	}
+	entries := log.AllEntries()
+	if len(entries) != len(alsoClosed) {
+		t.Fatalf("%d lines were logged, want %d", len(entries), len(alsoClosed))
+	}
+	for i, e := range entries {
+		if e.Data["event"] != events.ChannelSilent.Number() || e.Data["also_closed"] != alsoClosed[i] {
+			t.Errorf("line %v, want %d connections closed with it", e.Data, alsoClosed[i])
+		}
+	}
+}
+
+// One call that ends by time-out on a silent connection is enough: the next takes
+// none of the others.
+func TestSilentConnectionTakesTheIdleOnesWithIt(t *testing.T) {
+	c, p, addr, log := used(t, 3)
+	p.Set(faultproxy.Faults{Silence: true})
+	if err := call(c, addr, briefly, nil); !errors.Is(err, ErrSilent) {
+		t.Fatalf("on a silent connection: %v", err)
+	}
+	for range 3 {
+		if err := call(c, addr, amply, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := p.Accepted(); got != 4 {
+		t.Errorf("%d connections were made, want the 3 silent ones and 1 more", got)
+	}
+	wantSilences(t, c, log, 2)
+}
+
+// What says nothing of old connections leaves them where they are: a caller that
+// has left, and a time-out on a new connection.
+func TestOtherEndsKeepIdleConnections(t *testing.T) {
+	c, p, addr, log := used(t, 3)
+	p.Set(faultproxy.Faults{Freeze: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(briefly, cancel)
+	if _, err := c.Do(ctx, addr, request(addr), Reused); err == nil || errors.Is(err, ErrSilent) {
+		t.Fatalf("the caller has left: %v", err)
+	}
+	fresh := func(ctx context.Context) (*Answer, error) { return c.Do(Anew(ctx), addr, request(addr), Reused) }
+	if err := call(c, addr, briefly, fresh); err == nil || errors.Is(err, ErrSilent) {
+		t.Fatalf("a new connection: %v", err)
+	}
+	p.Set(faultproxy.Faults{})
+	if err := call(c, addr, amply, nil); err != nil {
+		t.Fatal(err)
+	}
+	if got := p.Accepted(); got != 4 {
+		t.Errorf("%d connections were made, want 4", got)
+	}
+	wantSilences(t, c, log)
+}
+
+// A request that may run twice is answered within its own time although its
+// connection is silent, and is not sent twice on one that works.
+func TestDoTwice(t *testing.T) {
+	c, p, addr, log := used(t, 2)
+	twice := func(ctx context.Context) (*Answer, error) { return c.DoTwice(ctx, addr, request(addr), 50) }
+	if err := call(c, addr, amply, twice); err != nil || p.Accepted() != 2 {
+		t.Fatalf("%d connections, error %v", p.Accepted(), err)
+	}
+	p.Set(faultproxy.Faults{Silence: true})
+	if err := call(c, addr, amply, twice); err != nil {
+		t.Fatal(err)
+	}
+	if got := p.Accepted(); got != 3 {
+		t.Errorf("%d connections were made, want 3", got)
+	}
+	wantSilences(t, c, log, 1)
+}
+
+// An answer that has begun is waited for: only its first byte has to come soon.
+func TestBegunAnswerIsNotAskedForTwice(t *testing.T) {
+	const patience = 50
+	requests := make(chan struct{}, 8)
+	addr := serve(t, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			var req fasthttp.Request
+			if req.Read(r) != nil {
+				return
+			}
+			requests <- struct{}{}
+			_, _ = io.WriteString(c, wholeAnswer[:9])
+			if n > 0 {
+				<-time.After(3 * patience * time.Millisecond) // a slow answer
+			}
+			_, _ = io.WriteString(c, wholeAnswer[9:])
+		}
+	})
+	c := New(WithMeters(meter.New()))
+	defer c.Close()
+	twice := func(ctx context.Context) (*Answer, error) { return c.DoTwice(ctx, addr, request(addr), patience) }
+	for range 2 {
+		if err := call(c, addr, amply, twice); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(requests) != 2 || c.meters.SilentChannels.Get() != 0 {
+		t.Fatalf("%d requests, want 2; %d silences, want 0", len(requests), c.meters.SilentChannels.Get())
+	}
+}
