Silent connections to the store and to engines

Ruled out: a second method of LayerEngines for questions on new connections (each fake and adapter would need it; a context is enough); repeating conditional writes (one that is not answered may still be done). The second question of a probe takes a new connection; the first runs on to its 40 ms when it is overtaken, so that its time-out shows the silence. Gateway and daemon give their log and counters to the client. TestSilentConnectionIsNoDeadEngine with the second question on an old connection: the engine was taken for dead by probe 1.

--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -5,8 +5,9 @@
 // and an answer is used for a while, since each question is paid for.
 //
 // An engine that refuses the connection is dead at once. One that says nothing
-// is asked a second time meanwhile, because a lost packet is sent again only
-// after a fifth of a second; it is dead when neither question was answered.
+// is asked a second time meanwhile, on a new connection, because a lost packet is
+// sent again only after a fifth of a second, and a connection that was used before
+// may be silent for good; it is dead when neither question was answered.
 //
 // A silence says something of an engine only if this daemon could have heard an
 // answer: it did not stand still meanwhile, and something came from another
@@ -31,6 +32,7 @@
 	"spanrill"
 	"spanrill/events"
 	"spanrill/state/fleet"
+	"spanrill/transport/httpcall"
 )
 
 const (
@@ -143,15 +145,30 @@
 // try asks an engine once, and once more meanwhile if it says nothing.
 func (p *Prober) try(ctx context.Context, u *fleet.Upstream, q *question) {
 	ctx, cancel := context.WithTimeout(ctx, answerWait.Duration())
-	defer cancel()
 	answers := make(chan answer, 2)
-	go func() { answers <- p.once(ctx, u.Addr()) }()
+	var open sync.WaitGroup
+	// A question that is overtaken runs on to its end, so that its time-out shows
+	// a silent connection.
+	defer func() {
+		go func() {
+			open.Wait()
+			cancel()
+		}()
+	}()
+	once := func(ctx context.Context) {
+		open.Add(1)
+		go func() {
+			defer open.Done()
+			answers <- p.once(ctx, u.Addr())
+		}()
+	}
+	once(ctx)
 	asked, hedge := 1, p.clock.After(hedgeAfter)
 	for got := 0; got < asked; {
 		select {
 		case <-hedge:
 			asked, hedge = asked+1, nil
-			go func() { answers <- p.once(ctx, u.Addr()) }()
+			once(httpcall.Anew(ctx))
 		case a := <-answers:
 			got++
 			q.report, q.err = a.report, a.err
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return fmt.Errorf("choose routing policy: %w", err)
 	}
-	d.http = httpcall.New()
+	d.http = httpcall.New(httpcall.WithLogger(d.log), httpcall.WithMeters(d.meters))
 	d.platform = objectapi.New(d.settings.Platform, d.http)
 	d.table = load.NewTable(d.clock, load.WithLogger(d.log))
 	d.router = routing.New(d.clock, routing.WithPolicy(policy))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -176,7 +176,7 @@
 }
 
 func (g *Gateway) build(connect Connect) error {
-	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout))
+	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout), httpcall.WithLogger(g.log), httpcall.WithMeters(g.meters))
 	g.config = routes.NewCurrent(g.clock)
 	g.adapter = connect(g.settings.Platform, g.http, g.storeCalled)
 	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain))
