--- a/events/events.go
+++ b/events/events.go
@@ -92,7 +92,7 @@
 
 // Connections, 450 to 499.
 var (
-	ChannelSilent = define(450, logrus.WarnLevel, "open connection says nothing more, given up")
+	ConnectionSilent = define(450, logrus.WarnLevel, "open connection says nothing more, given up")
 )
 
 // Upstreams, 500 to 599.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -71,8 +71,8 @@
 	PeerBytesSent *metrics.Counter
 	// PeerBytesReceived counts bytes received from peers.
 	PeerBytesReceived *metrics.Counter
-	// SilentChannels counts open connections that said nothing more and were given up.
-	SilentChannels *metrics.Counter
+	// SilentConnections counts open connections that said nothing more and were given up.
+	SilentConnections *metrics.Counter
 	// FirstToken is the time to the first token, in seconds.
 	FirstToken *metrics.Histogram
 	// BetweenTokens is the time between two tokens, in seconds.
@@ -95,7 +95,7 @@
 		FramesRefused:     s.NewCounter("spanrill_peer_frames_refused_total"),
 		PeerBytesSent:     s.NewCounter("spanrill_peer_bytes_sent_total"),
 		PeerBytesReceived: s.NewCounter("spanrill_peer_bytes_received_total"),
-		SilentChannels:    s.NewCounter("spanrill_silent_channels_total"),
+		SilentConnections: s.NewCounter("spanrill_silent_connections_total"),
 		FirstToken:        s.NewHistogram("spanrill_first_token_seconds"),
 		BetweenTokens:     s.NewHistogram("spanrill_between_tokens_seconds"),
 		ServiceCall:       s.NewHistogram("spanrill_service_call_seconds"),
--- a/transport/httpcall/silence.go
+++ b/transport/httpcall/silence.go
@@ -76,8 +76,8 @@
 	}
 	c.doubted.Delete(addr)
 	dropped := c.idle.Drop(addr)
-	c.meters.SilentChannels.Inc()
-	events.ChannelSilent.Log(c.log, logrus.Fields{
+	c.meters.SilentConnections.Inc()
+	events.ConnectionSilent.Log(c.log, logrus.Fields{
 		"remote": addr, "kind": "call", "also_closed": dropped, "silent_ms": time.Since(cn.heard).Milliseconds(),
 	})
 	return err
--- a/transport/httpcall/silence_test.go
+++ b/transport/httpcall/silence_test.go
@@ -75,7 +75,7 @@
 
 func wantSilences(t *testing.T, c *Client, log *logtest.Hook, alsoClosed ...int) {
 	t.Helper()
-	if got := c.meters.SilentChannels.Get(); got != uint64(len(alsoClosed)) {
+	if got := c.meters.SilentConnections.Get(); got != uint64(len(alsoClosed)) {
 		t.Errorf("%d silences were counted, want %d", got, len(alsoClosed))
 	}
 	entries := log.AllEntries()
@@ -83,7 +83,7 @@
 		t.Fatalf("%d lines were logged, want %d", len(entries), len(alsoClosed))
 	}
 	for i, e := range entries {
-		if e.Data["event"] != events.ChannelSilent.Number() || e.Data["also_closed"] != alsoClosed[i] {
+		if e.Data["event"] != events.ConnectionSilent.Number() || e.Data["also_closed"] != alsoClosed[i] {
 			t.Errorf("line %v, want %d connections closed with it", e.Data, alsoClosed[i])
 		}
 	}
@@ -205,7 +205,7 @@
 			t.Fatal(err)
 		}
 	}
-	if len(requests) != 2 || c.meters.SilentChannels.Get() != 0 {
-		t.Fatalf("%d requests, want 2; %d silences, want 0", len(requests), c.meters.SilentChannels.Get())
+	if len(requests) != 2 || c.meters.SilentConnections.Get() != 0 {
+		t.Fatalf("%d requests, want 2; %d silences, want 0", len(requests), c.meters.SilentConnections.Get())
 	}
 }
--- a/transport/peernet/silence.go
+++ b/transport/peernet/silence.go
@@ -61,8 +61,8 @@
 		n.forget(l) // at once: the event loop may be slow
 		_ = l.conn.Close()
 	}
-	n.meters.SilentChannels.Inc()
-	events.ChannelSilent.Log(n.log, logrus.Fields{
+	n.meters.SilentConnections.Inc()
+	events.ConnectionSilent.Log(n.log, logrus.Fields{
 		"remote": silent.addr, "kind": "peer", "also_closed": len(quiet),
 		"silent_ms": (n.elapsed() - time.Duration(silent.heard.Load())).Milliseconds(),
 	})
--- a/transport/peernet/silence_test.go
+++ b/transport/peernet/silence_test.go
@@ -57,12 +57,12 @@
 
 func wantFound(t *testing.T, n *Net, hook *logtest.Hook, want int) {
 	t.Helper()
-	if got := n.meters.SilentChannels.Get(); got != uint64(want) {
+	if got := n.meters.SilentConnections.Get(); got != uint64(want) {
 		t.Errorf("%d silences were counted, want %d", got, want)
 	}
 	lines := 0
 	for _, e := range hook.AllEntries() {
-		if e.Data["event"] == events.ChannelSilent.Number() {
+		if e.Data["event"] == events.ConnectionSilent.Number() {
 			lines++
 		}
 	}
