Notice a caller that left behind unread bytes; end its work at every stage

Cause: a daemon looks every 0.15 s whether callers are there. The look reads one byte ahead, so that any byte behind the request (a second request, a part of one) hid the end of the connection or its reset. Engines worked on until the caller's deadline, and the second attempt of a safe request was still made. A request that was read after its caller had left was sent, and cancelled at the next look.

Ruled out: the stages themselves.

Change: where bytes wait, the state of the connection is asked of the operating system (TCP_INFO). A caller is looked at as its request is read too. Each attempt is preceded by a check of the request's context. An answer for a caller that left ends its connection, so that nothing behind it is served. A histogram, spanrill_caller_gone_seconds, has the time from the last look that found the caller there to the end of all work. A caller that closes only its half is taken for gone, as before.

Not covered: a caller whose host vanishes without a word.

--- a/coordination/relay/gone.go
+++ b/coordination/relay/gone.go
@@ -6,50 +6,71 @@
 	"sync"
 
 	"spanrill"
+	"spanrill/meter"
 	"spanrill/transport/httpcall"
 )
 
 // callers are the connections of requests that run. A handler does not see
 // that its caller has left, so that the connections are looked at instead.
 type callers struct {
-	mu   sync.Mutex
-	all  map[uint64]caller
-	next uint64
+	clock  spanrill.Clock
+	meters *meter.Meters
+	mu     sync.Mutex
+	all    map[uint64]*caller
+	next   uint64
 }
 
 type caller struct {
 	conn   net.Conn
 	cancel context.CancelCauseFunc
+	seen   spanrill.Millis // when it was last seen to be there
+	gone   bool
 }
 
-func newCallers() *callers { return &callers{all: map[uint64]caller{}} }
+func newCallers(clock spanrill.Clock, meters *meter.Meters) *callers {
+	return &callers{clock: clock, meters: meters, all: map[uint64]*caller{}}
+}
 
-// add notes a caller and returns the function that forgets it.
+// add notes a caller and returns the function that forgets it, which is called
+// when all work for it has ended. A caller may have left while its request was
+// not read: it is looked at here too.
 func (c *callers) add(conn net.Conn, cancel context.CancelCauseFunc) func() {
+	one := &caller{conn: conn, cancel: cancel, seen: c.clock.Now()}
+	one.look(c.clock.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next++
 	id := c.next
-	c.all[id] = caller{conn: conn, cancel: cancel}
+	c.all[id] = one
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.all, id)
+		if one.gone {
+			c.meters.CallerGone.Update(float64(c.clock.Now()-one.seen) / float64(spanrill.Second))
+		}
 	}
 }
 
 // look cancels the requests of callers that have closed their connections.
 func (c *callers) look() {
 	c.mu.Lock()
-	all := make([]caller, 0, len(c.all))
+	defer c.mu.Unlock()
+	now := c.clock.Now()
 	for _, one := range c.all {
-		all = append(all, one)
+		one.look(now)
 	}
-	c.mu.Unlock()
-	for _, one := range all {
-		if httpcall.PeerOpen(one.conn) == httpcall.PeerGone {
-			one.cancel(errCallerGone)
-		}
+}
+
+// look cancels the request if the caller has left.
+func (one *caller) look(now spanrill.Millis) {
+	switch {
+	case one.gone:
+	case httpcall.PeerOpen(one.conn) == httpcall.PeerGone:
+		one.gone = true
+		one.cancel(errCallerGone)
+	default:
+		one.seen = now
 	}
 }
 
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -36,7 +36,7 @@
 	resp.Header.SetContentType("application/json")
 	r.Codec.WriteRefusal(&resp.Header, q.head.ID, retryAfter(refusal, status))
 	resp.SetBodyRaw(body)
-	if r.closing.Load() {
+	if r.closing.Load() || q.callerGone() {
 		q.http.SetConnectionClose()
 	}
 }
@@ -67,10 +67,7 @@
 
 // ended returns the refusal for a request whose time or caller is gone.
 func (q *request) ended(sent bool) *spanrill.Refusal {
-	if errors.Is(context.Cause(q.ctx), errCallerGone) {
-		q.relay.Meters.CallersLeft.Inc()
-		q.logGone(sent)
-	}
+	q.noteLeft(sent)
 	refusal := spanrill.NewRefusal(spanrill.ReasonUpstreamTimeout, "no answer within %d ms", q.relay.Clock.Now()-q.start)
 	if sent {
 		return refusal.WithOutcome(spanrill.OutcomeUnknown)
@@ -78,6 +75,21 @@
 	return spanrill.NewRefusal(spanrill.ReasonQueueDeadline, "not sent within %d ms", q.relay.Clock.Now()-q.start)
 }
 
+// callerGone reports whether the caller has closed its connection.
+func (q *request) callerGone() bool {
+	return q.ctx != nil && errors.Is(context.Cause(q.ctx), errCallerGone)
+}
+
+// noteLeft notes once that the caller has left.
+func (q *request) noteLeft(sent bool) {
+	if q.goneNoted || !q.callerGone() {
+		return
+	}
+	q.goneNoted = true
+	q.relay.Meters.CallersLeft.Inc()
+	q.logGone(sent)
+}
+
 func (q *request) logRefusal(refusal *spanrill.Refusal, status int) {
 	q.relay.bad.Log(events.RequestGivenUp, q.relay.Log, func() logrus.Fields {
 		f := q.fields()
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -90,7 +90,7 @@
 // New returns a relay.
 func New(parts Parts, bounds Bounds) *Relay {
 	return &Relay{
-		Parts: parts, bounds: bounds, running: newCallers(), streams: newStreams(), turns: &turns{},
+		Parts: parts, bounds: bounds, running: newCallers(parts.Clock, parts.Meters), streams: newStreams(), turns: &turns{},
 		good: events.NewLimiter(parts.Clock, goodLines), bad: events.NewLimiter(parts.Clock, badLines),
 	}
 }
@@ -106,20 +106,21 @@
 
 // request is one request of a caller.
 type request struct {
-	relay   *Relay
-	ctx     context.Context // ends with the caller, the deadline or the route's timeout
-	cancel  context.CancelCauseFunc
-	http    *fasthttp.RequestCtx
-	head    spanrill.CallerRequest
-	table   *routes.Table
-	route   *spanrill.Route
-	account *spanrill.Account
-	service *spanrill.ServiceInfo
-	start   spanrill.Millis
-	until   spanrill.Millis // when the answer is of no more use
-	body    []byte
-	finish  func()
-	sends   int
+	relay     *Relay
+	ctx       context.Context // ends with the caller, the deadline or the route's timeout
+	cancel    context.CancelCauseFunc
+	http      *fasthttp.RequestCtx
+	head      spanrill.CallerRequest
+	table     *routes.Table
+	route     *spanrill.Route
+	account   *spanrill.Account
+	service   *spanrill.ServiceInfo
+	start     spanrill.Millis
+	until     spanrill.Millis // when the answer is of no more use
+	body      []byte
+	finish    func()
+	sends     int
+	goneNoted bool // it was noted that the caller has left
 
 	considered []string // what was wrong with each chain, of a request that found none
 }
@@ -219,9 +220,12 @@
 }
 
 // stillAllowed checks again just before a request is sent, since it may have
-// waited, or this process may have stood still: the configuration must be
-// fresh, and the newest one must still know the key.
+// waited, or this process may have stood still: its caller must be there, the
+// configuration must be fresh, and the newest one must still know the key.
 func (q *request) stillAllowed() *spanrill.Refusal {
+	if q.ctx.Err() != nil {
+		return q.ended(false)
+	}
 	if q.account == nil {
 		return nil
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -65,6 +65,9 @@
 	Resumed *metrics.Counter
 	// CallersLeft counts callers that left before their answer was whole.
 	CallersLeft *metrics.Counter
+	// CallerGone is the time from the last look that found a caller that left
+	// still there to the end of all work for it, in seconds.
+	CallerGone *metrics.Histogram
 	// FramesRefused counts frames of peers that were refused.
 	FramesRefused *metrics.Counter
 	// PeerBytesSent counts bytes sent to peers.
@@ -90,6 +93,7 @@
 		Tokens:            s.NewCounter("spanrill_tokens_total"),
 		Resumed:           s.NewCounter("spanrill_streams_resumed_total"),
 		CallersLeft:       s.NewCounter("spanrill_callers_left_total"),
+		CallerGone:        s.NewHistogram("spanrill_caller_gone_seconds"),
 		FramesRefused:     s.NewCounter("spanrill_peer_frames_refused_total"),
 		PeerBytesSent:     s.NewCounter("spanrill_peer_bytes_sent_total"),
 		PeerBytesReceived: s.NewCounter("spanrill_peer_bytes_received_total"),
--- a/transport/httpcall/prove.go
+++ b/transport/httpcall/prove.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // proveOpen reports whether an idle connection is open and silent.
@@ -17,9 +19,10 @@
 const (
 	// PeerSilent means that the peer is there and has sent nothing.
 	PeerSilent PeerState = iota
-	// PeerSent means that unread bytes are waiting.
+	// PeerSent means that unread bytes are waiting and the peer is there.
 	PeerSent
-	// PeerGone means that the peer has closed the connection.
+	// PeerGone means that the peer has closed the connection, or its half of
+	// it, also behind bytes that nobody has read.
 	PeerGone
 )
 
@@ -50,5 +53,31 @@
 	case err != nil || n == 0:
 		return PeerGone
 	}
+	if hasClosed(fd) {
+		return PeerGone
+	}
 	return PeerSent
 }
+
+// The states of a connection whose peer has sent a reset or its end, as the
+// TCP of Linux numbers them (include/net/tcp_states.h).
+const (
+	stateClose     = 7
+	stateCloseWait = 8
+	stateLastAck   = 9
+	stateClosing   = 11
+)
+
+// hasClosed asks the operating system whether the peer has closed, since bytes
+// that wait are read before the end behind them.
+func hasClosed(fd int) bool {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return false // no TCP: bytes that wait are all that is known
+	}
+	switch info.State {
+	case stateClose, stateCloseWait, stateLastAck, stateClosing:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/transport/httpcall/prove_test.go
@@ -0,0 +1,73 @@
+package httpcall
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// A look shows that the peer has closed, also behind bytes that nobody has read.
+func TestPeerOpen(t *testing.T) {
+	sends := func(c *net.TCPConn) error {
+		_, err := io.WriteString(c, "bytes")
+		return err
+	}
+	resets := func(c *net.TCPConn) error {
+		if err := c.SetLinger(0); err != nil {
+			return err
+		}
+		return c.Close()
+	}
+	for _, c := range []struct {
+		name  string
+		steps []func(*net.TCPConn) error
+		want  PeerState
+	}{
+		{"silent", nil, PeerSilent},
+		{"sent", []func(*net.TCPConn) error{sends}, PeerSent},
+		{"closed", []func(*net.TCPConn) error{(*net.TCPConn).Close}, PeerGone},
+		{"closed behind bytes", []func(*net.TCPConn) error{sends, (*net.TCPConn).Close}, PeerGone},
+		{"half-closed", []func(*net.TCPConn) error{(*net.TCPConn).CloseWrite}, PeerGone},
+		{"half-closed behind bytes", []func(*net.TCPConn) error{sends, (*net.TCPConn).CloseWrite}, PeerGone},
+		{"reset", []func(*net.TCPConn) error{resets}, PeerGone},
+		{"reset behind bytes", []func(*net.TCPConn) error{sends, resets}, PeerGone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			near, far := pair(t)
+			for _, step := range c.steps {
+				if err := step(far); err != nil {
+					t.Fatal(err)
+				}
+			}
+			limit := time.Now().Add(10 * time.Second)
+			for got := PeerOpen(near); got != c.want; got = PeerOpen(near) {
+				if time.Now().After(limit) {
+					t.Fatalf("state %d, want %d", got, c.want)
+				}
+				runtime.Gosched() // the operating system may not have delivered it yet
+			}
+		})
+	}
+}
+
+// pair returns both ends of a connection.
+func pair(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	a, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = a.Close(), b.Close() })
+	return b.(*net.TCPConn), a.(*net.TCPConn)
+}
