Say ready only while callers' connections are taken; outlast a lack of descriptors

Cause: the HTTP library ends its loop of accepts with the first error that is no time-out. A process that ran out of descriptors ended, with event 105 for callers and for the balancer's address, and every request on it was cut. Where the loop ended without an error the daemon ran on and said that it was ready. Readiness did not ask whether connections are taken at all, before the loop began or after it. A signal in the time until the listeners were open killed the process.

Ruled out: the planned stop. Readiness fails 2.6 s before the listener closes. A SIGHUP touches neither.

Change: a listener that waits out errors that accept(2) names as of the means of the process or of connections that are gone, for callers, balancer and metrics. It says whether connections are taken; readiness asks it, and events 107 and 108 tell. A part that fails, or a loop that ends outside a stop, drains the daemon instead of cutting it. Signals are taken from the first line of the process on.

Not covered: connections to engines and to the store while descriptors lack.

--- a/cli/spanrilldcmd/gateway.go
+++ b/cli/spanrilldcmd/gateway.go
@@ -45,6 +45,10 @@
 )
 
 func runGateway(ctx context.Context, c *cli.Command) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT) // first: a signal while it starts must not kill it
+	defer stop()
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
 	s, err := settings.LoadGateway(c.String("settings"))
 	if err != nil {
 		return cli.Exit(err.Error(), exitBadSettings)
@@ -67,9 +71,7 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	watchReload(ctx, c.String("settings"), log)
+	watchReload(ctx, hups, c.String("settings"), log)
 	err = g.Run(ctx)
 	limit := make(chan struct{})
 	time.AfterFunc(logsWait, func() { close(limit) })
@@ -83,9 +85,7 @@
 // changed. What a running gateway uses of them stays as it was at its start:
 // its addresses cannot change under its callers, and its bounds are the
 // operator's for the life of a process.
-func watchReload(ctx context.Context, path string, log logrus.FieldLogger) {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
+func watchReload(ctx context.Context, hups <-chan os.Signal, path string, log logrus.FieldLogger) {
 	go func() {
 		for {
 			select {
--- a/events/events.go
+++ b/events/events.go
@@ -55,6 +55,8 @@
 	DaemonDrainLate = define(104, logrus.WarnLevel, "drain took longer than allowed")
 	PartFailed      = define(105, logrus.ErrorLevel, "part of the daemon failed")
 	SettingsRead    = define(106, logrus.InfoLevel, "settings file read again")
+	NotAccepting    = define(107, logrus.WarnLevel, "new connections of callers cannot be taken")
+	Accepting       = define(108, logrus.InfoLevel, "new connections of callers are taken")
 )
 
 // Configuration, 200 to 299.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,7 +9,7 @@
 //	due.go       what this daemon has to do now, by its rank and the lease
 //	config.go    the configuration of routes
 //	peers.go     messages of other daemons
-//	ready.go     readiness and metrics
+//	ready.go     callers' connections, readiness and metrics
 //	stop.go      the planned stop
 //
 // # Usage
@@ -92,11 +92,12 @@
 	upstreams *follow.Follower
 	configs   *follow.Follower
 
-	listener  net.Listener
+	listener  *callerhttp.Acceptor
 	ready     net.Listener
 	metrics   net.Listener
 	draining  atomic.Bool
 	wasFresh  atomic.Bool
+	accepted  atomic.Bool  // connections were taken when this was looked at last
 	heldAt    atomic.Int64 // when this daemon last held the lease of placement
 	freeSince atomic.Int64 // since when nobody is known to hold it, or -1
 	dropped   func() uint64
@@ -239,28 +240,38 @@
 
 func (g *Gateway) listen() error {
 	var err error
-	if g.listener, err = net.Listen("tcp", g.settings.Listen); err != nil {
+	if g.listener, err = g.listenAt(g.settings.Listen); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	if g.ready, err = net.Listen("tcp", g.settings.ReadyListen); err != nil {
+	if g.ready, err = g.listenAt(g.settings.ReadyListen); err != nil {
 		return fmt.Errorf("listen for the balancer: %w", err)
 	}
 	if g.settings.MetricsListen == "" {
 		return nil
 	}
-	if g.metrics, err = net.Listen("tcp", g.settings.MetricsListen); err != nil {
+	if g.metrics, err = g.listenAt(g.settings.MetricsListen); err != nil {
 		return fmt.Errorf("listen for metrics: %w", err)
 	}
 	return nil
 }
 
+// listenAt listens on an address. A lack of descriptors does not end the loop
+// that takes its connections.
+func (g *Gateway) listenAt(addr string) (*callerhttp.Acceptor, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return callerhttp.NewAcceptor(ln, g.clock), nil
+}
+
 // Done returns a channel that is closed when the gateway has stopped.
 func (g *Gateway) Done() <-chan struct{} { return g.done }
 
 // Meters returns the gateway's counters.
 func (g *Gateway) Meters() *meter.Meters { return g.meters }
 
-// Run serves until the context ends, then drains and stops.
+// Run serves until the context ends or a part fails, then drains and stops.
 func (g *Gateway) Run(ctx context.Context) error {
 	defer close(g.done)
 	events.DaemonStarted.Log(g.log, logrus.Fields{"listen": g.settings.Listen, "zone": g.settings.Zone, "peers": g.settings.Peers})
@@ -277,10 +288,10 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		handBack()
-		g.drain()
 	case err = <-failed:
 	}
+	handBack()
+	g.drain()
 	cancel()
 	g.close()
 	select {
@@ -321,7 +332,7 @@
 		"callers gone":  g.relay.Run,
 		"upkeep":        g.upkeep,
 		"readiness":     g.serveReady,
-		"callers":       func(context.Context) error { return g.callers.Serve(g.listener) },
+		"callers":       g.serveCallers,
 		"metrics":       g.serveMetrics,
 	}
 }
@@ -348,6 +359,7 @@
 		g.fleet.Tend()
 		g.prober.Recheck(ctx, g.fleet.View())
 		g.noteFreshness()
+		g.noteAccepting()
 		g.noteDropped()
 		g.router.SetFleet(len(g.peers.list.Live()), g.exchange.Rounds(), g.exchange.Settled())
 		select {
--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -8,14 +8,22 @@
 	"net"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+
+	"spanrill/events"
+	"spanrill/transport/callerhttp"
 )
 
 // notReady returns why the daemon should get no requests, or nil.
 func (g *Gateway) notReady() error {
-	switch {
-	case g.draining.Load():
+	if g.draining.Load() {
 		return errors.New("draining")
+	}
+	if err := g.listener.Err(); err != nil {
+		return fmt.Errorf("new connections of callers are not taken: %w", err)
+	}
+	switch {
 	case g.config.Table() == nil:
 		return errors.New("no configuration yet")
 	case !g.isFresh():
@@ -29,6 +37,29 @@
 	}
 }
 
+// noteAccepting logs when new connections of callers can no longer be taken, and
+// when they can again.
+func (g *Gateway) noteAccepting() {
+	err := g.listener.Err()
+	if g.draining.Load() || errors.Is(err, callerhttp.ErrNotAccepting) || g.accepted.Swap(err == nil) == (err == nil) {
+		return
+	}
+	if err != nil {
+		events.NotAccepting.Log(g.log, logrus.Fields{"error": err, "connections": g.callers.Open()})
+		return
+	}
+	events.Accepting.Log(g.log, logrus.Fields{"connections": g.callers.Open()})
+}
+
+// serveCallers serves callers' connections. Nothing but a stop may end that.
+func (g *Gateway) serveCallers(context.Context) error {
+	err := g.callers.Serve(g.listener)
+	if err == nil && !g.draining.Load() {
+		return fmt.Errorf("callers' connections are no longer taken: %w", g.listener.Err())
+	}
+	return err
+}
+
 // serveReady answers the platform's balancer.
 func (g *Gateway) serveReady(ctx context.Context) error {
 	return serveHTTP(ctx, g.ready, func(c *fasthttp.RequestCtx) {
@@ -59,8 +90,12 @@
 	s := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, Logger: log.New(io.Discard, "", 0)}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
-	if err := s.Serve(ln); err != nil && ctx.Err() == nil {
-		return fmt.Errorf("serve %s: %w", ln.Addr(), err)
+	err := s.Serve(ln)
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err == nil {
+		err = net.ErrClosed
 	}
-	return nil
+	return fmt.Errorf("serve %s: %w", ln.Addr(), err)
 }
--- /dev/null
+++ b/gateway/ready_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"spanrill/clock"
+	"spanrill/state/routes"
+	"spanrill/transport/callerhttp"
+)
+
+// A daemon is not ready before it takes connections, nor once it takes no more.
+func TestReadyOnlyWhileConnectionsAreTaken(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := clock.NewManual()
+	g := &Gateway{clock: now, config: routes.NewCurrent(now), listener: callerhttp.NewAcceptor(ln, now)}
+	if err := g.notReady(); !errors.Is(err, callerhttp.ErrNotAccepting) {
+		t.Fatalf("before connections are taken: %v", err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		c, err := g.listener.Accept()
+		if err == nil {
+			err = c.Close()
+		}
+		ended <- err
+	}()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if err := g.notReady(); err == nil || err.Error() != "no configuration yet" {
+		t.Fatalf("while connections are taken: %v", err)
+	}
+	_ = g.listener.Close()
+	if err := g.notReady(); !errors.Is(err, net.ErrClosed) {
+		t.Fatalf("after the end: %v", err)
+	}
+}
