Hand on an answer that an engine has made; count untrue promises

Cause: a safe request that its engine had answered with a failure of its own was tried again. When the second attempt brought nothing (a refusal, a lost or foreign answer, no answer in time, no connection) the caller got a 502 or 504 in place of the engine's answer.

Ruled out: a 408, 421, 429 or 503 after a run. Read through: in plain.go every refusal behind an attempt goes through orRefusal or carries its outcome, and in refuse.go a status that promises is replaced by 502 unless the outcome is not-run; streams mark every outcome but not-run.

Change: the whole answer of an earlier attempt is kept and handed on when later ones bring none, unless its status promises that the request has not run. A counter, spanrill_refused_after_run_total, counts promises given after an engine's answer that it ran the request; it must stay 0.

--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -26,15 +26,16 @@
 	for {
 		u := q.pickPlain(tried)
 		if u == nil {
-			q.refuse(last.refusal(q, "no upstream of the service takes requests"))
+			q.refusePlain(last.refusal(q, "no upstream of the service takes requests"))
 			return
 		}
 		if refusal := q.stillAllowed(); refusal != nil {
-			q.refuse(last.orRefusal(refusal))
+			q.refusePlain(last.orRefusal(refusal))
 			return
 		}
 		tried[u.ID()] = true
 		last = q.tryPlain(u, last)
+		q.keep(last)
 		if last.final() || q.ctx.Err() != nil || !q.mayRetry(&last) {
 			break
 		}
@@ -84,15 +85,38 @@
 
 // answerPlain gives the caller what the last attempt brought.
 func (q *request) answerPlain(a *attempt) {
-	r := q.relay
 	if a.resp == nil || a.notRun {
-		q.refuse(a.refusal(q, "the upstream did not run the request"))
+		q.refusePlain(a.refusal(q, "the upstream did not run the request"))
 		return
 	}
+	q.passOn(a)
+}
+
+// keep notes an upstream's own whole answer, for the case that further attempts
+// bring none. One whose status promises that the request has not run is not kept:
+// another attempt may have run it.
+func (q *request) keep(a attempt) {
+	if a.resp != nil && !a.notRun && !promises(a.resp.StatusCode()) {
+		q.made = &a
+	}
+}
+
+// refusePlain hands on the answer that an upstream has made, or else refuses.
+func (q *request) refusePlain(refusal *spanrill.Refusal) {
+	if q.made != nil {
+		q.passOn(q.made)
+		return
+	}
+	q.refuse(refusal)
+}
+
+// passOn hands on an upstream's whole answer.
+func (q *request) passOn(a *attempt) {
+	r := q.relay
 	resp := &q.http.Response
 	r.Codec.CopyHead(&resp.Header, &a.resp.Header)
 	resp.SetBodyRaw(a.resp.Body())
-	if r.closing.Load() {
+	if r.closing.Load() || q.callerGone() {
 		q.http.SetConnectionClose()
 	}
 	r.Meters.Ended(spanrill.OutcomeRan)
@@ -244,7 +268,8 @@
 	}
 }
 
-// genuine checks that an answer belongs to this request and is the upstream's.
+// genuine checks that an answer belongs to this request and is the upstream's. It
+// notes that the request has run if the answer says so.
 func (q *request) genuine(head spanrill.UpstreamHead, h *fasthttp.ResponseHeader) error {
 	if head.RequestID != "" && head.RequestID != q.head.ID {
 		return errForeign
@@ -253,6 +278,7 @@
 	if status >= 200 && status < 300 && (!head.Signed || head.RequestID == "" || len(h.ContentEncoding()) > 0) {
 		return errUnsigned
 	}
+	q.ran = q.ran || !head.NotRun
 	return nil
 }
 
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -24,6 +24,9 @@
 	r.Meters.Refused(refusal.Reason())
 	r.Meters.Ended(refusal.Outcome())
 	status := statusOf(refusal)
+	if q.ran && promises(status) {
+		r.Meters.RefusedAfterRun.Inc()
+	}
 	q.logRefusal(refusal, status)
 	body, err := json.Marshal(refusal)
 	if err != nil {
@@ -47,13 +50,22 @@
 	if refusal.Outcome() == spanrill.OutcomeNotRun {
 		return status
 	}
-	switch status {
-	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
+	if promises(status) {
 		return fasthttp.StatusBadGateway
 	}
 	return status
 }
 
+// promises reports whether a status promises that the request has not run and
+// never will.
+func promises(status int) bool {
+	switch status {
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // retryAfter is told with every promise that a request has not run.
 func retryAfter(refusal *spanrill.Refusal, status int) spanrill.Millis {
 	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
--- a/coordination/relay/refuse_test.go
+++ b/coordination/relay/refuse_test.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"context"
 	"testing"
 
+	"github.com/valyala/fasthttp"
+
 	"spanrill"
 )
 
@@ -23,3 +26,32 @@
 		}
 	}
 }
+
+// A promise that is not true is counted.
+func TestRefusalAfterARunIsCounted(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		ran     bool
+		outcome spanrill.Outcome
+		want    uint64
+	}{
+		{"has not run", false, spanrill.OutcomeNotRun, 0},
+		{"has run, and no promise", true, spanrill.OutcomeUnknown, 0},
+		{"has run, and a promise", true, spanrill.OutcomeNotRun, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := testRequest(context.Background())
+			q.relay.Codec = silentCodec{}
+			q.http, q.ran = &fasthttp.RequestCtx{}, c.ran
+			q.refuse(spanrill.NewRefusal(spanrill.ReasonNoRoom, "x").WithOutcome(c.outcome))
+			if got := q.relay.Meters.RefusedAfterRun.Get(); got != c.want {
+				t.Fatalf("counted %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// silentCodec adds no headers to a refusal.
+type silentCodec struct{ spanrill.HeaderCodec }
+
+func (silentCodec) WriteRefusal(*fasthttp.ResponseHeader, string, spanrill.Millis) {}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -122,6 +122,9 @@
 	sends     int
 	goneNoted bool // it was noted that the caller has left
 
+	ran  bool     // an upstream has answered that it ran the request
+	made *attempt // an answer that an upstream has made, of a plain service
+
 	considered []string // what was wrong with each chain, of a request that found none
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -68,6 +68,9 @@
 	// CallerGone is the time from the last look that found a caller that left
 	// still there to the end of all work for it, in seconds.
 	CallerGone *metrics.Histogram
+	// RefusedAfterRun counts refusals that promise that a request has not run,
+	// although an upstream had answered that it ran it. It must stay at zero.
+	RefusedAfterRun *metrics.Counter
 	// FramesRefused counts frames of peers that were refused.
 	FramesRefused *metrics.Counter
 	// PeerBytesSent counts bytes sent to peers.
@@ -94,6 +97,7 @@
 		Resumed:           s.NewCounter("spanrill_streams_resumed_total"),
 		CallersLeft:       s.NewCounter("spanrill_callers_left_total"),
 		CallerGone:        s.NewHistogram("spanrill_caller_gone_seconds"),
+		RefusedAfterRun:   s.NewCounter("spanrill_refused_after_run_total"),
 		FramesRefused:     s.NewCounter("spanrill_peer_frames_refused_total"),
 		PeerBytesSent:     s.NewCounter("spanrill_peer_bytes_sent_total"),
 		PeerBytesReceived: s.NewCounter("spanrill_peer_bytes_received_total"),
