--- a/coordination/chainrouting/search.go
+++ b/coordination/chainrouting/search.go
@@ -25,7 +25,7 @@
 }
 
 func (s *search) usable(u *fleet.Upstream) bool {
-	if u == nil || !u.Takes() || u.Dead() || s.need.Avoid[u.ID()] {
+	if u == nil || !u.TakesAt(s.now) || u.Dead() || s.need.Avoid[u.ID()] {
 		return false
 	}
 	return !u.Avoided(s.now) || s.lenient && !u.Refuses(s.now)
@@ -200,7 +200,7 @@
 // request is moved.
 func (s *search) takesMove(p Part) bool {
 	u, held := p.Upstream, p.Upstream.Layers()
-	return u.Takes() && !u.Dead() && !s.need.Avoid[u.ID()] && held.From <= p.Layers.From && p.Layers.To <= held.To
+	return u.TakesAt(s.now) && !u.Dead() && !s.need.Avoid[u.ID()] && held.From <= p.Layers.From && p.Layers.To <= held.To
 }
 
 // untilTaken returns the end of the series of parts from i on that have to be bridged
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -126,7 +126,7 @@
 		if refusal := g.findPath(); refusal != nil {
 			return g.orUnknown(refusal)
 		}
-		if refusal := g.stillAllowed(); refusal != nil {
+		if refusal := g.maySend(); refusal != nil {
 			return g.orUnknown(refusal)
 		}
 		err := g.send()
--- a/coordination/relay/continuation.go
+++ b/coordination/relay/continuation.go
@@ -66,7 +66,7 @@
 // one, is not touched.
 func (g *generation) startNext(why error) bool {
 	r := g.relay
-	if !g.mayContinue() || g.next != nil || r.Clock.Now() < g.nextAt || g.stillAllowed() != nil {
+	if !g.mayContinue() || g.next != nil || r.Clock.Now() < g.nextAt || g.maySend() != nil {
 		return false
 	}
 	path, err := r.Router.Pick(g.service.Name, g.service.Model, g.needBeside())
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -24,6 +24,9 @@
 	r.Meters.Refused(refusal.Reason())
 	r.Meters.Ended(refusal.Outcome())
 	status := statusOf(refusal)
+	if q.ran.Load() && promises(status) {
+		r.Meters.RefusedAfterRun.Inc()
+	}
 	q.logRefusal(refusal, status)
 	body, err := json.Marshal(refusal)
 	if err != nil {
@@ -36,7 +39,7 @@
 	resp.Header.SetContentType("application/json")
 	r.Codec.WriteRefusal(&resp.Header, q.head.ID, retryAfter(refusal, status))
 	resp.SetBodyRaw(body)
-	if r.closing.Load() {
+	if r.closing.Load() || q.callerGone() {
 		q.http.SetConnectionClose()
 	}
 }
@@ -47,13 +50,22 @@
 	if refusal.Outcome() == spanrill.OutcomeNotRun {
 		return status
 	}
-	switch status {
-	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
+	if promises(status) {
 		return fasthttp.StatusBadGateway
 	}
 	return status
 }
 
+// promises reports whether a status promises that the request has not run and
+// never will.
+func promises(status int) bool {
+	switch status {
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // retryAfter is told with every promise that a request has not run.
 func retryAfter(refusal *spanrill.Refusal, status int) spanrill.Millis {
 	if status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusTooManyRequests {
@@ -67,10 +79,7 @@
 
 // ended returns the refusal for a request whose time or caller is gone.
 func (q *request) ended(sent bool) *spanrill.Refusal {
-	if errors.Is(context.Cause(q.ctx), errCallerGone) {
-		q.relay.Meters.CallersLeft.Inc()
-		q.logGone(sent)
-	}
+	q.noteLeft(sent)
 	refusal := spanrill.NewRefusal(spanrill.ReasonUpstreamTimeout, "no answer within %d ms", q.relay.Clock.Now()-q.start)
 	if sent {
 		return refusal.WithOutcome(spanrill.OutcomeUnknown)
@@ -78,6 +87,21 @@
 	return spanrill.NewRefusal(spanrill.ReasonQueueDeadline, "not sent within %d ms", q.relay.Clock.Now()-q.start)
 }
 
+// callerGone reports whether the caller has closed its connection.
+func (q *request) callerGone() bool {
+	return q.ctx != nil && errors.Is(context.Cause(q.ctx), errCallerGone)
+}
+
+// noteLeft notes once that the caller has left.
+func (q *request) noteLeft(sent bool) {
+	if q.goneNoted || !q.callerGone() {
+		return
+	}
+	q.goneNoted = true
+	q.relay.Meters.CallersLeft.Inc()
+	q.logGone(sent)
+}
+
 func (q *request) logRefusal(refusal *spanrill.Refusal, status int) {
 	q.relay.bad.Log(events.RequestGivenUp, q.relay.Log, func() logrus.Fields {
 		f := q.fields()
