Hand on a stream's own failure when no other engine brings an answer

Cause: a resumable stream whose first engine answers 500 asks another chain; if that refuses, the caller got our 502 although an engine had made an answer. Change: the failure is read and kept, and handed on in place of a refusal.

--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -57,7 +57,7 @@
 	}
 	if refusal := g.open(); refusal != nil {
 		g.release()
-		q.refuse(refusal)
+		q.handOnOr(refusal)
 		q.finish()
 		return
 	}
@@ -149,11 +149,25 @@
 	if status < fasthttp.StatusInternalServerError || g.route.Repeat != spanrill.RepeatResume || !g.canGoElsewhere() {
 		return nil
 	}
+	g.keepFailure()
 	g.avoid[g.first.ID()] = true
 	g.first.Failed(g.relay.Clock.Now())
 	return &sendError{outcome: spanrill.OutcomeRan, retry: meter.RetryStageLost, cause: errors.Errorf("engine %s answered %d", g.first.ID(), status)}
 }
 
+// keepFailure keeps an engine's own failure, for the case that no other engine brings
+// an answer. One that does not arrive whole is not kept.
+func (g *generation) keepFailure() {
+	resp := &fasthttp.Response{}
+	g.answer.Header().CopyTo(&resp.Header)
+	body, err := g.answer.ReadAll(maxAnswer)
+	if err != nil {
+		return
+	}
+	resp.SetBodyRaw(body)
+	g.keep(attempt{upstream: g.first, resp: resp})
+}
+
 // orUnknown marks a refusal of a request that an earlier attempt may have run,
 // also where it does no harm if it runs again: what is said must be true.
 func (g *generation) orUnknown(refusal *spanrill.Refusal) *spanrill.Refusal {
--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -26,11 +26,11 @@
 	for {
 		u := q.pickPlain(tried)
 		if u == nil {
-			q.refusePlain(last.refusal(q, "no upstream of the service takes requests"))
+			q.handOnOr(last.refusal(q, "no upstream of the service takes requests"))
 			return
 		}
 		if refusal := q.maySend(); refusal != nil {
-			q.refusePlain(last.orRefusal(refusal))
+			q.handOnOr(last.orRefusal(refusal))
 			return
 		}
 		tried[u.ID()] = true
@@ -86,7 +86,7 @@
 // answerPlain gives the caller what the last attempt brought.
 func (q *request) answerPlain(a *attempt) {
 	if a.resp == nil || a.notRun {
-		q.refusePlain(a.refusal(q, "the upstream did not run the request"))
+		q.handOnOr(a.refusal(q, "the upstream did not run the request"))
 		return
 	}
 	q.passOn(a)
@@ -101,8 +101,8 @@
 	}
 }
 
-// refusePlain hands on the answer that an upstream has made, or else refuses.
-func (q *request) refusePlain(refusal *spanrill.Refusal) {
+// handOnOr hands on the answer that an upstream has made, or else refuses.
+func (q *request) handOnOr(refusal *spanrill.Refusal) {
 	if q.made != nil {
 		q.passOn(q.made)
 		return
@@ -120,7 +120,9 @@
 		q.http.SetConnectionClose()
 	}
 	r.Meters.Ended(spanrill.OutcomeRan)
-	r.Meters.ServiceCall.Update(float64(r.Clock.Now()-q.start) / float64(spanrill.Second))
+	if !q.route.Chained {
+		r.Meters.ServiceCall.Update(float64(r.Clock.Now()-q.start) / float64(spanrill.Second))
+	}
 	q.logEnded(a.resp.StatusCode(), logrus.Fields{"upstream": a.upstream.ID(), "bytes": len(a.resp.Body())})
 }
 
