A failure of an engine's own is no acceptance of a continuation

Cause: a continuation that was answered with 500 took the place of the running attempt, which was closed before the status was looked at. Change: only a 200 is an acceptance; anything else is a failed continuation. A request whose time ends while a continuation is under way counts as one that may have run.

--- a/coordination/relay/continuation.go
+++ b/coordination/relay/continuation.go
@@ -12,6 +12,7 @@
 	"spanrill"
 	"spanrill/coordination/chainrouting"
 	"spanrill/events"
+	"spanrill/meter"
 	"spanrill/transport/httpcall"
 )
 
@@ -121,10 +122,19 @@
 	go func() {
 		defer close(c.done)
 		defer fasthttp.ReleaseRequest(req)
-		c.end(g.try(ctx, path, req, c))
+		c.end(accepted(g.try(ctx, path, req, c)))
 	}()
 }
 
+// accepted takes an answer that is a failure of the engine's own for no acceptance.
+func accepted(answer *httpcall.Answer, failure *sendError) (*httpcall.Answer, *sendError) {
+	if failure != nil || answer.Status() == fasthttp.StatusOK {
+		return answer, failure
+	}
+	answer.Close()
+	return nil, &sendError{outcome: spanrill.OutcomeRan, retry: meter.RetryStageLost, cause: errors.Errorf("answered with status %d", answer.Status())}
+}
+
 // end notes what came of the attempt.
 func (c *continuation) end(answer *httpcall.Answer, failure *sendError) {
 	c.mu.Lock()
@@ -215,6 +225,7 @@
 	select {
 	case <-g.next.done:
 	case <-g.ctx.Done():
+		g.unknown = true // it may have run
 		return false
 	}
 	return g.checkNext() == nextAccepted
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -71,7 +71,8 @@
 		return nil
 	}
 	if b.g.checkNext() == nextAccepted {
-		return b.goOn()
+		b.goOn()
+		return nil
 	}
 	return b.takeUp(err)
 }
@@ -129,7 +130,8 @@
 	g.lose()
 	for limit := g.relay.Clock.Now() + takeUpWait; ; {
 		if g.awaitNext() {
-			return b.goOn()
+			b.goOn()
+			return nil
 		}
 		if g.ctx.Err() != nil {
 			return errors.Wrap(errCutOff, g.ended(true).Detail())
@@ -157,22 +159,18 @@
 }
 
 // goOn takes the continuation that was accepted for the stream's attempt.
-func (b *eventBody) goOn() error {
+func (b *eventBody) goOn() {
 	g := b.g
 	why := g.next.why
 	g.adoptNext()
 	b.framer.dropPartial()
 	b.taken++
-	if status := g.answer.Status(); status != fasthttp.StatusOK {
-		return b.takeUp(errors.Errorf("engine %s answers %d", g.first.ID(), status))
-	}
 	g.relay.Meters.Resumed.Inc()
 	g.relay.bad.Log(events.StreamTaken, g.relay.Log, func() logrus.Fields {
 		f := g.fields()
 		f["path"], f["behind_event"], f["silent_ms"], f["why"] = g.path.String(), b.framer.lastID, g.relay.Clock.Now()-b.last, why
 		return f
 	})
-	return nil
 }
 
 func retryReason(cause error) meter.Retry {
