--- a/coordination/chainrouting/path.go
+++ b/coordination/chainrouting/path.go
@@ -54,6 +54,15 @@
 // Parts returns the engines in order. The slice must not be changed.
 func (p *Path) Parts() []Part { return p.parts }
 
+// Upstreams returns the engines in order.
+func (p *Path) Upstreams() []*fleet.Upstream {
+	all := make([]*fleet.Upstream, len(p.parts))
+	for i, part := range p.parts {
+		all[i] = part.Upstream
+	}
+	return all
+}
+
 // First returns the engine that the request is sent to.
 func (p *Path) First() *fleet.Upstream { return p.parts[0].Upstream }
 
--- a/coordination/layout/repair.go
+++ b/coordination/layout/repair.go
@@ -69,7 +69,7 @@
 	outside []chain.Holder // belong to no chain
 	leaving []Engine
 	crashed []Engine
-	cut     *chain.Chain // whose requests are lost, so that the moves that follow may cut them, or nil
+	cut     bool // requests are lost by the hole that the moves that follow fill
 }
 
 // lost reports whether requests on a chain are lost because of its holes: an engine
@@ -85,20 +85,10 @@
 	return false
 }
 
-// mayCut reports whether an order may cut what runs on an engine: the engine belongs
-// to the chain whose requests are lost, or nothing runs on it. What runs on other
-// engines is of other paths, and goes on.
-func (r *repair) mayCut(e candidate) bool {
-	if r.cut == nil {
-		return false
-	}
-	for _, p := range r.cut.Parts() {
-		if p.ID == e.ID {
-			return true
-		}
-	}
-	return e.Tokens == 0
-}
+// mayCut reports whether an order may cut what runs on an engine: nothing does, as far
+// as is known. What runs on the engines of a chain that has lost one may be on other
+// paths, which chains that are read anew do not show, and its daemons move it away.
+func (r *repair) mayCut(e candidate) bool { return r.cut && e.Tokens == 0 }
 
 // anyHolds reports whether one of some engines is in a zone and holds layers of a
 // hole.
@@ -137,12 +127,9 @@
 // worth more than two broken ones.
 func (r *repair) fill(chains []*chain.Chain) {
 	broken := brokenOf(chains)
-	defer func() { r.cut = nil }()
+	defer func() { r.cut = false }()
 	for i, c := range broken {
-		r.cut = nil
-		if r.lost(c) {
-			r.cut = c
-		}
+		r.cut = r.lost(c)
 		if r.fillNear(c) || r.changing(c) {
 			continue
 		}
--- a/coordination/layout/spare_test.go
+++ b/coordination/layout/spare_test.go
@@ -1,6 +1,7 @@
 package layout
 
 import (
+	"fmt"
 	"testing"
 
 	"spanrill"
@@ -92,6 +93,36 @@
 	}
 }
 
+// Two chains of one zone, of which one loses an engine. Read anew, its engine with the
+// same layers belongs to the other chain, and the sound one has the hole: what runs on
+// either is not cut.
+func TestSoundPathsAreNotCut(t *testing.T) {
+	for _, crashed := range []string{"a2", "b2"} {
+		t.Run(crashed, func(t *testing.T) {
+			var engines []Engine
+			for _, name := range []string{"a", "b"} {
+				for i, from := range []int{0, 20, 40, 60} {
+					e := quarter(fmt.Sprintf("%s%d", name, i+1), from)
+					e.Tokens = 5000
+					if e.ID == crashed {
+						e.Lost, e.Tokens = true, 0
+					}
+					engines = append(engines, e)
+				}
+			}
+			moves := Repair(hugeModel(), engines)
+			if len(moves) == 0 {
+				t.Fatal("the hole is not filled")
+			}
+			for _, move := range moves {
+				if move.Cut {
+					t.Errorf("%v cuts what runs", move)
+				}
+			}
+		})
+	}
+}
+
 // An engine that is given more layers keeps memory for what runs on it.
 func TestEngineDoesNotGrowIntoWhatRuns(t *testing.T) {
 	m := hugeModel()
--- a/coordination/relay/attempts.go
+++ b/coordination/relay/attempts.go
@@ -64,11 +64,12 @@
 		first.Failed(now)
 		first.Avoid(now + failedAvoid)
 	}
-	if failure.retry == meter.RetryDial {
-		delete(g.sentTo, first.ID())
-	}
 	if failure.outcome != spanrill.OutcomeNotRun {
 		g.unknown = true
+		g.ranOn[first.ID()] = true
+	}
+	if failure.retry == meter.RetryDial {
+		g.forgetSend(first)
 	}
 }
 
@@ -84,6 +85,15 @@
 		fault.Avoid(now + misdirectedAvoid)
 	}
 	if g.begun {
+		g.forgetSend(first)
+	}
+}
+
+// forgetSend takes an engine off those that the request was sent to, after a send that
+// it has not run. One that ran the request before stays: it counts toward the limit on
+// engines.
+func (g *generation) forgetSend(first *fleet.Upstream) {
+	if !g.ranOn[first.ID()] {
 		delete(g.sentTo, first.ID())
 	}
 }
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -28,11 +28,12 @@
 	lastHeard   spanrill.Millis // when an event came last, or the first attempt was sent
 	askAt       spanrill.Millis // silence at which the engines are asked next
 	moves       int
-	failedMoves int // orders to move that were not carried out
+	failedMoves int // orders to move that were not carried out since the last event
 	refusals    int // attempts that engines have refused
 	poke        atomic.Pointer[func()]
 	current     atomic.Pointer[chainrouting.Path] // for other goroutines
 	sentTo      map[string]*fleet.Upstream        // first engines that the request was sent to, by id
+	ranOn       map[string]bool                   // those of them that have, or may have, run it
 	unknown     bool                              // an attempt may have run
 
 	next          *continuation   // under way, or nil
@@ -40,6 +41,7 @@
 	continuations []*continuation // all, to wait for their ends
 	vacateAt      spanrill.Millis // before this it is not moved off engines that give layers up
 	reads         bool            // engines that are new on its path read its tokens first
+	unheardAt     spanrill.Millis // silence at which it is asked next whether the request runs unheard
 	silenceTried  bool            // a continuation was tried because of silence alone
 	waits         bool            // that it finds no path was logged
 }
@@ -47,7 +49,7 @@
 // serveChained finds a path, sends the request and leaves the events to the
 // body of the answer.
 func (q *request) serveChained() {
-	g := &generation{request: q, avoid: map[string]bool{}, sentTo: map[string]*fleet.Upstream{}, behind: q.head.LastEvent, lastHeard: q.start}
+	g := &generation{request: q, avoid: map[string]bool{}, sentTo: map[string]*fleet.Upstream{}, ranOn: map[string]bool{}, behind: q.head.LastEvent, lastHeard: q.start}
 	leave := q.relay.streams.add(g)
 	end := q.finish
 	q.finish = func() {
@@ -231,6 +233,7 @@
 	answer, failure := g.try(g.ctx, g.path, req, g)
 	if failure == nil {
 		g.answer = answer
+		g.ranOn[g.first.ID()] = true
 		g.dropNext()
 		return nil
 	}
--- a/coordination/relay/continuation.go
+++ b/coordination/relay/continuation.go
@@ -27,6 +27,7 @@
 	path   *chainrouting.Path
 	sentAt spanrill.Millis
 	why    error
+	ctx    context.Context
 	cancel context.CancelFunc
 	poke   atomic.Pointer[func()]
 	taken  atomic.Bool   // it is the running attempt now
@@ -50,8 +51,16 @@
 	// attempt stays: a round trip, a look at the news of others, and less than the
 	// shortest silence that is looked at.
 	continueGap spanrill.Millis = 30
+	// openingLimit bounds how long a continuation may take until it is accepted: as
+	// long as a stream whose attempt has ended looks for a path. Reading the tokens of
+	// many streams in turn has taken up to 0.8 s in plays.
+	openingLimit = takeUpWait
 )
 
+// errNotOpened means that a continuation got no answer in its time. Unlike a dead later
+// engine it speaks against the first one, which is avoided.
+var errNotOpened = errors.New("the continuation got no answer")
+
 // errContinued ends the reading of an attempt in whose place a continuation was
 // accepted.
 var errContinued = errors.New("the request goes on on another path")
@@ -110,8 +119,8 @@
 
 func (g *generation) launch(path *chainrouting.Path, why error) {
 	first := path.First()
-	ctx, cancel := context.WithCancel(g.ctx)
-	c := &continuation{g: g, path: path, sentAt: g.relay.Clock.Now(), why: why, cancel: cancel, done: make(chan struct{})}
+	ctx, cancel := context.WithCancel(httpcall.Anew(g.ctx)) // an old connection may be silent too
+	c := &continuation{g: g, path: path, sentAt: g.relay.Clock.Now(), why: why, ctx: ctx, cancel: cancel, done: make(chan struct{})}
 	g.next = c
 	g.continuations = append(g.continuations, c)
 	g.sends++
@@ -120,12 +129,20 @@
 	g.logContinues(c)
 	g.logSent(first, path, g.behind)
 	go func() {
-		defer close(c.done)
-		defer fasthttp.ReleaseRequest(req)
 		c.end(accepted(g.try(ctx, path, req, c)))
+		fasthttp.ReleaseRequest(req)
+		close(c.done)
+		g.wake()
 	}()
 }
 
+// wake has the request's goroutine look now, if it waits for the running attempt.
+func (g *generation) wake() {
+	if poke := g.poke.Load(); poke != nil {
+		(*poke)()
+	}
+}
+
 // accepted takes an answer that is a failure of the engine's own for no acceptance.
 func accepted(answer *httpcall.Answer, failure *sendError) (*httpcall.Answer, *sendError) {
 	if failure != nil || answer.Status() == fasthttp.StatusOK {
@@ -173,14 +190,20 @@
 	return openingPoll
 }
 
-// onSilence gives the attempt up if an engine of its path dies before it was
-// accepted. Afterwards the request's own rules hold.
+// onSilence gives the attempt up if an engine of its path dies before it was accepted,
+// or if that takes too long. Afterwards the request's own rules hold.
 func (c *continuation) onSilence(silent spanrill.Millis) error {
 	if c.taken.Load() {
 		return c.g.onSilence(silent)
 	}
-	if c.path.HasDead() {
+	if silent >= firstGap {
+		c.g.relay.Prober.Check(c.ctx, c.path.Upstreams())
+	}
+	switch {
+	case c.path.HasDead():
 		return errStageLost
+	case silent >= openingLimit:
+		return errNotOpened
 	}
 	return nil
 }
@@ -237,8 +260,9 @@
 	c := g.next
 	g.next = nil
 	g.release()
-	g.answer, g.first, g.quiet, g.askAt, g.reads = c.answer, c.path.First(), c.sentAt, 0, true
+	g.answer, g.first, g.quiet, g.askAt, g.unheardAt, g.reads = c.answer, c.path.First(), c.sentAt, 0, 0, true
 	c.answer = nil // it is the generation's
+	g.ranOn[g.first.ID()] = true
 	g.setPath(c.path)
 	c.taken.Store(true)
 	g.poke.Store(c.poke.Load())
--- /dev/null
+++ b/coordination/relay/ran_test.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"context"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"spanrill"
+	"spanrill/coordination/chainrouting"
+	"spanrill/meter"
+	"spanrill/rng"
+	"spanrill/state/fleet"
+)
+
+// An engine that refuses a stream that has begun, or takes no connection, does not count
+// toward the engines that the request was sent to, unless it has run the request before.
+func TestEnginesThatRanCount(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		failure func(u *fleet.Upstream) *sendError
+		ran     bool
+		counts  bool
+	}{
+		{"it refuses", refusal, false, false},
+		{"it ran the request before, and refuses", refusal, true, true},
+		{"it takes no connection", noDial, false, false},
+		{"it ran the request before, and takes no connection", noDial, true, true},
+		{"it may have run it", noAnswer, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := testRequest(context.Background())
+			table := fleet.New(q.relay.Clock, nil)
+			table.Merge(fleet.Knowledge{Entries: []spanrill.EngineEntry{{ID: "a", Addr: "1:1"}}, At: 1}, 0)
+			q.relay.Router = chainrouting.New(table, q.relay.Clock, q.relay.Log, rng.New(1))
+			q.service = &spanrill.ServiceInfo{Model: &spanrill.EngineModel{}}
+			a := table.View().ByID("a")
+			g := &generation{request: q, begun: true, avoid: map[string]bool{}, sentTo: map[string]*fleet.Upstream{"a": a}, ranOn: map[string]bool{"a": c.ran}}
+			g.noteFailure(a, c.failure(a))
+			if counts := g.sentTo["a"] != nil; counts != c.counts {
+				t.Fatalf("it counts: %t, want %t", counts, c.counts)
+			}
+		})
+	}
+}
+
+func refusal(u *fleet.Upstream) *sendError {
+	return &sendError{outcome: spanrill.OutcomeNotRun, retry: meter.RetryRefused, fault: u, cause: errors.New("refused")}
+}
+
+func noDial(*fleet.Upstream) *sendError {
+	return &sendError{outcome: spanrill.OutcomeNotRun, retry: meter.RetryDial, cause: errors.New("no connection")}
+}
+
+func noAnswer(*fleet.Upstream) *sendError {
+	return &sendError{outcome: spanrill.OutcomeUnknown, retry: meter.RetryCut, cause: errors.New("no answer")}
+}
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -99,8 +99,8 @@
 	}
 	g.dropNext() // the running attempt has shown that it goes on
 	g.behind = b.framer.lastID
-	b.last, g.lastHeard, g.askAt = now, now, 0
-	g.silenceTried, g.waits, g.reads = false, false, false
+	b.last, g.lastHeard, g.askAt, g.unheardAt = now, now, 0, 0
+	g.silenceTried, g.waits, g.reads, g.failedMoves = false, false, false, 0
 	b.events += count
 	g.relay.Meters.Tokens.Add(count)
 	for _, p := range g.path.Parts() {
@@ -139,7 +139,7 @@
 		if !g.mayContinue() || g.relay.Clock.Now() >= limit {
 			return errors.Wrapf(errCutOff, "%v", cause)
 		}
-		if refusal := g.stillAllowed(); refusal != nil {
+		if refusal := g.stillAllowed(); refusal != nil && refusal.Reason() == spanrill.ReasonBadKey {
 			return errors.Wrapf(errCutOff, "%v", refusal)
 		}
 		if !g.startNext(cause) {
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -69,17 +69,16 @@
 		return nil
 	}
 	answered := g.askWhenQuiet(silent)
-	if answered && g.begun && g.path.GivenUp() {
-		g.vacate()
-		return nil
-	}
 	switch {
+	case answered && g.begun && silent < g.unheardAfter() && g.path.GivenUp():
+		g.vacate()
 	case g.first.Dead():
 		g.startNext(errFirstLost)
 	case g.hasDead():
 		g.replaceDead()
-	case g.begun && silent >= g.unheardAfter() && !g.silenceTried && g.runsUnheard():
-		g.silenceTried = g.startNext(errNoEvents)
+	case silent >= max(g.unheardAfter(), g.unheardAt) && !g.silenceTried:
+		g.unheardAt = silent + silentConnection // each question costs
+		g.silenceTried = g.runsUnheard() && g.startNext(errNoEvents)
 	}
 	return nil
 }
@@ -103,9 +102,9 @@
 const silentConnection spanrill.Millis = 700
 
 // unheardAfter is the same for the path as it is: engines that have just come to it
-// read all tokens so far, many requests in turn.
+// read all tokens so far, or the prompt, many requests in turn.
 func (g *generation) unheardAfter() spanrill.Millis {
-	if g.reads {
+	if g.reads || !g.begun {
 		return 2 * silentConnection
 	}
 	return silentConnection
--- a/transport/httpcall/answer.go
+++ b/transport/httpcall/answer.go
@@ -96,6 +96,7 @@
 	}
 	_ = a.resp.CloseBodyStream()
 	a.conn.silence = nil
+	a.conn.watch(nil)
 	_ = a.conn.SetReadDeadline(time.Time{})
 	a.client.idle.Put(a.addr, a.conn)
 }
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -143,8 +143,10 @@
 		return nil, err
 	}
 	if onSilence != nil {
-		cn.silence = &silence{every: every, do: onSilence}
-		poke(cn.poke)
+		s := &silence{every: every, do: onSilence}
+		cn.silence = s
+		cn.watch(s)
+		poke(func() { cn.poke(s) })
 	}
 	return c.exchange(ctx, addr, cn, req)
 }
@@ -161,6 +163,9 @@
 	}
 	if err := a.readHeader(); err != nil {
 		a.drop()
+		if cn.ended != nil {
+			err = fmt.Errorf("%w: %w", cn.ended, err)
+		}
 		err = c.judge(ctx, addr, cn, err)
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseAnswer, Written: cn.written, Cause: fmt.Errorf("answer of %s: %w", addr, err)}
 	}
@@ -201,6 +206,9 @@
 	heard       time.Time // when bytes came last, at first when the call began
 	interrupted atomic.Bool
 	silence     *silence // or nil
+	ended       error    // of the silence function, which fasthttp hides before the first byte
+	pokeMu      sync.Mutex
+	watched     *silence // under pokeMu: what a poke may wake
 }
 
 // silence is what to do while nothing arrives.
@@ -209,9 +217,23 @@
 	do    func(silent spanrill.Millis) error
 }
 
-// poke makes a watched read that waits call its silence function now. A read
-// that is just about to begin may miss it.
-func (cn *conn) poke() { _ = cn.SetReadDeadline(past) }
+// poke makes a watched read that waits call its silence function now. A read that is
+// just about to begin may miss it. One that comes when its call has ended does nothing:
+// the connection may be another call's by then.
+func (cn *conn) poke(s *silence) {
+	cn.pokeMu.Lock()
+	defer cn.pokeMu.Unlock()
+	if cn.watched == s {
+		_ = cn.SetReadDeadline(past)
+	}
+}
+
+// watch notes for which call a poke wakes the reader, or nil.
+func (cn *conn) watch(s *silence) {
+	cn.pokeMu.Lock()
+	defer cn.pokeMu.Unlock()
+	cn.watched = s
+}
 
 // Read waits for bytes. While none arrive, the silence function runs every so
 // often. No deadline interrupts a reader above in the middle of a message.
@@ -231,6 +253,7 @@
 			return n, err
 		}
 		if err := cn.silence.do(spanrill.MillisOf(time.Since(begun))); err != nil {
+			cn.ended = err
 			return 0, err
 		}
 	}
