--- a/coordination/layout/spare_test.go
+++ b/coordination/layout/spare_test.go
@@ -19,13 +19,9 @@
 	return m
 }
 
-// Requests that run through engines that leave are not lost yet, also where two
-// of them leave side by side. What fills the hole may not cut any.
-func TestRequestsOfLeavingEnginesAreNotCut(t *testing.T) {
-	one, two := quarter("leaving-1", 20), quarter("leaving-2", 40)
-	one.Leaves, two.Leaves = true, true
-	engines := []Engine{quarter("first", 0), quarter("spare", 0), one, two, quarter("last", 60)}
-	moves := Repair(hugeModel(), engines)
+// wantNoCuts checks that a hole is filled, and that no order cuts what runs.
+func wantNoCuts(t *testing.T, moves []Move) {
+	t.Helper()
 	if len(moves) == 0 {
 		t.Fatal("the hole is not filled")
 	}
@@ -36,6 +32,16 @@
 	}
 }
 
+// Requests that run through engines that leave are not lost yet, also where two
+// of them leave side by side. What fills the hole may not cut any.
+func TestRequestsOfLeavingEnginesAreNotCut(t *testing.T) {
+	one, two := quarter("leaving-1", 20), quarter("leaving-2", 40)
+	one.Leaves, two.Leaves = true, true
+	engines := []Engine{quarter("first", 0), quarter("spare", 0), one, two, quarter("last", 60)}
+	moves := Repair(hugeModel(), engines)
+	wantNoCuts(t, moves)
+}
+
 // Two chains of a zone lose an engine each without a word, and what is left is read
 // as other chains than those that requests run on: nothing is cut.
 func TestRequestsAreNotCutWhereChainsAreReadAnew(t *testing.T) {
@@ -43,14 +49,7 @@
 	overlap := Engine{ID: "overlap", Zone: "a", Kind: "huge", Layers: spanrill.LayerRange{From: 12, To: 20}}
 	engines := []Engine{gone, overlap, quarter("a1", 0), quarter("a2", 20), quarter("a3", 40), quarter("a4", 60), quarter("b2", 20), quarter("b3", 40), quarter("b4", 60)}
 	moves := Repair(hugeModel(), engines)
-	if len(moves) == 0 {
-		t.Fatal("the hole is not filled")
-	}
-	for _, move := range moves {
-		if move.Cut {
-			t.Errorf("%v cuts what runs", move)
-		}
-	}
+	wantNoCuts(t, moves)
 }
 
 // Where an engine of the hole has crashed, what ran there is lost, and nothing waits
@@ -71,14 +70,7 @@
 	leaving.Leaves = true
 	engines := []Engine{leaving, quarter("a1", 0), quarter("a2", 20), quarter("spare", 0), quarter("a4", 60)}
 	moves := Repair(hugeModel(), engines)
-	if len(moves) == 0 {
-		t.Fatal("the hole is not filled")
-	}
-	for _, move := range moves {
-		if move.Cut {
-			t.Errorf("%v cuts what runs", move)
-		}
-	}
+	wantNoCuts(t, moves)
 }
 
 // What runs on a spare is of other paths than those of the engine that has crashed.
@@ -111,14 +103,7 @@
 				}
 			}
 			moves := Repair(hugeModel(), engines)
-			if len(moves) == 0 {
-				t.Fatal("the hole is not filled")
-			}
-			for _, move := range moves {
-				if move.Cut {
-					t.Errorf("%v cuts what runs", move)
-				}
-			}
+			wantNoCuts(t, moves)
 		})
 	}
 }
