--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -4,19 +4,21 @@
 // freshness of the configuration, and sent on. Plain answers are read whole
 // before the first byte goes to the caller. Event streams are forwarded event
 // by event; when an engine of their path dies they move to another engine, or
-// go on elsewhere behind the last event.
+// go on elsewhere behind the last event. What runs is not ended before another
+// engine has accepted its continuation.
 //
-//	relay.go     the way of a request up to its service
-//	refuse.go    final answers of spanrill's own
-//	plain.go     services whose answers are read whole
-//	chained.go   generations over a path of engines: the first event
-//	attempts.go  attempts that failed, and whether another one follows
-//	stream.go    the events behind it
-//	framing.go   whole events in a series of bytes
-//	watch.go     engines that die under a running request
-//	streams.go   all generations that run, to tell them of a dead engine
-//	gone.go      callers that leave
-//	log.go       one line for each decision
+//	relay.go         the way of a request up to its service
+//	refuse.go        final answers of spanrill's own
+//	plain.go         services whose answers are read whole
+//	chained.go       generations over a path of engines: the first event
+//	attempts.go      attempts that failed, and whether another one follows
+//	stream.go        the events behind it
+//	framing.go       whole events in a series of bytes
+//	continuation.go  a second attempt beside one that is in doubt
+//	watch.go         engines that die under a running request
+//	streams.go       all generations that run, to tell them of a dead engine
+//	gone.go          callers that leave
+//	log.go           one line for each decision
 //
 // # Usage
 //
