An upstream that starts again under its name is another incarnation; entries are checked

Cause: an upstream's id was taken to be new with each start. Layers that it was ordered to hold were believed for 15 s, and carriers, reports, doubt, pace, refusals and reservations went on over a restart. An entry with an unknown state, without slots, service or address was a ready engine; one that became unreadable kept its old content when it came as a change. Change: the time of the start (born), or where it is not told a count that falls, decides the incarnation, of entries and of reports alike. An address that two entries name is asked who it is, and until it has answered nothing changes. Entries are checked field by field; a bad one names no upstream from then on, in a list, in a change and from peers; one line a revision, two gauges. Tests: TestStartedAgain (17 ways to hear of a start), TestClaimOfAnAddress, TestLateEntryOfAnUpstreamThatEnded, TestUnreadableEntries, TestBadEntries, whole daemons. Of the whole daemons, on the code before, the false entry took the engine that answers out; the restarts were served there too, without being noticed. TestAddressIsUsedAgain said that an entry with the address of another takes that one out at once; TestClaimOfAnAddress is in its place: it does so once the address says so or the other one is known to be gone.

--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -132,8 +132,8 @@
 	var holders []chain.Holder
 	for _, u := range v.Of(service) {
 		e := u.Entry()
-		if l := u.Layers(); u.Takes() && l.Len() > 0 && !replaced(v, u) {
-			holders = append(holders, chain.Holder{ID: e.ID, Zone: e.Zone, Layers: l, Pace: m.Kinds[e.Kind].Pace})
+		if l := u.Layers(); u.Takes() && l.Len() > 0 && l.To <= m.Layers && !replaced(v, u) {
+			holders = append(holders, chain.Holder{ID: u.ID(), Zone: e.Zone, Layers: l, Pace: m.Kinds[e.Kind].Pace})
 		}
 	}
 	next := &layouts{version: v.Version(), model: m}
--- a/coordination/exchange/apply.go
+++ b/coordination/exchange/apply.go
@@ -30,8 +30,8 @@
 		s := others.uses[hash(u.ID())]
 		u.SetPeers(max(0, s.tokens), max(0, s.calls))
 		var target *fleet.Target
-		if t, ok := targets[hash(u.ID())]; ok {
-			target = &t
+		if t, ok := targets[hash(u.ID())]; ok && t.said >= u.RestartedAt() {
+			target = &t.target
 		}
 		changed = u.SetTarget(target) || changed
 	})
@@ -93,7 +93,7 @@
 // for a while after it is no longer heard of: its orders are carried out, and
 // entries follow them late, or not at all while the store is away. The caller
 // holds the lock.
-func (e *Exchange) targetsNow(now spanrill.Millis) map[uint32]fleet.Target {
+func (e *Exchange) targetsNow(now spanrill.Millis) map[uint32]told {
 	if e.fresh(e.placement) {
 		for _, t := range e.placement.said.Targets {
 			e.remember(t.Upstream, fleet.Target{Layers: spanrill.LayerRange{From: t.From, To: t.To}, Done: t.Done}, e.placement.at)
@@ -102,20 +102,22 @@
 	for id, target := range e.state.Targets() {
 		e.remember(hash(id), target, now)
 	}
-	targets := make(map[uint32]fleet.Target, len(e.told))
+	targets := make(map[uint32]told, len(e.told))
 	for id, t := range e.told {
 		if now >= t.until {
 			delete(e.told, id)
 			continue
 		}
-		targets[id] = t.target
+		targets[id] = t
 	}
 	return targets
 }
 
-// told is a target and until when it is believed.
+// told is a target, when it was said, and until when it is believed. It says nothing of an
+// engine that has started again since.
 type told struct {
 	target fleet.Target
+	said   spanrill.Millis
 	until  spanrill.Millis
 }
 
@@ -133,7 +135,7 @@
 	if target.Done {
 		until = at + doneTime
 	}
-	e.told[id] = told{target: target, until: until}
+	e.told[id] = told{target: target, said: at, until: until}
 }
 
 // forgetShown forgets targets that the entries show.
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -22,6 +22,7 @@
 import (
 	"cmp"
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -282,5 +283,9 @@
 	return n
 }
 
-// hash shortens an id for messages.
-func hash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+// hash shortens an id for messages. Starts that a daemon has counted itself are no part of
+// what all daemons know an upstream by.
+func hash(id string) uint32 {
+	shared, _, _ := strings.Cut(id, fleet.StartsMark)
+	return uint32(xxhash.Sum64String(shared))
+}
--- a/coordination/exchange/fetch.go
+++ b/coordination/exchange/fetch.go
@@ -67,7 +67,7 @@
 	if err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindEntries), nil, &r); err != nil {
 		return err
 	}
-	e.state.Fleet.Merge(fleet.Knowledge{Entries: r.Entries, At: r.At, Change: r.Change}, sent-r.Age)
+	e.state.Fleet.Merge(fleet.Knowledge{Entries: r.Entries, At: r.At, Change: r.Change, Unreadable: r.Unreadable}, sent-r.Age)
 	return nil
 }
 
@@ -75,7 +75,7 @@
 func (e *Exchange) Entries() *peermsg.Entries {
 	_, _, age := e.state.Fleet.Proof()
 	k := e.state.Fleet.Knowledge()
-	return &peermsg.Entries{Entries: k.Entries, At: k.At, Change: k.Change, Age: age}
+	return &peermsg.Entries{Entries: k.Entries, At: k.At, Change: k.Change, Age: age, Unreadable: k.Unreadable}
 }
 
 // fetch takes a newer configuration from a peer.
--- a/coordination/layoutrun/carrier.go
+++ b/coordination/layoutrun/carrier.go
@@ -116,7 +116,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, callWait.Duration())
 	defer cancel()
 	order := spanrill.PlaceOrder{Layers: c.order.move.Layers, Term: term, Sequence: report.Sequence, Cut: c.order.move.Cut}
-	state, err := c.placer.engines.Place(callCtx, c.upstream.Addr(), c.upstream.ID(), order)
+	state, err := c.placer.engines.Place(callCtx, c.upstream.Addr(), c.upstream.Name(), order)
 	fields := logrus.Fields{"sequence": report.Sequence, "held": report.Layers, "term": term, "given": c.given}
 	if err != nil {
 		fields["error"] = err
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -168,12 +168,12 @@
 			continue
 		}
 		if lost {
-			engines = append(engines, layout.Engine{ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers, Lost: true})
+			engines = append(engines, layout.Engine{ID: u.ID(), Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers, Lost: true})
 			continue
 		}
 		e := layout.Engine{
-			ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers,
-			Leaves: !u.Takes() || leaves, Slow: u.Slow(), Tokens: u.Tokens(), Joined: p.joined(entry.ID, now),
+			ID: u.ID(), Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers,
+			Leaves: !u.Takes() || leaves, Slow: u.Slow(), Tokens: u.Tokens(), Joined: p.joined(u.ID(), now),
 		}
 		if t := u.Target(); t != nil {
 			e.Layers, e.Fixed = t.Layers, !t.Done
@@ -215,7 +215,7 @@
 		}
 		if lost, _ := p.judge(ctx, u, now, may); !lost {
 			entry := u.Entry()
-			engines = append(engines, layout.Engine{ID: entry.ID, Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers, Leaves: true})
+			engines = append(engines, layout.Engine{ID: u.ID(), Zone: entry.Zone, Kind: entry.Kind, Layers: entry.Layers, Leaves: true})
 		}
 	}
 	return engines
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -249,7 +249,7 @@
 
 // requestFor builds the request for an attempt on a path.
 func (g *generation) requestFor(path *chainrouting.Path) *fasthttp.Request {
-	return g.upstreamRequest(spanrill.UpstreamSend{EngineID: path.First().ID(), Path: path.Wire(), LastEvent: g.behind, Priority: g.urgency()})
+	return g.upstreamRequest(spanrill.UpstreamSend{EngineID: path.First().Name(), Path: path.Wire(), LastEvent: g.behind, Priority: g.urgency()})
 }
 
 // watch is what is done while nothing arrives of an attempt; see httpcall.DoWatched.
--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -164,7 +164,7 @@
 	defer u.End()
 	ctx, cancel := q.attemptContext(before.sends)
 	defer cancel()
-	req := q.upstreamRequest(spanrill.UpstreamSend{EngineID: u.ID(), Priority: q.priority()})
+	req := q.upstreamRequest(spanrill.UpstreamSend{EngineID: u.Name(), Priority: q.priority()})
 	defer fasthttp.ReleaseRequest(req)
 	q.sends++
 	q.logSent(u, nil, "")
--- a/events/events.go
+++ b/events/events.go
@@ -113,7 +113,12 @@
 	UpstreamDoubted = define(511, logrus.InfoLevel, "holder of the lease has asked an upstream that requests doubt")
 	UpstreamStalled = define(507, logrus.WarnLevel, "upstream found standing still by the requests that wait for it")
 	UpstreamSlow    = define(509, logrus.WarnLevel, "upstream reports that it is slow")
-	ChainsChanged   = define(508, logrus.InfoLevel, "chains of a service changed")
+
+	UpstreamRestarted = define(512, logrus.InfoLevel, "upstream has started again under its name, nothing of before holds")
+	AddressClaimed    = define(513, logrus.InfoLevel, "address that two entries name was asked which of them it is")
+	AddressSilent     = define(514, logrus.WarnLevel, "address that two entries name does not say which of them it is")
+
+	ChainsChanged = define(508, logrus.InfoLevel, "chains of a service changed")
 )
 
 // Requests, 600 to 699.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,7 @@
 	Config       spanrill.Collection
 	Upstreams    spanrill.Collection
 	Engines      spanrill.LayerEngines
+	Names        spanrill.Identifier
 	Codec        spanrill.HeaderCodec
 	DecodeConfig func(value []byte) (*spanrill.RouteConfig, error)
 	DecodeEntry  func(spanrill.Item) (spanrill.EngineEntry, error)
@@ -82,6 +83,7 @@
 	relay     *relay.Relay
 	router    *chainrouting.Router
 	prober    *probe.Prober
+	names     *probe.Names
 	budgets   *retry.Budgets
 	exchange  *exchange.Exchange
 	lease     *lease.Lease
@@ -184,8 +186,11 @@
 	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout), httpcall.WithLogger(g.log), httpcall.WithMeters(g.meters))
 	g.config = routes.NewCurrent(g.clock)
 	g.adapter = connect(g.settings.Platform, g.http, g.storeCalled)
-	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain))
-	g.prober = probe.New(g.adapter.Engines, g.clock, g.log, probe.WithHeard(g.fleet.LastHeard))
+	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain),
+		fleet.WithOnRestart(g.upstreamRestarted))
+	engines := g.fleet.Observe(g.adapter.Engines)
+	g.prober = probe.New(engines, g.clock, g.log, probe.WithHeard(g.fleet.LastHeard))
+	g.names = probe.NewNames(g.adapter.Names, g.clock, g.log, g.healthPath)
 	b := g.settings.Bounds
 	g.budgets = retry.NewBudgets(g.clock, retry.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}, firstDaemons,
 		retry.WithBorrow(func(ctx context.Context, service string, want float64) float64 {
@@ -201,15 +206,18 @@
 		Name: g.peers.name, Zone: g.settings.Zone, Seeds: g.seeds(), Config: g.config, Fleet: g.fleet, Decode: g.adapter.DecodeConfig,
 		Placement: g.holdsLease, Leaving: g.draining.Load, StoreSilent: g.storeSilent, Targets: g.targets, Budgets: g.budgets, Lease: g.lease,
 	}, g.clock, g.log, g.random)
-	g.placer = layoutrun.New(g.mayPlace, g.adapter.Engines, g.fleet, g.models, g.clock, g.log, layoutrun.WithSpread(g.exchange.SpreadTime))
+	g.placer = layoutrun.New(g.mayPlace, engines, g.fleet, g.models, g.clock, g.log, layoutrun.WithSpread(g.exchange.SpreadTime))
 	g.router = chainrouting.New(g.fleet, g.clock, g.log, g.random)
 	g.relay = relay.New(relay.Parts{
 		Config: g.config, Fleet: g.fleet, Router: g.router, Prober: g.prober,
-		Engines: g.adapter.Engines, Codec: g.adapter.Codec, HTTP: g.http, Budgets: g.budgets,
+		Engines: engines, Codec: g.adapter.Codec, HTTP: g.http, Budgets: g.budgets,
 		Clock: g.clock, Log: g.log, Meters: g.meters, Random: g.random, Hopeless: g.hopeless,
 	}, relay.Bounds{Zone: g.settings.Zone, Freshness: g.freshness()})
 	g.callersWait = g.relay.CallersWaitSince
 	g.meters.Gauge("spanrill_log_lines_dropped", func() float64 { return float64(g.dropped()) })
+	g.meters.Gauge("spanrill_upstream_restarts", func() float64 { return float64(g.fleet.Restarts()) })
+	g.meters.Gauge("spanrill_entries_unreadable", func() float64 { now, _ := g.fleet.Unreadable(); return float64(now) })
+	g.meters.Gauge("spanrill_entries_unreadable_seen", func() float64 { _, all := g.fleet.Unreadable(); return float64(all) })
 	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
 	g.meters.Gauge("spanrill_config_proof_age_seconds", func() float64 { return float64(g.config.Age()) / float64(spanrill.Second) })
 	g.callers = callerhttp.New(g.relay.Serve, g.limits)
@@ -252,6 +260,21 @@
 	return nil
 }
 
+// healthPath returns the path of a service's health check, or "".
+func (g *Gateway) healthPath(service string) string {
+	if t := g.config.Table(); t != nil && t.Service(service) != nil {
+		return t.Service(service).HealthPath
+	}
+	return ""
+}
+
+// upstreamRestarted closes the idle connections to an upstream that has started again, and
+// has the requests that ran there look at their paths.
+func (g *Gateway) upstreamRestarted(addr string) {
+	g.http.Forget(addr)
+	g.relay.LookAtDead()
+}
+
 // targets returns what this daemon is ordering engines to hold.
 func (g *Gateway) targets() map[string]fleet.Target { return g.placer.Targets() }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -91,6 +91,7 @@
 	for ctx.Err() == nil {
 		g.fleet.Tend()
 		g.prober.Recheck(ctx, g.fleet.View())
+		g.names.Ask(ctx, g.fleet)
 		g.noteFreshness()
 		g.noteAccepting()
 		g.noteDropped()
--- a/layerengine.go
+++ b/layerengine.go
@@ -4,7 +4,7 @@
 
 // EngineEntry is what an upstream says of itself in the platform's store.
 type EngineEntry struct {
-	ID       string // new with each start
+	ID       string // the name under which the upstream stands, which may stay when it starts again
 	Service  string
 	Addr     string
 	Zone     string
@@ -13,6 +13,8 @@
 	Leaving  bool
 	Layers   LayerRange // empty while nothing is held
 	Revision uint64     // of the entry in the store
+	Born     int64      // Unix time of the start in milliseconds, 0 where it is not told
+	Beats    uint64     // how often it has written its entry since its start, 0 where it is not told
 }
 
 // EngineReport is what an engine answers when it is asked. Load lags.
@@ -24,6 +26,7 @@
 	Waiting  int
 	KVUsed   float64 // tokens times layers
 	KVTotal  float64
+	Born     int64     // Unix time of the start in milliseconds, 0 where it is not told
 	Pace     float64   // over 1: slower than its kind
 	Stalled  []Stalled // requests that wait for another engine
 }
@@ -74,6 +77,13 @@
 	return orderStateNames[s]
 }
 
+// Identifier asks addresses who listens there.
+type Identifier interface {
+	// Identify returns the name under which the upstream at an address stands in the
+	// platform's store. The path is that of the service's health check.
+	Identify(ctx context.Context, addr, path string) (name string, err error)
+}
+
 // LayerEngines speaks to engines that hold layers and take orders.
 type LayerEngines interface {
 	// Report asks an engine for its state.
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -287,6 +287,8 @@
 	At       uint64
 	Change   uint64
 	Age      spanrill.Millis
+
+	Unreadable []string // names of entries that name no upstream to use
 }
 
 // Target is the range that an engine is being ordered to hold.
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -22,6 +22,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -63,8 +65,10 @@
 	decode func(spanrill.Item) (spanrill.EngineEntry, error)
 
 	mu      sync.Mutex
-	all     map[string]*Upstream
-	held    map[string]held     // by id, entries that may have lapsed
+	all     map[string]*Upstream // by name
+	held    map[string]held      // by name, entries that may have lapsed
+	bad     map[string]bool      // by name, entries that cannot be read
+	unread  unreadable
 	left    map[string]departed // by id, upstreams whose entries have gone lately
 	view    atomic.Pointer[View]
 	outage  atomic.Int64 // end of the last failed call of the store
@@ -76,6 +80,14 @@
 	once    sync.Once
 	hold    spanrill.Millis // how long an upstream is kept whose entry may have lapsed
 
+	ended     map[string][]int64 // by name, starts of incarnations that have ended
+	starts    map[string]int     // by name, starts that were noticed
+	lastBorn  map[string]int64   // by name, starts of those whose entries have gone
+	claims    map[string]*claim  // by name
+	restarted []string           // addresses, to be told
+	restarts  atomic.Uint64
+	onRestart func(addr string)
+
 	answered   answered
 	outageTime spanrill.Millis // how long the store has answered nobody when entries may have lapsed
 }
@@ -88,6 +100,12 @@
 	return func(t *Table) { t.log = log }
 }
 
+// WithOnRestart sets what is done when the upstream at an address has started again under
+// its name. It is called without a lock.
+func WithOnRestart(f func(addr string)) Option {
+	return func(t *Table) { t.onRestart = f }
+}
+
 // WithDrain sets how long after its entry has gone an upstream may get requests.
 func WithDrain(d spanrill.Millis) Option {
 	return func(t *Table) { t.hold, t.outageTime = max(0, d-holdMargin), max(0, d-outageMargin) }
@@ -97,7 +115,8 @@
 func New(clock spanrill.Clock, decode func(spanrill.Item) (spanrill.EngineEntry, error), opts ...Option) *Table {
 	t := &Table{
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
-		all: map[string]*Upstream{}, held: map[string]held{}, left: map[string]departed{}, seen: make(chan struct{}),
+		all: map[string]*Upstream{}, held: map[string]held{}, bad: map[string]bool{}, left: map[string]departed{}, seen: make(chan struct{}),
+		ended: map[string][]int64{}, starts: map[string]int{}, lastBorn: map[string]int64{}, claims: map[string]*claim{}, onRestart: func(string) {},
 		hold: defaultDrain - holdMargin, outageTime: defaultDrain - outageMargin,
 	}
 	t.outage.Store(-int64(outageMemory) * 2)
@@ -127,13 +146,15 @@
 
 // Listed takes the whole collection.
 func (t *Table) Listed(items []spanrill.Item, at uint64, sent spanrill.Millis) {
-	entries := make([]spanrill.EngineEntry, 0, len(items))
+	k := Knowledge{Entries: make([]spanrill.EngineEntry, 0, len(items)), At: at, Change: at}
 	for _, item := range items {
 		if entry, ok := t.read(item); ok {
-			entries = append(entries, entry)
+			k.Entries = append(k.Entries, entry)
+		} else {
+			k.Unreadable = append(k.Unreadable, item.Name)
 		}
 	}
-	t.Merge(Knowledge{Entries: entries, At: at, Change: at}, sent)
+	t.Merge(k, sent)
 }
 
 // Knowledge is all entries as they stood at a revision of the store.
@@ -141,11 +162,14 @@
 	Entries []spanrill.EngineEntry
 	At      uint64
 	Change  uint64 // revision up to which there were changes, at most At
+	// Unreadable are the names of entries that name no upstream to use.
+	Unreadable []string
 }
 
 // Merge takes what the store or a peer knows, if it is newer than what is known
 // here, and reports whether it was.
 func (t *Table) Merge(k Knowledge, sent spanrill.Millis) bool {
+	defer t.tellRestarts()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if k.At < t.at {
@@ -157,11 +181,18 @@
 		there[entry.ID] = true
 		t.put(entry)
 	}
+	for _, id := range k.Unreadable {
+		t.setUnreadable(id)
+		there[id] = true
+	}
 	for id := range t.all {
 		if !there[id] {
 			t.gone(id, before, sent)
 		}
 	}
+	maps.DeleteFunc(t.claims, func(id string, _ *claim) bool { return !there[id] })
+	maps.DeleteFunc(t.bad, func(id string, _ bool) bool { return !there[id] })
+	t.admitFree()
 	t.at, t.change = k.At, max(t.change, k.Change)
 	t.publish()
 	t.once.Do(func() { close(t.seen) })
@@ -174,7 +205,10 @@
 func (t *Table) Knowledge() Knowledge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	k := Knowledge{At: t.at, Change: t.change}
+	k := Knowledge{At: t.at, Change: t.change, Unreadable: slices.Collect(maps.Keys(t.bad))}
+	for _, c := range t.claims {
+		k.Entries = append(k.Entries, c.entry)
+	}
 	for id, u := range t.all {
 		if _, held := t.held[id]; !held {
 			k.Entries = append(k.Entries, *u.Entry())
@@ -213,6 +247,7 @@
 
 // Changed takes the changes up to a revision.
 func (t *Table) Changed(changes []spanrill.Change, at uint64, sent spanrill.Millis) {
+	defer t.tellRestarts()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if at < t.at {
@@ -228,9 +263,12 @@
 		default:
 			if entry, ok := t.read(c.Item); ok {
 				t.put(entry)
+			} else {
+				t.setUnreadable(c.Name)
 			}
 		}
 	}
+	t.admitFree()
 	t.at = at
 	if len(changes) > 0 {
 		t.change = at
@@ -250,41 +288,59 @@
 func (t *Table) read(item spanrill.Item) (spanrill.EngineEntry, bool) {
 	entry, err := t.decode(item)
 	if err != nil {
-		events.UpstreamBadItem.Log(t.log, logrus.Fields{"upstream": item.Name, "error": err})
+		t.noteUnreadable(item, err)
 	}
 	return entry, err == nil
 }
 
 // put takes one entry. The caller holds the lock.
 func (t *Table) put(entry spanrill.EngineEntry) {
+	delete(t.bad, entry.ID)
+	if t.hasEnded(entry.ID, entry.Born) {
+		return
+	}
 	t.release(entry.ID)
 	u := t.all[entry.ID]
 	if u == nil {
-		u = newUpstream(entry)
-		t.all[entry.ID] = u
-		t.replaced(entry)
-		events.UpstreamFound.Log(t.log, logrus.Fields{
-			"upstream": entry.ID, "service": entry.Service, "addr": entry.Addr, "zone": entry.Zone,
-			"kind": entry.Kind, "layers": entry.Layers, "leaving": entry.Leaving, "revision": entry.Revision,
-		})
+		if !t.claimed(entry) {
+			t.enter(entry)
+			t.replaced(entry)
+		}
 		return
 	}
 	old := u.Entry()
 	if old.Revision > entry.Revision {
 		return
 	}
+	if startedAgain(old, &entry) {
+		t.restart(u, entry, "its entry tells another start")
+		return
+	}
 	u.entry.Store(&entry)
 	if entry.Leaving && !old.Leaving {
-		events.UpstreamLeaving.Log(t.log, logrus.Fields{"upstream": entry.ID, "revision": entry.Revision})
+		events.UpstreamLeaving.Log(t.log, logrus.Fields{"upstream": u.ID(), "revision": entry.Revision})
 	}
 }
 
+// enter takes the entry of an upstream that is not known. The caller holds the lock.
+func (t *Table) enter(entry spanrill.EngineEntry) {
+	t.endOthers(entry)
+	u := newUpstream(entry, t.starts[entry.ID])
+	t.all[entry.ID] = u
+	events.UpstreamFound.Log(t.log, logrus.Fields{
+		"upstream": u.ID(), "service": entry.Service, "addr": entry.Addr, "zone": entry.Zone,
+		"kind": entry.Kind, "layers": entry.Layers, "leaving": entry.Leaving, "revision": entry.Revision,
+	})
+}
+
 // replaced removes an upstream whose address a new one has.
 func (t *Table) replaced(entry spanrill.EngineEntry) {
 	for id, u := range t.all {
 		if id != entry.ID && u.Addr() == entry.Addr {
 			t.remove(id, "another upstream has its address")
-			delete(t.left, id) // it has ended
+			u.end()
+			delete(t.left, u.ID())
+			t.restarted = append(t.restarted, u.Addr())
 		}
 	}
 }
@@ -292,6 +348,8 @@
 // gone takes the end of an entry, which was last known to be there at the time given, and
 // not any more by a read that was sent then. The caller holds the lock.
 func (t *Table) gone(id string, there, sent spanrill.Millis) {
+	delete(t.bad, id)
+	delete(t.claims, id)
 	if t.all[id] == nil {
 		return
 	}
@@ -333,17 +391,20 @@
 	return all
 }
 
+// remove takes an upstream out by its name. The caller holds the lock.
 func (t *Table) remove(id, why string) {
 	u := t.all[id]
 	u.removed.Store(true)
-	t.left[id] = departed{upstream: u, at: t.clock.Now()}
+	t.noteLeft(u.Entry())
+	t.left[u.ID()] = departed{upstream: u, at: t.clock.Now()}
 	delete(t.all, id)
 	delete(t.held, id)
-	events.UpstreamGone.Log(t.log, logrus.Fields{"upstream": id, "why": why})
+	events.UpstreamGone.Log(t.log, logrus.Fields{"upstream": u.ID(), "why": why})
 }
 
 // Tend removes upstreams that were held long enough.
 func (t *Table) Tend() {
+	defer t.tellRestarts()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now, changed := t.clock.Now(), false
@@ -353,7 +414,7 @@
 			changed = true
 		}
 	}
-	if changed {
+	if t.admitFree() || changed {
 		t.publish()
 	}
 }
@@ -368,8 +429,8 @@
 func (t *Table) publish() {
 	t.version++
 	v := &View{version: t.version, byID: make(map[string]*Upstream, len(t.all)), byService: map[string][]*Upstream{}, byAddr: make(map[string]*Upstream, len(t.all))}
-	for id, u := range t.all {
-		v.byID[id] = u
+	for _, u := range t.all {
+		v.byID[u.ID()] = u
 		v.byAddr[u.Addr()] = u
 		v.byService[u.Service()] = append(v.byService[u.Service()], u)
 	}
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"spanrill"
@@ -8,8 +9,10 @@
 
 // Upstream is one engine or plain service, and what this daemon knows of it.
 type Upstream struct {
+	id      string // of this incarnation
 	entry   atomic.Pointer[spanrill.EngineEntry]
 	removed atomic.Bool
+	ended   atomic.Bool            // another incarnation is in its place
 	until   atomic.Int64           // gets no requests from then on, unless its entry comes back, or 0
 	target  atomic.Pointer[Target] // what the engine is being ordered to hold, or nil
 
@@ -26,19 +29,43 @@
 	pace       atomic.Int64 // reported slowness in thousandths, 0 if not known
 	lastOK     atomic.Int64 // when it last answered or produced something
 	eventGap   atomic.Int64 // smoothed pause between events of streams that begin here, in microseconds
+
+	restartedAt spanrill.Millis // when it was noticed that it is not the first of its name, or 0
+	orders      orderCount
+}
+
+// orderCount is how many orders an upstream has reported to have taken.
+type orderCount struct {
+	mu    sync.Mutex
+	count uint64
+	at    spanrill.Millis // when that was heard
 }
 
-func newUpstream(e spanrill.EngineEntry) *Upstream {
-	u := &Upstream{}
+func newUpstream(e spanrill.EngineEntry, starts int) *Upstream {
+	u := &Upstream{id: incarnationID(&e, starts)}
 	u.entry.Store(&e)
 	return u
 }
 
+// end notes that the process has ended.
+func (u *Upstream) end() {
+	u.removed.Store(true)
+	u.ended.Store(true)
+}
+
 // Entry returns the newest entry. It must not be changed.
 func (u *Upstream) Entry() *spanrill.EngineEntry { return u.entry.Load() }
 
 // ID returns the upstream's id, which is new with each of its starts.
-func (u *Upstream) ID() string { return u.Entry().ID }
+func (u *Upstream) ID() string { return u.id }
+
+// Name returns the name under which the upstream stands in the store and which it answers
+// to. It may stay the same when the upstream starts again.
+func (u *Upstream) Name() string { return u.Entry().ID }
+
+// RestartedAt returns when it was noticed that the upstream has started again under its
+// name, or 0 if it was not.
+func (u *Upstream) RestartedAt() spanrill.Millis { return u.restartedAt }
 
 // Addr returns the address that requests go to.
 func (u *Upstream) Addr() string { return u.Entry().Addr }
@@ -123,8 +150,9 @@
 	}
 }
 
-// Dead reports whether the upstream did not answer when it was asked last.
-func (u *Upstream) Dead() bool { return u.dead.Load() }
+// Dead reports whether the upstream did not answer when it was asked last, or has started
+// again since.
+func (u *Upstream) Dead() bool { return u.dead.Load() || u.ended.Load() }
 
 // SetDead notes whether the upstream answers, and reports whether that is news.
 func (u *Upstream) SetDead(dead bool) bool { return u.dead.Swap(dead) != dead }
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -124,6 +124,9 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.idle.Close() }
 
+// Forget closes the idle connections to an address.
+func (c *Client) Forget(addr string) { c.idle.Drop(addr) }
+
 // Do sends req to addr and returns as soon as the headers of the answer are
 // there. The context ends the call and, later, the reading of its body.
 func (c *Client) Do(ctx context.Context, addr string, req *fasthttp.Request, reuse Reuse) (*Answer, error) {
