Streams hold the tokens that the operator says an event has, or that answers show

Cause: relay.tokensPerEvent was 2, fitted to engines of half a year ago. A running stream's reservation fell behind by 2.5 times. Change: stride is decoded; a value that cannot be true (0, negative, over 64, a part, of another type) is named in one line (event 210), and the mean answer over the mean events of whole answers is used, as where nothing is told. It stays because it takes a constant out that is wrong for what is told.

--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -14,6 +14,7 @@
 //	chained.go       generations over a path of engines: the first event
 //	attempts.go      attempts that failed, and whether another one follows
 //	stream.go        the events behind it
+//	eventsize.go     how many tokens an event holds
 //	framing.go       whole events in a series of bytes
 //	continuation.go  a second attempt beside one that is in doubt
 //	watch.go         engines that die under a running request
@@ -80,6 +81,7 @@
 	streams  *streams
 	turns    *turns
 	start    *start
+	sizes    *eventSizes
 	inFlight atomic.Int64
 	closing  atomic.Bool // answers end their connections
 	refusing atomic.Bool // new requests are refused
@@ -97,7 +99,7 @@
 // New returns a relay.
 func New(parts Parts, bounds Bounds) *Relay {
 	return &Relay{
-		Parts: parts, bounds: bounds, running: newCallers(parts.Clock, parts.Meters), streams: newStreams(), turns: &turns{},
+		Parts: parts, bounds: bounds, running: newCallers(parts.Clock, parts.Meters), streams: newStreams(), turns: &turns{}, sizes: newEventSizes(),
 		start: newStart(parts.Clock, parts.Hopeless, parts.Config.Ready(), parts.Fleet.Seen()),
 		good:  events.NewLimiter(parts.Clock, goodLines), bad: events.NewLimiter(parts.Clock, badLines),
 	}
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -107,16 +107,12 @@
 		p.Upstream.Worked(now)
 	}
 	if b.events%growEvery == 0 {
-		g.path.Grow(int64(g.head.PromptTokens + b.events*tokensPerEvent))
+		g.path.Grow(int64(g.head.PromptTokens + b.events*g.relay.sizes.tokens(g.service)))
 	}
 }
 
-const (
-	// growEvery is after how many events the reservation is looked at.
-	growEvery = 8
-	// tokensPerEvent is what an event of the users' engines holds.
-	tokensPerEvent = 2
-)
+// growEvery is after how many events the reservation is looked at.
+const growEvery = 8
 
 // errCutOff means that a stream cannot go on.
 var errCutOff = errors.New("stream cannot be completed")
@@ -195,6 +191,9 @@
 	whole := b.ended && len(b.ready) == 0
 	if whole {
 		g.first.Succeeded(g.relay.Clock.Now())
+		if g.head.LastEvent == "" {
+			g.relay.sizes.note(g.service.Name, b.events)
+		}
 		g.relay.Meters.Ended(spanrill.OutcomeRan)
 	}
 	b.logEnd(whole)
--- a/events/events.go
+++ b/events/events.go
@@ -71,6 +71,7 @@
 	ConfigStale     = define(207, logrus.WarnLevel, "configuration can no longer be proved fresh")
 	ConfigFresh     = define(208, logrus.InfoLevel, "configuration proved fresh again")
 	KeyWithdrawn    = define(209, logrus.InfoLevel, "keys withdrawn by a configuration")
+	ConfigOdd       = define(210, logrus.WarnLevel, "configuration has a value that cannot be true, what is observed is used")
 )
 
 // The platform, 300 to 399.
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -61,6 +61,18 @@
 	}
 }
 
+// noteOdd logs the values of a new configuration that cannot be true.
+func (g *Gateway) noteOdd() {
+	table := g.config.Table()
+	if table == nil || g.oddOf == table {
+		return
+	}
+	g.oddOf = table
+	for _, value := range table.Odd() {
+		events.ConfigOdd.Log(g.log, logrus.Fields{"value": value, "config": table.Version()})
+	}
+}
+
 // noteFreshness logs when the configuration can no longer be proved fresh, and
 // when it can again.
 func (g *Gateway) noteFreshness() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,9 +103,10 @@
 	callersWait func() (spanrill.Millis, bool)
 	draining    atomic.Bool
 	wasFresh    atomic.Bool
-	accepted    atomic.Bool  // connections were taken when this was looked at last
-	heldAt      atomic.Int64 // when this daemon last held the lease of placement
-	freeSince   atomic.Int64 // since when nobody is known to hold it, or -1
+	oddOf       *routes.Table // whose odd values were logged; of the upkeep
+	accepted    atomic.Bool   // connections were taken when this was looked at last
+	heldAt      atomic.Int64  // when this daemon last held the lease of placement
+	freeSince   atomic.Int64  // since when nobody is known to hold it, or -1
 	dropped     func() uint64
 	toldDrop    uint64 // of these were logged
 	done        chan struct{}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -93,6 +93,7 @@
 		g.prober.Recheck(ctx, g.fleet.View())
 		g.names.Ask(ctx, g.fleet)
 		g.noteFreshness()
+		g.noteOdd()
 		g.noteAccepting()
 		g.noteDropped()
 		g.router.SetFleet(len(g.peers.list.Live()), g.exchange.Rounds(), g.exchange.Settled())
--- a/route.go
+++ b/route.go
@@ -81,6 +81,7 @@
 	LoadsAtOnce  int     // loads that run at full speed together
 	UsualPrompt  float64 // mean tokens
 	UsualAnswer  float64 // mean tokens
+	EventTokens  int     // that an event of a stream holds, 0 where it is not told
 	Kinds        map[string]KindModel
 	Delays       map[ZonePair]float64 // one way, milliseconds
 }
@@ -122,4 +123,5 @@
 	Services []ServiceInfo
 	Accounts []Account
 	Limits   CallerLimits
+	Odd      []string // values that cannot be true and were taken as not told, described
 }
--- a/state/fleet/claim.go
+++ b/state/fleet/claim.go
@@ -97,7 +97,7 @@
 }
 
 // admitFree admits the claims whose address has become free, and reports whether there
-// were found. The caller holds the lock.
+// was any. The caller holds the lock.
 func (t *Table) admitFree() bool {
 	found := false
 	for name, c := range t.claims {
--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -54,6 +54,9 @@
 // Version returns the version of the configuration.
 func (t *Table) Version() int64 { return t.config.Version }
 
+// Odd describes the values of the configuration that cannot be true.
+func (t *Table) Odd() []string { return t.config.Odd }
+
 // Limits returns the bounds on what callers may send.
 func (t *Table) Limits() spanrill.CallerLimits { return t.config.Limits }
 
