--- /dev/null
+++ b/state/fleet/knowledge.go
@@ -0,0 +1,157 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	"spanrill"
+)
+
+// Listed takes the whole collection.
+func (t *Table) Listed(items []spanrill.Item, at uint64, sent spanrill.Millis) {
+	k := Knowledge{Entries: make([]spanrill.EngineEntry, 0, len(items)), At: at, Change: at}
+	for _, item := range items {
+		if entry, ok := t.read(item); ok {
+			k.Entries = append(k.Entries, entry)
+		} else {
+			k.Unreadable = append(k.Unreadable, item.Name)
+		}
+	}
+	t.Merge(k, sent)
+}
+
+// Knowledge is all entries as they stood at a revision of the store.
+type Knowledge struct {
+	Entries []spanrill.EngineEntry
+	At      uint64
+	Change  uint64 // revision up to which there were changes, at most At
+	// Unreadable are the names of entries that name no upstream to use.
+	Unreadable []string
+}
+
+// Merge takes what the store or a peer knows, if it is newer than what is known
+// here, and reports whether it was.
+func (t *Table) Merge(k Knowledge, sent spanrill.Millis) bool {
+	defer t.tellRestarts()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if k.At < t.at {
+		return false
+	}
+	there, before := make(map[string]bool, len(k.Entries)), t.proved
+	t.prove(sent)
+	for _, entry := range k.Entries {
+		there[entry.ID] = true
+		t.put(entry)
+	}
+	for _, id := range k.Unreadable {
+		t.setUnreadable(id)
+		there[id] = true
+	}
+	for id := range t.all {
+		if !there[id] {
+			t.gone(id, before, sent)
+		}
+	}
+	maps.DeleteFunc(t.claims, func(id string, _ *claim) bool { return !there[id] })
+	maps.DeleteFunc(t.bad, func(id string, _ bool) bool { return !there[id] })
+	t.admitFree()
+	t.at, t.change = k.At, max(t.change, k.Change)
+	t.publish()
+	t.once.Do(func() { close(t.seen) })
+	return true
+}
+
+// Knowledge returns all entries, for a peer. Those that are held are not among
+// them: the store no longer has them, and a peer that has seen no outage must not
+// keep them.
+func (t *Table) Knowledge() Knowledge {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := Knowledge{At: t.at, Change: t.change, Unreadable: slices.Collect(maps.Keys(t.bad))}
+	for _, c := range t.claims {
+		k.Entries = append(k.Entries, c.entry)
+	}
+	for id, u := range t.all {
+		if _, held := t.held[id]; !held {
+			k.Entries = append(k.Entries, *u.Entry())
+		}
+	}
+	return k
+}
+
+// At returns the revision of the store up to which everything is known.
+func (t *Table) At() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.at
+}
+
+// Proof returns up to which revision of the store everything is known, the
+// revision of the last change, and how old that knowledge is.
+func (t *Table) Proof() (at, change uint64, age spanrill.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.at, t.change, t.clock.Now() - t.proved
+}
+
+// Prove notes that up to a revision there was no change behind the one given.
+// It returns false if that change is not known here.
+func (t *Table) Prove(at, change uint64, sent spanrill.Millis) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if change > t.at {
+		return false
+	}
+	t.at = max(t.at, at)
+	t.prove(sent)
+	return true
+}
+
+// Changed takes the changes up to a revision.
+func (t *Table) Changed(changes []spanrill.Change, at uint64, sent spanrill.Millis) {
+	defer t.tellRestarts()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at < t.at {
+		return
+	}
+	before, stays := t.proved, stay(changes)
+	t.prove(sent)
+	for _, c := range changes {
+		switch {
+		case c.Gone && !stays[c.Name]:
+			t.gone(c.Name, before, sent)
+		case c.Gone || c.Revision <= t.at: // there again, or known from a peer
+		default:
+			if entry, ok := t.read(c.Item); ok {
+				t.put(entry)
+			} else {
+				t.setUnreadable(c.Name)
+			}
+		}
+	}
+	t.admitFree()
+	t.at = at
+	if len(changes) > 0 {
+		t.change = at
+		t.publish()
+	}
+}
+
+// stay returns the names of the items that are there after the changes.
+func stay(changes []spanrill.Change) map[string]bool {
+	names := map[string]bool{}
+	for _, c := range changes {
+		names[c.Name] = !c.Gone
+	}
+	return names
+}
+
+func (t *Table) read(item spanrill.Item) (spanrill.EngineEntry, bool) {
+	entry, err := t.decode(item)
+	if err != nil {
+		t.noteUnreadable(item, err)
+	}
+	return entry, err == nil
+}
