--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -380,7 +380,7 @@
 		if near {
 			s.zone = old.Upstream.Zone()
 		}
-		bridge, err := s.spreadBridge(spanrill.LayerRange{From: old.Layers.From, To: parts[end-1].Layers.To}, used)
+		bridge, err := s.bridge(spanrill.LayerRange{From: old.Layers.From, To: parts[end-1].Layers.To}, used)
 		if err != nil {
 			return nil, err
 		}
--- a/coordination/chainrouting/search.go
+++ b/coordination/chainrouting/search.go
@@ -90,44 +90,36 @@
 // are left out, and those taken are added to them.
 func (s *search) bridge(hole spanrill.LayerRange, used map[string]bool) ([]Part, error) {
 	var parts []Part
+	full := false
 	for at := hole.From; at < hole.To; {
-		best, weight := Part{}, 0.0
-		full := s.eachBridging(at, hole.To, used, func(p Part) {
-			if p.Layers.To > best.Layers.To || p.Layers.To == best.Layers.To && s.better(p.Upstream, best.Upstream, &weight) {
-				best = p
+		best, bestTo, weight := (*fleet.Upstream)(nil), at, 0.0
+		for _, u := range s.view.Of(s.service) {
+			l := u.Layers()
+			if used[u.ID()] || !s.usable(u) || l.From > at || l.To <= at || s.zone != "" && u.Zone() != s.zone {
+				continue
 			}
-		})
-		if best.Upstream == nil && full {
+			to := min(l.To, hole.To)
+			if s.free(u) < s.need.tokens()*float64(to-at)/float64(l.Len()) {
+				full = true
+				continue
+			}
+			if to > bestTo || to == bestTo && s.better(u, best, &weight) {
+				best, bestTo = u, to
+			}
+		}
+		if best == nil && full {
 			return nil, ErrNoRoom
 		}
-		if best.Upstream == nil {
+		if best == nil {
 			return nil, ErrNoPath
 		}
-		used[best.Upstream.ID()] = true
-		parts = append(parts, best)
-		at = best.Layers.To
+		used[best.ID()] = true
+		parts = append(parts, Part{Upstream: best, Layers: spanrill.LayerRange{From: at, To: bestTo}})
+		at = bestTo
 	}
 	return parts, nil
 }
 
-// eachBridging calls f for every engine that can run layers from one on, with those that
-// it would run of a range up to the end given, and reports whether others lack room.
-func (s *search) eachBridging(at, end int, used map[string]bool, f func(Part)) (full bool) {
-	for _, u := range s.view.Of(s.service) {
-		l := u.Layers()
-		if used[u.ID()] || !s.usable(u) || l.From > at || l.To <= at || s.zone != "" && u.Zone() != s.zone {
-			continue
-		}
-		to := min(l.To, end)
-		if s.free(u) < s.need.tokens()*float64(to-at)/float64(l.Len()) {
-			full = true
-			continue
-		}
-		f(Part{Upstream: u, Layers: spanrill.LayerRange{From: at, To: to}})
-	}
-	return full
-}
-
 // better reports whether an engine is to be preferred to one that reaches as far.
 // Where many requests move at the same moment, each takes one at random by how
 // empty they are: all would queue at the same one otherwise, which reads the
