A lower count of the same revision is no restart

Cause: the count of writes in an entry rises without a new revision. Two daemons that list the entries at different moments hold different counts of one revision, and when the lower one came from a peer it was taken for another start: all that was known of the upstream ended, and its requests went elsewhere. Change: only a newer revision with a lower count is another start. Test: a case of TestStartedAgain, seen to fail.

--- a/state/fleet/incarnation.go
+++ b/state/fleet/incarnation.go
@@ -27,11 +27,12 @@
 const StartsMark = "~"
 
 // startedAgain reports whether a newer entry is of another incarnation than an older one.
+// The count rises without a new revision, so that of one revision two counts are seen.
 func startedAgain(old, newer *spanrill.EngineEntry) bool {
 	if old.Born > 0 && newer.Born > 0 {
 		return old.Born != newer.Born
 	}
-	return newer.Beats > 0 && newer.Beats < old.Beats
+	return newer.Revision > old.Revision && newer.Beats > 0 && newer.Beats < old.Beats
 }
 
 // incarnationID names an incarnation: all daemons use the same where the start is told,
--- a/state/fleet/incarnation_test.go
+++ b/state/fleet/incarnation_test.go
@@ -128,6 +128,10 @@
 			table.Reported("1:1", &spanrill.EngineReport{Sequence: 4}, now)
 			table.Reported("1:1", &spanrill.EngineReport{Sequence: 3}, now-5)
 		}, 8, false},
+		{"an older count of the same revision comes from a peer", 0, func(t *testing.T, table *Table, now spanrill.Millis) {
+			peer, _, _ := restartTable(t, 0, 3)
+			table.Merge(peer.Knowledge(), now)
+		}, 8, false},
 		{"it goes on", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
 			table.Changed([]spanrill.Change{change(starts(t, "a", 11, 1000, 6, 8))}, 11, now)
 			table.Reported("1:1", &spanrill.EngineReport{Born: 1000, Sequence: 0}, now+1)
