Upstreams are found by address in one step; one record of a name's past starts

Change: an index by address, kept where an upstream enters, moves, restarts or is removed (occupy, vacate), in place of the loops; past in place of ended, starts and lastBorn, bounded.

--- a/state/fleet/claim.go
+++ b/state/fleet/claim.go
@@ -64,7 +64,6 @@
 	entry := t.claims[name].entry
 	delete(t.claims, name)
 	t.enter(entry)
-	t.replaced(entry)
 }
 
 // claimed reports whether an entry has the address of another upstream that is there, and
@@ -88,12 +87,14 @@
 // holder returns another upstream at the address of an entry, unless it is known to be
 // gone. The caller holds the lock.
 func (t *Table) holder(entry spanrill.EngineEntry) *Upstream {
-	for name, u := range t.all {
-		if _, lapsed := t.held[name]; name != entry.ID && u.Addr() == entry.Addr && !u.Dead() && !lapsed {
-			return u
-		}
+	u := t.byAddr[entry.Addr]
+	if u == nil || u.Name() == entry.ID || u.Dead() {
+		return nil
+	}
+	if _, lapsed := t.held[u.Name()]; lapsed {
+		return nil
 	}
-	return nil
+	return u
 }
 
 // admitFree admits the claims whose address has become free, and reports whether there
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -48,6 +48,7 @@
 
 	mu      sync.Mutex
 	all     map[string]*Upstream // by name
+	byAddr  map[string]*Upstream // the same
 	held    map[string]held      // by name, entries that may have lapsed
 	bad     map[string]bool      // by name, entries that cannot be read
 	unread  unreadable
@@ -62,11 +63,9 @@
 	once    sync.Once
 	hold    spanrill.Millis // how long an upstream is kept whose entry may have lapsed
 
-	ended     map[string][]int64 // by name, starts of incarnations that have ended
-	starts    map[string]int     // by name, starts that were noticed
-	lastBorn  map[string]int64   // by name, starts of those whose entries have gone
-	claims    map[string]*claim  // by name
-	restarted []string           // addresses, to be told
+	past      map[string]*past  // by name, of upstreams that started again or whose entries have gone
+	claims    map[string]*claim // by name
+	restarted []string          // addresses, to be told
 	restarts  atomic.Uint64
 	onRestart func(addr string)
 
@@ -97,8 +96,8 @@
 func New(clock spanrill.Clock, decode func(spanrill.Item) (spanrill.EngineEntry, error), opts ...Option) *Table {
 	t := &Table{
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
-		all: map[string]*Upstream{}, held: map[string]held{}, bad: map[string]bool{}, left: map[string]departed{}, seen: make(chan struct{}),
-		ended: map[string][]int64{}, starts: map[string]int{}, lastBorn: map[string]int64{}, claims: map[string]*claim{}, onRestart: func(string) {},
+		all: map[string]*Upstream{}, byAddr: map[string]*Upstream{}, held: map[string]held{}, bad: map[string]bool{}, left: map[string]departed{}, seen: make(chan struct{}),
+		past: map[string]*past{}, claims: map[string]*claim{}, onRestart: func(string) {},
 		hold: defaultDrain - holdMargin, outageTime: defaultDrain - outageMargin,
 	}
 	t.outage.Store(-int64(outageMemory) * 2)
@@ -137,7 +136,6 @@
 	if u == nil {
 		if !t.claimed(entry) {
 			t.enter(entry)
-			t.replaced(entry)
 		}
 		return
 	}
@@ -153,7 +151,9 @@
 		t.restart(u, entry, "its entry tells another start")
 		return
 	}
+	t.vacate(u)
 	u.entry.Store(&entry)
+	t.occupy(u)
 	if entry.Leaving && !old.Leaving {
 		events.UpstreamLeaving.Log(t.log, logrus.Fields{"upstream": u.ID(), "revision": entry.Revision})
 	}
@@ -162,23 +162,37 @@
 // enter takes the entry of an upstream that is not known. The caller holds the lock.
 func (t *Table) enter(entry spanrill.EngineEntry) {
 	t.endOthers(entry)
-	u := newUpstream(entry, t.starts[entry.ID])
+	starts := 0
+	if p := t.past[entry.ID]; p != nil {
+		starts = p.starts
+	}
+	u := newUpstream(entry, starts)
 	t.all[entry.ID] = u
 	events.UpstreamFound.Log(t.log, logrus.Fields{
 		"upstream": u.ID(), "service": entry.Service, "addr": entry.Addr, "zone": entry.Zone,
 		"kind": entry.Kind, "layers": entry.Layers, "leaving": entry.Leaving, "revision": entry.Revision,
 	})
+	t.occupy(u)
 }
 
-// replaced removes an upstream whose address a new one has.
-func (t *Table) replaced(entry spanrill.EngineEntry) {
-	for id, u := range t.all {
-		if id != entry.ID && u.Addr() == entry.Addr {
-			t.remove(id, "another upstream has its address")
-			u.end()
-			delete(t.left, u.ID())
-			t.restarted = append(t.restarted, u.Addr())
-		}
+// occupy notes an upstream at its address. Another one that was there has ended. The caller
+// holds the lock.
+func (t *Table) occupy(u *Upstream) {
+	other := t.byAddr[u.Addr()]
+	t.byAddr[u.Addr()] = u
+	if other == nil || other.Name() == u.Name() {
+		return
+	}
+	t.remove(other.Name(), "another upstream has its address")
+	other.end()
+	delete(t.left, other.ID())
+	t.restarted = append(t.restarted, u.Addr())
+}
+
+// vacate notes that an upstream is not at its address any more. The caller holds the lock.
+func (t *Table) vacate(u *Upstream) {
+	if t.byAddr[u.Addr()] == u {
+		delete(t.byAddr, u.Addr())
 	}
 }
 
--- a/state/fleet/gone.go
+++ b/state/fleet/gone.go
@@ -82,9 +82,12 @@
 func (t *Table) remove(id, why string) {
 	u := t.all[id]
 	u.removed.Store(true)
-	t.noteLeft(u.Entry())
+	if born := u.Entry().Born; born > 0 {
+		t.pastOf(id).left = born
+	}
 	t.left[u.ID()] = departed{upstream: u, at: t.clock.Now()}
 	delete(t.all, id)
+	t.vacate(u)
 	delete(t.held, id)
 	events.UpstreamGone.Log(t.log, logrus.Fields{"upstream": u.ID(), "why": why})
 }
--- a/state/fleet/incarnation.go
+++ b/state/fleet/incarnation.go
@@ -47,41 +47,53 @@
 	return e.ID
 }
 
-// hasEnded reports whether an entry is of an incarnation that has ended. The caller holds
-// the lock.
-func (t *Table) hasEnded(name string, born int64) bool {
-	return born > 0 && slices.Contains(t.ended[name], born)
+// past is what is remembered of the starts of one name.
+type past struct {
+	starts int     // that were noticed after the first one
+	ended  []int64 // when incarnations were started that have ended
+	left   int64   // when the one was started whose entry has gone, or 0; it may be back
 }
 
-// noteEnded remembers that an incarnation has ended. The caller holds the lock.
-func (t *Table) noteEnded(name string, born int64) {
-	all := append(t.ended[name], born)
-	t.ended[name] = all[max(0, len(all)-endedKept):]
-}
+// pastKept bounds the names of which anything is remembered.
+const pastKept = 4096
 
-// noteLeft remembers the start of an upstream whose entry has gone: the entry may be back.
-// The caller holds the lock.
-func (t *Table) noteLeft(e *spanrill.EngineEntry) {
-	if e.Born == 0 {
-		return
+// pastOf returns what is remembered of a name, to be changed. The caller holds the lock.
+func (t *Table) pastOf(name string) *past {
+	if p := t.past[name]; p != nil {
+		return p
+	}
+	if len(t.past) >= pastKept {
+		clear(t.past)
 	}
-	if len(t.lastBorn) >= leftKept {
-		t.lastBorn = map[string]int64{}
+	p := &past{}
+	t.past[name] = p
+	return p
+}
+
+func (p *past) end(born int64) {
+	if born > 0 {
+		p.ended = append(p.ended, born)
+		p.ended = p.ended[max(0, len(p.ended)-endedKept):]
 	}
-	t.lastBorn[e.ID] = e.Born
 }
 
-// leftKept bounds the starts that are remembered of upstreams whose entries have gone.
-const leftKept = 4096
+// hasEnded reports whether an entry is of an incarnation that has ended. The caller holds
+// the lock.
+func (t *Table) hasEnded(name string, born int64) bool {
+	p := t.past[name]
+	return born > 0 && p != nil && slices.Contains(p.ended, born)
+}
 
 // endOthers notes that the incarnation whose entry has gone has ended if another one is
 // there now. The caller holds the lock.
 func (t *Table) endOthers(entry spanrill.EngineEntry) {
-	if born := t.lastBorn[entry.ID]; born > 0 && entry.Born > 0 && born != entry.Born {
-		t.noteEnded(entry.ID, born)
-		t.restarts.Add(1)
+	if p := t.past[entry.ID]; p != nil {
+		if p.left > 0 && entry.Born > 0 && p.left != entry.Born {
+			p.end(p.left)
+			t.restarts.Add(1)
+		}
+		p.left = 0
 	}
-	delete(t.lastBorn, entry.ID)
 	for id, d := range t.left {
 		if old := d.upstream.Entry(); old.ID == entry.ID && startedAgain(old, &entry) {
 			d.upstream.end()
@@ -95,14 +107,15 @@
 // lock.
 func (t *Table) restart(u *Upstream, entry spanrill.EngineEntry, why string) {
 	old := u.Entry()
-	if old.Born > 0 {
-		t.noteEnded(entry.ID, old.Born)
-	}
-	t.starts[entry.ID]++
+	p := t.pastOf(entry.ID)
+	p.end(old.Born)
+	p.starts++
 	u.end()
-	next := newUpstream(entry, t.starts[entry.ID])
+	next := newUpstream(entry, p.starts)
 	next.restartedAt = t.clock.Now()
+	t.vacate(u)
 	t.all[entry.ID] = next
+	t.occupy(next)
 	t.restarted = append(t.restarted, old.Addr)
 	t.restarts.Add(1)
 	events.UpstreamRestarted.Log(t.log, logrus.Fields{
