--- a/coordination/exchange/packed.go
+++ b/coordination/exchange/packed.go
@@ -21,14 +21,14 @@
 	value   []byte
 }
 
-// at returns the value of a version, which make builds if it is not the last one.
-func (p *packed) at(version uint64, make func() ([]byte, error)) ([]byte, error) {
+// at returns the value of a version, which build makes if it is not the last one.
+func (p *packed) at(version uint64, build func() ([]byte, error)) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if version == p.version && p.value != nil {
 		return p.value, nil
 	}
-	plain, err := make()
+	plain, err := build()
 	if err != nil {
 		return nil, err
 	}
