--- a/state/fleet/claim_test.go
+++ b/state/fleet/claim_test.go
@@ -9,38 +9,38 @@
 // An entry with the address of another upstream is believed once the address says so, or
 // the other one is known to be gone; nothing changes until then.
 func TestClaimOfAnAddress(t *testing.T) {
+	type happens func(t *testing.T, table *Table, now spanrill.Millis)
+	says := func(who string) happens {
+		return func(_ *testing.T, table *Table, _ spanrill.Millis) { table.Identified("1:1", who) }
+	}
+	changes := func(c func(*testing.T) spanrill.Change) happens {
+		return func(t *testing.T, table *Table, now spanrill.Millis) { table.Changed([]spanrill.Change{c(t)}, 4, now) }
+	}
 	for _, c := range []struct {
 		name    string
-		happens func(t *testing.T, table *Table, now spanrill.Millis)
+		happens []happens
 		want    string // who is at the address
 		open    int    // claims that are not decided
 	}{
-		{"nobody has said anything", func(*testing.T, *Table, spanrill.Millis) {}, "a", 1},
-		{"the one that claims it answers", func(_ *testing.T, table *Table, _ spanrill.Millis) { table.Identified("1:1", "c") }, "c", 0},
-		{"the one that was there answers", func(_ *testing.T, table *Table, _ spanrill.Millis) { table.Identified("1:1", "a") }, "a", 0},
-		{"a third one answers", func(_ *testing.T, table *Table, _ spanrill.Millis) { table.Identified("1:1", "x") }, "a", 0},
-		{"the one that was there answers, and changes later", func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Identified("1:1", "a")
-			table.Changed([]spanrill.Change{change(item(t, "a", "1:1", 4, false))}, 4, now)
-		}, "a", 0},
-		{"the one that was there does not answer requests", func(_ *testing.T, table *Table, _ spanrill.Millis) {
+		{"nobody has said anything", nil, "a", 1},
+		{"the one that claims it answers", []happens{says("c")}, "c", 0},
+		{"the one that was there answers", []happens{says("a")}, "a", 0},
+		{"a third one answers", []happens{says("x")}, "a", 0},
+		{"the one that was there answers, and changes later", []happens{says("a"), changes(func(t *testing.T) spanrill.Change { return change(item(t, "a", "1:1", 4, false)) })}, "a", 0},
+		{"the one that was there does not answer requests", []happens{func(_ *testing.T, table *Table, _ spanrill.Millis) {
 			table.View().ByID("a").SetDead(true)
 			table.Tend()
-		}, "c", 0},
-		{"the entry of the one that was there goes", func(_ *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{gone("a")}, 4, now)
-		}, "c", 0},
-		{"the entry that claims it goes", func(_ *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{gone("c")}, 4, now)
-		}, "a", 0},
-		{"the entry that claims it moves", func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{change(item(t, "c", "1:3", 4, false))}, 4, now)
-		}, "a", 0},
+		}}, "c", 0},
+		{"the entry of the one that was there goes", []happens{changes(func(*testing.T) spanrill.Change { return gone("a") })}, "c", 0},
+		{"the entry that claims it goes", []happens{changes(func(*testing.T) spanrill.Change { return gone("c") })}, "a", 0},
+		{"the entry that claims it moves", []happens{changes(func(t *testing.T) spanrill.Change { return change(item(t, "c", "1:3", 4, false)) })}, "a", 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			table, manual := newTable(t)
 			table.Changed([]spanrill.Change{change(item(t, "c", "1:1", 3, false))}, 3, manual.Now())
-			c.happens(t, table, manual.Now())
+			for _, happens := range c.happens {
+				happens(t, table, manual.Now())
+			}
 			if u := table.View().ByAddr("1:1"); u == nil || u.Name() != c.want || !u.Takes() {
 				t.Errorf("%v is at the address, want %s", u, c.want)
 			}
--- a/state/fleet/incarnation_test.go
+++ b/state/fleet/incarnation_test.go
@@ -60,93 +60,77 @@
 	}
 }
 
+// heard is one thing that is heard of the upstream: an entry in a change, in a list or from
+// a peer, its end, or a report.
+type heard struct {
+	how      string
+	born     int64
+	count    uint64 // of writes, or of orders in a report
+	layers   int
+	revision uint64 // behind 10, unless it is the next one
+	at       spanrill.Millis
+}
+
+func (h heard) tell(t *testing.T, table *Table, next uint64, now spanrill.Millis) {
+	t.Helper()
+	entry := starts(t, "a", 10+next, h.born, h.count, h.layers)
+	if h.revision > 0 {
+		entry.Revision = h.revision
+	}
+	switch h.how {
+	case "change":
+		table.Changed([]spanrill.Change{change(entry)}, entry.Revision, now)
+	case "list":
+		table.Listed([]spanrill.Item{entry}, entry.Revision, now)
+	case "peer":
+		peer := New(table.clock, decode)
+		peer.Listed([]spanrill.Item{entry}, entry.Revision, now)
+		table.Merge(peer.Knowledge(), now)
+	case "gone":
+		table.Changed([]spanrill.Change{gone("a")}, entry.Revision, now)
+	case "outage":
+		table.NoteOutage()
+	case "report":
+		table.Reported("1:1", &spanrill.EngineReport{Born: h.born, Sequence: h.count}, now+h.at)
+	}
+}
+
 // With a new start everything that was known of the one before ends at once, however the
 // start is heard of.
 func TestStartedAgain(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		born  int64 // of the first start, 0 where none is told
-		hear  func(t *testing.T, table *Table, now spanrill.Millis)
+		heard []heard
 		held  int // layers that it holds then
 		again bool
 	}{
-		{"between two heartbeats", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{change(starts(t, "a", 11, 2000, 1, 0))}, 11, now)
-		}, 0, true},
-		{"while it holds layers again", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{change(starts(t, "a", 11, 2000, 9, 4))}, 11, now)
-		}, 4, true},
-		{"with its clock set back", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{change(starts(t, "a", 11, 500, 1, 0))}, 11, now)
-		}, 0, true},
-		{"in a list", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Listed([]spanrill.Item{starts(t, "a", 11, 2000, 1, 0)}, 11, now)
-		}, 0, true},
-		{"from a peer", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			peer, _, _ := restartTable(t, 1000, 5)
-			peer.Changed([]spanrill.Change{change(starts(t, "a", 11, 2000, 1, 0))}, 11, now)
-			table.Merge(peer.Knowledge(), now)
-		}, 0, true},
-		{"while its entry is away", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{gone("a")}, 11, now)
-			table.Changed([]spanrill.Change{change(starts(t, "a", 12, 2000, 1, 0))}, 12, now)
-		}, 0, true},
-		{"while its entry may have lapsed", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.NoteOutage()
-			table.Changed([]spanrill.Change{gone("a")}, 11, now)
-			table.Changed([]spanrill.Change{change(starts(t, "a", 12, 2000, 1, 0))}, 12, now)
-		}, 0, true},
-		{"twice in a row", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{change(starts(t, "a", 11, 2000, 1, 8))}, 11, now)
-			table.Changed([]spanrill.Change{change(starts(t, "a", 12, 3000, 1, 0))}, 12, now)
-		}, 0, true},
-		{"by a report, before its entry", 1000, func(_ *testing.T, table *Table, now spanrill.Millis) {
-			table.Reported("1:1", &spanrill.EngineReport{Born: 2000}, now)
-		}, 0, true},
-		{"by a report, and a late entry of before comes then", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Reported("1:1", &spanrill.EngineReport{Born: 2000}, now)
-			table.Changed([]spanrill.Change{change(starts(t, "a", 11, 1000, 6, 8))}, 11, now)
-		}, 0, true},
-		{"and a late entry and a late report of before come then", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{change(starts(t, "a", 11, 2000, 1, 0))}, 11, now)
-			table.Changed([]spanrill.Change{change(starts(t, "a", 12, 1000, 6, 8))}, 12, now)
-			table.Reported("1:1", &spanrill.EngineReport{Born: 1000, Sequence: 7}, now)
-		}, 0, true},
-		{"while its entry is away, and a late entry of before comes then", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{gone("a")}, 11, now)
-			table.Changed([]spanrill.Change{change(starts(t, "a", 12, 2000, 1, 0))}, 12, now)
-			table.Changed([]spanrill.Change{change(starts(t, "a", 13, 1000, 6, 8))}, 13, now)
-		}, 0, true},
-		{"no start is told, and its count falls", 0, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{change(starts(t, "a", 11, 0, 2, 0))}, 11, now)
-		}, 0, true},
-		{"no start is told, and its count of orders falls", 0, func(_ *testing.T, table *Table, now spanrill.Millis) {
-			table.Reported("1:1", &spanrill.EngineReport{Sequence: 4}, now)
-			table.Reported("1:1", &spanrill.EngineReport{Sequence: 0}, now+1)
-		}, 0, true},
-		{"an older report overtakes a newer one", 0, func(_ *testing.T, table *Table, now spanrill.Millis) {
-			table.Reported("1:1", &spanrill.EngineReport{Sequence: 4}, now)
-			table.Reported("1:1", &spanrill.EngineReport{Sequence: 3}, now-5)
-		}, 8, false},
-		{"an older count of the same revision comes from a peer", 0, func(t *testing.T, table *Table, now spanrill.Millis) {
-			peer, _, _ := restartTable(t, 0, 3)
-			table.Merge(peer.Knowledge(), now)
-		}, 8, false},
-		{"it goes on", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.Changed([]spanrill.Change{change(starts(t, "a", 11, 1000, 6, 8))}, 11, now)
-			table.Reported("1:1", &spanrill.EngineReport{Born: 1000, Sequence: 0}, now+1)
-		}, 8, false},
-		{"its entry is back after a gap", 1000, func(t *testing.T, table *Table, now spanrill.Millis) {
-			table.NoteOutage()
-			table.Changed([]spanrill.Change{gone("a")}, 11, now)
-			table.Changed([]spanrill.Change{change(starts(t, "a", 12, 1000, 6, 8))}, 12, now)
-		}, 8, false},
+		{"between two heartbeats", 1000, []heard{{how: "change", born: 2000, count: 1}}, 0, true},
+		{"while it holds layers again", 1000, []heard{{how: "change", born: 2000, count: 9, layers: 4}}, 4, true},
+		{"with its clock set back", 1000, []heard{{how: "change", born: 500, count: 1}}, 0, true},
+		{"in a list", 1000, []heard{{how: "list", born: 2000, count: 1}}, 0, true},
+		{"from a peer", 1000, []heard{{how: "peer", born: 2000, count: 1}}, 0, true},
+		{"while its entry is away", 1000, []heard{{how: "gone"}, {how: "change", born: 2000, count: 1}}, 0, true},
+		{"while its entry may have lapsed", 1000, []heard{{how: "outage"}, {how: "gone"}, {how: "change", born: 2000, count: 1}}, 0, true},
+		{"twice in a row", 1000, []heard{{how: "change", born: 2000, count: 1, layers: 8}, {how: "change", born: 3000, count: 1}}, 0, true},
+		{"by a report, before its entry", 1000, []heard{{how: "report", born: 2000}}, 0, true},
+		{"by a report, and a late entry of before comes then", 1000, []heard{{how: "report", born: 2000}, {how: "change", born: 1000, count: 6, layers: 8}}, 0, true},
+		{"and a late entry and a late report of before come then", 1000, []heard{{how: "change", born: 2000, count: 1}, {how: "change", born: 1000, count: 6, layers: 8}, {how: "report", born: 1000, count: 7}}, 0, true},
+		{"while its entry is away, and a late entry of before comes then", 1000, []heard{{how: "gone"}, {how: "change", born: 2000, count: 1}, {how: "change", born: 1000, count: 6, layers: 8}}, 0, true},
+		{"no start is told, and its count falls", 0, []heard{{how: "change", count: 2}}, 0, true},
+		{"no start is told, and its count of orders falls", 0, []heard{{how: "report", count: 4}, {how: "report", at: 1}}, 0, true},
+		{"an older report overtakes a newer one", 0, []heard{{how: "report", count: 4}, {how: "report", count: 3, at: -5}}, 8, false},
+		{"an older count of the same revision comes from a peer", 0, []heard{{how: "peer", count: 3, layers: 8, revision: 10}}, 8, false},
+		{"it goes on", 1000, []heard{{how: "change", born: 1000, count: 6, layers: 8}, {how: "report", born: 1000, at: 1}}, 8, false},
+		{"its entry is back after a gap", 1000, []heard{{how: "outage"}, {how: "gone"}, {how: "change", born: 1000, count: 6, layers: 8}}, 8, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			table, manual, before := restartTable(t, c.born, 5)
 			var told []string
 			table.onRestart = func(addr string) { told = append(told, addr) }
-			c.hear(t, table, manual.Now())
+			for i, h := range c.heard {
+				h.tell(t, table, uint64(i+1), manual.Now())
+			}
 			if c.again {
 				isNew(t, table, before, manual.Now(), c.held)
 				return
