Sight: what upstreams say of themselves in their answers, in logs and metrics

Nothing read Retry-After or Server-Leaving of an upstream's answer, so that logs could not tell whether a daemon came back too early because it had not read a request for rest, had forgotten it, or had chosen to overrule it.

The head of each answer, to whatever question, is now read for both (events 515 to 517, three counters). The line of a request that is sent says if the upstream is avoided, asks for rest or has said that it leaves, and refusals by upstreams are counted whatever becomes of the request. Nothing decides by any of it yet.

--- a/coordination/relay/attempts.go
+++ b/coordination/relay/attempts.go
@@ -86,6 +86,7 @@
 func (g *generation) noteRefusal(first *fleet.Upstream, failure *sendError, now spanrill.Millis) {
 	fault := failure.fault
 	g.refusals++
+	g.relay.Meters.UpstreamRefusals.Inc()
 	g.avoid[fault.ID()] = true
 	fault.Refused(now, g.relay.Router.HasRoom(g.service.Model, fault))
 	if failure.misdirected {
--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -43,6 +43,7 @@
 		f := q.fields()
 		f["upstream"], f["calls"] = u.ID(), u.Calls()
 		f["view"] = q.relay.Fleet.View().Version()
+		keptAway(f, u, q.relay.Clock.Now())
 		if path != nil {
 			f["path"], f["prompt"], f["considered"] = path.String(), q.head.PromptTokens, path.Considered()
 		}
@@ -53,6 +54,19 @@
 	})
 }
 
+// keptAway adds why an upstream that gets a request is one that should rather not.
+func keptAway(f logrus.Fields, u *fleet.Upstream, now spanrill.Millis) {
+	if rest := u.RestLeft(now); rest > 0 {
+		f["rest_ms"] = rest
+	}
+	if u.Avoided(now) {
+		f["avoided"] = true
+	}
+	if u.SaidLeaving() {
+		f["said_leaving"] = true
+	}
+}
+
 // logWaits says once for each silence that a request finds no second path, and what
 // was wrong with each chain.
 func (g *generation) logWaits(err error) {
--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -261,6 +261,9 @@
 	a.resp = &fasthttp.Response{}
 	answer.Header().CopyTo(&a.resp.Header)
 	a.resp.SetBodyRaw(body)
+	if head.NotRun {
+		r.Meters.UpstreamRefusals.Inc()
+	}
 	a.judge(now, head)
 }
 
--- a/events/events.go
+++ b/events/events.go
@@ -119,6 +119,10 @@
 	AddressClaimed    = define(513, logrus.InfoLevel, "address that two entries name was asked which of them it is")
 	AddressSilent     = define(514, logrus.WarnLevel, "address that two entries name does not say which of them it is")
 
+	UpstreamRests       = define(515, logrus.InfoLevel, "upstream asks for rest")
+	UpstreamSaysLeaving = define(516, logrus.InfoLevel, "upstream says in an answer that it leaves")
+	RestUnreadable      = define(517, logrus.WarnLevel, "upstream asks for rest in words that are no time")
+
 	ChainsChanged = define(508, logrus.InfoLevel, "chains of a service changed")
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 
 	"spanrill"
 	"spanrill/clock"
@@ -187,7 +188,8 @@
 }
 
 func (g *Gateway) build(connect Connect) error {
-	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout), httpcall.WithLogger(g.log), httpcall.WithMeters(g.meters))
+	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout), httpcall.WithLogger(g.log), httpcall.WithMeters(g.meters),
+		httpcall.WithOnHead(g.noteHead))
 	g.config = routes.NewCurrent(g.clock)
 	g.adapter = connect(g.settings.Platform, g.http, g.storeCalled)
 	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain),
@@ -223,6 +225,9 @@
 	g.callersWait = g.relay.CallersWaitSince
 	g.meters.Gauge("spanrill_log_lines_dropped", func() float64 { return float64(g.dropped()) })
 	g.meters.Gauge("spanrill_upstream_restarts", func() float64 { return float64(g.fleet.Restarts()) })
+	g.meters.Gauge("spanrill_upstream_rests", func() float64 { return float64(g.fleet.Notices().Rests) })
+	g.meters.Gauge("spanrill_upstream_rests_unreadable", func() float64 { return float64(g.fleet.Notices().Unreadable) })
+	g.meters.Gauge("spanrill_upstreams_said_leaving", func() float64 { return float64(g.fleet.Notices().Leaving) })
 	g.meters.Gauge("spanrill_entries_unreadable", func() float64 { now, _ := g.fleet.Unreadable(); return float64(now) })
 	g.meters.Gauge("spanrill_entries_unreadable_seen", func() float64 { _, all := g.fleet.Unreadable(); return float64(all) })
 	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
@@ -282,6 +287,11 @@
 	g.relay.LookAtDead()
 }
 
+// noteHead takes what an upstream says of itself in an answer, whatever it was asked.
+func (g *Gateway) noteHead(addr string, h *fasthttp.ResponseHeader, _ spanrill.Millis) {
+	g.fleet.Notice(addr, g.adapter.Codec.ReadNotice(h))
+}
+
 // targets returns what this daemon is ordering engines to hold.
 func (g *Gateway) targets() map[string]fleet.Target { return g.placer.Targets() }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -73,6 +73,9 @@
 	RefusedAfterRun *metrics.Counter
 	// EndedUnder counts requests under which an upstream has ended.
 	EndedUnder *metrics.Counter
+	// UpstreamRefusals counts requests that upstreams have refused, whatever became of
+	// them.
+	UpstreamRefusals *metrics.Counter
 	// FramesRefused counts frames of peers that were refused.
 	FramesRefused *metrics.Counter
 	// PeerBytesSent counts bytes sent to peers.
@@ -103,6 +106,7 @@
 		CallerGone:        s.NewHistogram("spanrill_caller_gone_seconds"),
 		RefusedAfterRun:   s.NewCounter("spanrill_refused_after_run_total"),
 		EndedUnder:        s.NewCounter("spanrill_upstream_ends_under_requests_total"),
+		UpstreamRefusals:  s.NewCounter("spanrill_upstream_refusals_total"),
 		FramesRefused:     s.NewCounter("spanrill_peer_frames_refused_total"),
 		PeerBytesSent:     s.NewCounter("spanrill_peer_bytes_sent_total"),
 		PeerBytesReceived: s.NewCounter("spanrill_peer_bytes_received_total"),
--- a/relaytypes.go
+++ b/relaytypes.go
@@ -40,6 +40,8 @@
 	WriteSend(h *fasthttp.RequestHeader, s UpstreamSend)
 	// ReadHead decodes the headers of an upstream's answer.
 	ReadHead(h *fasthttp.ResponseHeader) UpstreamHead
+	// ReadNotice decodes what an upstream says of itself in the head of any answer.
+	ReadNotice(h *fasthttp.ResponseHeader) Notice
 	// CopyHead copies the headers of an upstream's answer for the caller.
 	CopyHead(to, from *fasthttp.ResponseHeader)
 	// WriteRefusal sets the headers of a final answer of spanrill's own.
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -21,6 +21,7 @@
 //	unreadable.go   entries that name no upstream
 //	gone.go         entries that go, and upstreams that leave
 //	answered.go     when the store has answered, for entries that may have lapsed
+//	notice.go       what upstreams say of themselves in their answers
 //	upstream.go     one upstream; refusal.go, risk.go and lag.go what is thought of it
 //
 // # Usage
@@ -69,6 +70,7 @@
 	restarts  atomic.Uint64
 	onRestart func(addr string)
 
+	noticed    noticeCounts
 	answered   answered
 	outageTime spanrill.Millis // how long the store has answered nobody when entries may have lapsed
 }
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -23,6 +23,7 @@
 
 	avoidUntil atomic.Int64 // on the daemon's clock; has failed, gets no new requests until then
 	refusal    refusal
+	notices    notices
 	dead       atomic.Bool // did not answer when it was asked
 	refuses    atomic.Bool // nothing listens at its address
 	listenedAt atomic.Int64
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -59,8 +59,12 @@
 	dialer      net.Dialer
 	log         logrus.FieldLogger
 	meters      *meter.Meters
+	onHead      OnHead
 }
 
+// OnHead is told of the head of an answer and how long ago its call began.
+type OnHead func(addr string, h *fasthttp.ResponseHeader, took spanrill.Millis)
+
 // Option changes a default of New.
 type Option func(*Client)
 
@@ -84,6 +88,11 @@
 	return func(c *Client) { c.meters = m }
 }
 
+// WithOnHead sets what is told of the head of each answer, before its caller sees it.
+func WithOnHead(f OnHead) Option {
+	return func(c *Client) { c.onHead = f }
+}
+
 const (
 	defaultDialTimeout spanrill.Millis = 1000
 	// defaultUnacked is several retransmissions on a link with loss.
@@ -92,7 +101,7 @@
 
 // New returns a client with no connections.
 func New(opts ...Option) *Client {
-	c := &Client{dialTimeout: defaultDialTimeout, unacked: defaultUnacked, log: logrus.StandardLogger(), meters: meter.New()}
+	c := &Client{dialTimeout: defaultDialTimeout, unacked: defaultUnacked, log: logrus.StandardLogger(), meters: meter.New(), onHead: func(string, *fasthttp.ResponseHeader, spanrill.Millis) {}}
 	for _, o := range opts {
 		o(c)
 	}
@@ -158,7 +167,8 @@
 func (c *Client) exchange(ctx context.Context, addr string, cn *conn, req *fasthttp.Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, cn.interrupt)
 	a := &Answer{client: c, addr: addr, conn: cn, stop: stop, ctx: ctx}
-	cn.heard = time.Now()
+	begun := time.Now()
+	cn.heard = begun
 	if err := cn.send(req); err != nil {
 		a.drop()
 		err = c.judge(ctx, addr, cn, err)
@@ -175,6 +185,7 @@
 	if cn.reused {
 		c.doubted.Delete(addr)
 	}
+	c.onHead(addr, a.Header(), spanrill.MillisOf(time.Since(begun)))
 	return a, nil
 }
 
