What an upstream says of itself in an answer is heeded: rest, and that it leaves

Cause: what an answer says of the upstream, and not of the request, was read nowhere. A refusal kept requests away for 60 to 1,920 ms whatever the upstream asked for, as a preference only, and only entries said that an upstream leaves. Ruled out by logs with sight: a refusal cleared by a late answer, an avoidance that is overruled, another way than requests.

Change: the head of every answer is read in one place (httpcall.OnHead), and kept by the upstream's name, so that a new entry, one that comes back and another start take no rest back. An upstream that rests is none to choose, nor one at which a path begins, and each call asks once more when its connection stands, before the first byte (httpcall.Before). Callers whose upstreams all rest are refused at once with upstreams_rest and come back one after another behind the rest. Other daemons are told as of a refusal and are not bound. An address whose upstream rests is asked who it is every 2 s, not every half second.

--- a/coordination/chainrouting/considered.go
+++ b/coordination/chainrouting/considered.go
@@ -11,7 +11,7 @@
 
 // NoPathError says why no path could be chosen.
 type NoPathError struct {
-	cause error // ErrNoRoom or ErrNoPath
+	cause error // ErrNoRoom, ErrNoPath or ErrRests
 	seen  []considered
 }
 
@@ -64,7 +64,7 @@
 		seen.faults = append(seen.faults, fault{layers: hole})
 	}
 	for _, p := range c.Parts() {
-		if u := s.view.ByID(p.ID); u != nil && !s.usable(u) {
+		if u := s.view.ByID(p.ID); u != nil && !s.mayRun(u, p.Layers.From) {
 			seen.faults = append(seen.faults, fault{layers: p.Layers, upstream: u})
 		}
 	}
@@ -94,8 +94,8 @@
 			fmt.Fprintf(&b, " hole=%d-%d", f.layers.From, f.layers.To)
 			continue
 		}
-		fmt.Fprintf(&b, " %s=%d-%d:dead=%t,avoided=%t,takes=%t", f.upstream.ID(), f.layers.From, f.layers.To,
-			f.upstream.Dead(), f.upstream.Avoided(c.now), f.upstream.Takes())
+		fmt.Fprintf(&b, " %s=%d-%d:dead=%t,avoided=%t,takes=%t,rest_ms=%d", f.upstream.ID(), f.layers.From, f.layers.To,
+			f.upstream.Dead(), f.upstream.Avoided(c.now), f.upstream.Takes(), f.upstream.RestLeft(c.now))
 	}
 	return b.String()
 }
--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -36,6 +36,9 @@
 	ErrNoPath = errors.New("no path covers the model")
 	// ErrNoRoom means that every path is full.
 	ErrNoRoom = errors.New("no path has room")
+	// ErrRests means that every path that could be used begins at an engine that has
+	// asked this daemon for rest.
+	ErrRests = errors.New("the engines at which paths begin have asked for rest")
 )
 
 // Need is what a request needs of a path.
@@ -226,6 +229,8 @@
 	case best != nil:
 	case covered:
 		return nil, &NoPathError{cause: ErrNoRoom, seen: seen}
+	case s.rests:
+		return nil, &NoPathError{cause: ErrRests, seen: seen}
 	case s.none != nil:
 		return nil, &NoPathError{cause: s.none, seen: seen}
 	default:
--- a/coordination/chainrouting/router_test.go
+++ b/coordination/chainrouting/router_test.go
@@ -135,6 +135,24 @@
 			w.table.View().ByID("a1").Refused(w.clock.Now(), true)
 			w.table.View().ByID("b1").Reserve(1e7)
 		}, need("za"), "", ErrNoRoom},
+		{"no path begins at an engine that rests", func(w *world) {
+			w.table.Notice("a1:1", spanrill.Notice{Rest: 3000}, w.clock.Now())
+		}, need("za"), "b1=0-6 b2=6-12 ", nil},
+		{"an engine that rests runs what another one hands on", func(w *world) {
+			w.table.Notice("a2:1", spanrill.Notice{Rest: 3000}, w.clock.Now())
+		}, need("za"), "a1=0-4 a2=4-8 a3=8-12 ", nil},
+		{"all engines rest at which paths begin", func(w *world) {
+			w.table.Notice("a1:1", spanrill.Notice{Rest: 3000}, w.clock.Now())
+			w.table.Notice("b1:1", spanrill.Notice{Rest: 1000}, w.clock.Now())
+		}, need("za"), "", ErrRests},
+		{"one of them has rested", func(w *world) {
+			w.table.Notice("a1:1", spanrill.Notice{Rest: 3000}, w.clock.Now())
+			w.table.Notice("b1:1", spanrill.Notice{Rest: 1000}, w.clock.Now())
+			w.clock.Advance(1000)
+		}, need("za"), "b1=0-6 b2=6-12 ", nil},
+		{"no path has an engine that has said in an answer that it leaves", func(w *world) {
+			w.table.Notice("a2:1", spanrill.Notice{Leaving: true}, w.clock.Now())
+		}, need("za"), "b1=0-6 b2=6-12 ", nil},
 		{"a path on which first events take long", func(w *world) {
 			for range 8 {
 				w.table.View().ByID("a1").NoteLag(w.clock.Now(), 6)
--- a/coordination/chainrouting/search.go
+++ b/coordination/chainrouting/search.go
@@ -22,6 +22,7 @@
 	draw    func() float64 // from 0 to 1, to choose among equal engines, or nil for the emptiest
 	lenient bool           // engines that have only failed a request lately are used
 	zone    string         // bridges are taken from this availability zone alone, unless ""
+	rests   bool           // an engine was left out at which a path could begin, because it rests
 }
 
 func (s *search) usable(u *fleet.Upstream) bool {
@@ -31,13 +32,27 @@
 	return !u.Avoided(s.now) || s.lenient && !u.Refuses(s.now)
 }
 
+// mayRun reports whether an engine may run layers from a place on. A path cannot begin at
+// one that has asked this daemon for rest: the request goes there. Behind the first one it
+// is another engine that sends.
+func (s *search) mayRun(u *fleet.Upstream, from int) bool {
+	if !s.usable(u) {
+		return false
+	}
+	if from == 0 && u.Rests(s.now) {
+		s.rests = true
+		return false
+	}
+	return true
+}
+
 // complete turns a chain into a path: parts that cannot be used and holes are
 // bridged.
 func (s *search) complete(c *chain.Chain) (parts []Part, bridged, ok bool) {
 	used := map[string]bool{}
 	kept := make([]Part, 0, len(c.Parts()))
 	for _, p := range c.Parts() {
-		if u := s.view.ByID(p.ID); s.usable(u) {
+		if u := s.view.ByID(p.ID); s.mayRun(u, p.Layers.From) {
 			kept = append(kept, Part{Upstream: u, Layers: p.Layers})
 			used[p.ID] = true
 		}
@@ -95,7 +110,7 @@
 		best, bestTo, weight := (*fleet.Upstream)(nil), at, 0.0
 		for _, u := range s.view.Of(s.service) {
 			l := u.Layers()
-			if used[u.ID()] || !s.usable(u) || l.From > at || l.To <= at || s.zone != "" && u.Zone() != s.zone {
+			if used[u.ID()] || l.From > at || l.To <= at || s.zone != "" && u.Zone() != s.zone || !s.mayRun(u, at) {
 				continue
 			}
 			to := min(l.To, hole.To)
--- a/coordination/probe/identify.go
+++ b/coordination/probe/identify.go
@@ -38,7 +38,7 @@
 	n.forget(claims)
 	for _, c := range claims {
 		path := n.path(c.Service)
-		if path == "" || !n.due(c.Addr) {
+		if path == "" || !n.due(c.Addr, n.pause(table, c.Addr)) {
 			continue
 		}
 		n.asks.Start(ctx, "ask who listens", func(ctx context.Context) error { return n.ask(ctx, table, c, path) })
@@ -63,11 +63,24 @@
 // nameWait bounds a question. It waits for a place at the upstream, as a request does.
 const nameWait = 2 * againAfter / 3
 
-func (n *Names) due(addr string) bool {
+// restsAgain is the pause between two questions to an upstream that has asked for rest: a
+// question takes a place there as a request does. Of a rest of 3 s two fall into it. It is
+// asked all the same, since nothing else tells that another upstream listens there by now.
+const restsAgain = 2 * spanrill.Second
+
+// pause is how long after a question the next one may follow.
+func (n *Names) pause(table *fleet.Table, addr string) spanrill.Millis {
+	if u := table.View().ByAddr(addr); u != nil && u.Rests(n.clock.Now()) {
+		return restsAgain
+	}
+	return againAfter
+}
+
+func (n *Names) due(addr string, pause spanrill.Millis) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
-	if at, asked := n.askedAt[addr]; asked && now-at < againAfter {
+	if at, asked := n.askedAt[addr]; asked && now-at < pause {
 		return false
 	}
 	n.askedAt[addr] = now
--- a/coordination/probe/identify_test.go
+++ b/coordination/probe/identify_test.go
@@ -55,8 +55,11 @@
 	ask(1, "old")
 	c.Advance(againAfter)
 	ask(2, "old")
-	said.name = "new"
+	table.Notice("1:1", spanrill.Notice{Rest: restsAgain}, c.Now())
 	c.Advance(againAfter)
+	ask(2, "old")
+	c.Advance(restsAgain)
+	said.name = "new"
 	ask(3, "new")
 	c.Advance(againAfter)
 	ask(3, "new")
--- a/coordination/relay/attempts.go
+++ b/coordination/relay/attempts.go
@@ -35,6 +35,9 @@
 			failure.retry = meter.RetryDial
 		}
 	}
+	if withheld(err) {
+		failure.retry = meter.RetryWithheld
+	}
 	return failure
 }
 
@@ -60,6 +63,8 @@
 		g.noteRefusal(first, failure, now)
 	case failure.retry == meter.RetryBadToken:
 		first.Failed(now)
+	case failure.retry == meter.RetryWithheld:
+		g.avoid[first.ID()] = true
 	case g.ctx.Err() == nil && !errors.Is(failure, errStageLost):
 		g.avoid[first.ID()] = true
 		first.Failed(now)
@@ -72,7 +77,7 @@
 		g.unknown = true
 		g.ranOn[first.ID()] = true
 	}
-	if failure.retry == meter.RetryDial {
+	if failure.retry == meter.RetryDial || failure.retry == meter.RetryWithheld {
 		g.forgetSend(first)
 	}
 	if spanrill.NothingListens(failure) {
@@ -137,7 +142,7 @@
 	if failure.outcome != spanrill.OutcomeNotRun && g.route.Repeat == spanrill.RepeatNever {
 		return false
 	}
-	if failure.retry == meter.RetryDial {
+	if failure.retry == meter.RetryDial || failure.retry == meter.RetryWithheld {
 		return len(g.avoid) <= dialTries
 	}
 	if g.sends >= g.route.MaxAttempts+extraSends {
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -215,6 +215,9 @@
 		return g.ended(g.unknown)
 	}
 	g.considered = consideredBy(err)
+	if rest := g.resting(); errors.Is(err, chainrouting.ErrRests) && len(rest) > 0 {
+		return g.upstreamsRest(rest)
+	}
 	if errors.Is(err, chainrouting.ErrNoRoom) {
 		after, gap := g.relay.turns.take(g.relay.Clock.Now())
 		return spanrill.NewRefusal(spanrill.ReasonNoRoom, "%v, requests end every %d ms", err, gap).WithRetryAfter(after)
@@ -265,7 +268,7 @@
 // so that two attempts may be under way.
 func (g *generation) try(ctx context.Context, path *chainrouting.Path, req *fasthttp.Request, w watch) (*httpcall.Answer, *sendError) {
 	r := g.relay
-	answer, err := r.HTTP.DoWatched(ctx, path.First().Addr(), req, g.reuse(), w.every, w.onSilence, w.setPoke)
+	answer, err := r.HTTP.DoWatched(r.sendingTo(ctx, path.First()), path.First().Addr(), req, g.reuse(), w.every, w.onSilence, w.setPoke)
 	if err != nil {
 		return nil, callFailed(err)
 	}
--- a/coordination/relay/ends.go
+++ b/coordination/relay/ends.go
@@ -107,7 +107,7 @@
 	q.broke[u] = true
 	r := q.relay
 	again := r.ends.add(end{
-		upstream: u, content: q.content, request: q.head.ID, at: r.Clock.Now(), ran: ran, leaving: u.Entry().Leaving,
+		upstream: u, content: q.content, request: q.head.ID, at: r.Clock.Now(), ran: ran, leaving: u.Leaving(),
 	})
 	again = again || r.Suspects.Judge(q.content).Losses() > 0
 	look := func() {
--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -26,7 +26,7 @@
 	for {
 		u := q.pickPlain(tried)
 		if u == nil {
-			q.handOnOr(last.refusal(q, "no upstream of the service takes requests"))
+			q.handOnOr(q.noneLeft(&last))
 			return
 		}
 		if refusal := q.maySend(); refusal != nil {
@@ -90,12 +90,31 @@
 // answerPlain gives the caller what the last attempt brought.
 func (q *request) answerPlain(a *attempt) {
 	if a.resp == nil || a.notRun {
-		q.handOnOr(a.refusal(q, "the upstream did not run the request"))
+		q.handOnOr(q.notRun(a))
 		return
 	}
 	q.passOn(a)
 }
 
+// noneLeft is the refusal of a request for which there is no upstream, or no further one.
+func (q *request) noneLeft(last *attempt) *spanrill.Refusal {
+	failed := last.err != nil && last.outcome != spanrill.OutcomeNotRun
+	if rest := q.resting(); len(rest) > 0 && q.ctx.Err() == nil && !failed {
+		return last.orRefusal(q.upstreamsRest(rest))
+	}
+	return last.refusal(q, "no upstream of the service takes requests")
+}
+
+// notRun is the refusal of a request whose last attempt brought no answer. Where the
+// upstreams that are left all rest, the caller comes back when one of them takes requests.
+func (q *request) notRun(a *attempt) *spanrill.Refusal {
+	refusal := a.refusal(q, "the upstream did not run the request")
+	if refusal.RetryAfter() > 0 && q.pickPlain(nil) == nil {
+		return refusal.WithRetryAfter(max(refusal.RetryAfter(), restRetry(q.resting(), q.relay.Clock.Now())))
+	}
+	return refusal
+}
+
 // keep notes an upstream's own whole answer, for the case that further attempts
 // bring none. One whose status promises that the request has not run is not kept:
 // another attempt may have run it.
@@ -168,7 +187,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	q.sends++
 	q.logSent(u, nil, "")
-	answer, err := r.HTTP.Do(ctx, u.Addr(), req, q.reuse())
+	answer, err := r.HTTP.Do(r.sendingTo(ctx, u), u.Addr(), req, q.reuse())
 	if err != nil {
 		a.fail(r.Clock.Now(), err)
 		if a.reached && a.outcome != spanrill.OutcomeNotRun {
@@ -219,6 +238,10 @@
 	if a.reached {
 		a.sends++
 	}
+	if withheld(err) {
+		a.retry = meter.RetryWithheld
+		return
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		a.retry = meter.RetryStalled
 	}
--- a/coordination/relay/plain_test.go
+++ b/coordination/relay/plain_test.go
@@ -18,7 +18,7 @@
 	table := fleet.New(c, nil, fleet.WithDrain(testDrain))
 	r := &Relay{Parts: Parts{Fleet: table, Clock: c, Random: rng.New(1)}}
 	table.Merge(fleet.Knowledge{Entries: []spanrill.EngineEntry{{ID: "a", Service: "s", Addr: "1:1"}}, At: 1, Change: 1}, 0)
-	return &request{ctx: context.Background(), relay: r, try: suspect.New(c).Begin(0), service: &spanrill.ServiceInfo{Name: "s"}}, c
+	return &request{ctx: context.Background(), relay: r, try: suspect.New(c).Begin(0), route: &spanrill.Route{}, service: &spanrill.ServiceInfo{Name: "s"}}, c
 }
 
 // A daemon whose entries are old sends requests if the platform's store answers nobody,
--- a/coordination/relay/plainchoice.go
+++ b/coordination/relay/plainchoice.go
@@ -6,13 +6,14 @@
 )
 
 // pickPlain returns the upstream with the least to do and the fewest failures
-// that was not tried yet, or nil.
+// that was not tried yet, or nil. One that rests is none, however little it has to do: an
+// upstream that rejects all has the least.
 func (q *request) pickPlain(tried map[string]bool) *fleet.Upstream {
 	now := q.relay.Clock.Now()
 	var best *fleet.Upstream
 	bestScore := 0.0
 	for _, u := range q.relay.Fleet.View().Of(q.service.Name) {
-		if tried[u.ID()] || !u.TakesAt(now) {
+		if tried[u.ID()] || u.MaySend(now) != nil {
 			continue
 		}
 		score := q.plainScore(u, now)
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -22,6 +22,7 @@
 //	watch.go         engines that die under a running request
 //	streams.go       all generations that run, to tell them of a dead engine
 //	gone.go          callers that leave
+//	rests.go         upstreams that have asked for rest
 //	ends.go          upstreams that end under requests
 //	log.go           one line for each decision
 //
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -288,8 +288,8 @@
 }
 
 // noteHead takes what an upstream says of itself in an answer, whatever it was asked.
-func (g *Gateway) noteHead(addr string, h *fasthttp.ResponseHeader, _ spanrill.Millis) {
-	g.fleet.Notice(addr, g.adapter.Codec.ReadNotice(h))
+func (g *Gateway) noteHead(addr string, h *fasthttp.ResponseHeader, took spanrill.Millis) {
+	g.fleet.Notice(addr, g.adapter.Codec.ReadNotice(h), g.clock.Now()-took)
 }
 
 // targets returns what this daemon is ordering engines to hold.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -33,10 +33,12 @@
 	RetryBadToken
 	// RetryCut means that the stream ended before the answer was whole.
 	RetryCut
+	// RetryWithheld means that nothing was sent: the upstream has asked for rest or leaves.
+	RetryWithheld
 	retryCount
 )
 
-var retryNames = [retryCount]string{"refused", "dial", "stage_lost", "stalled", "bad_token", "cut"}
+var retryNames = [retryCount]string{"refused", "dial", "stage_lost", "stalled", "bad_token", "cut", "withheld"}
 
 // String returns the name used in metrics.
 func (r Retry) String() string { return retryNames[r] }
--- a/refusal.go
+++ b/refusal.go
@@ -45,6 +45,7 @@
 	ReasonUpstreamsStale   // the entries of upstreams cannot be proved, others have newer ones
 	ReasonNoRoom           // every chain is full
 	ReasonSuspected        // upstreams ended under the request, it is kept back for a while
+	ReasonUpstreamsRest    // every upstream that could take it has asked for rest
 	ReasonEndsUpstreams    // too many upstreams ended under the request
 	ReasonInternal         // a fault of this daemon
 	reasonCount
@@ -98,6 +99,7 @@
 	ReasonUpstreamsStale:   {"upstreams_stale", 503, kindUnavailable},
 	ReasonNoRoom:           {"no_room", 503, kindUnavailable},
 	ReasonSuspected:        {"suspected", 503, kindUnavailable},
+	ReasonUpstreamsRest:    {"upstreams_rest", 503, kindUnavailable},
 	ReasonEndsUpstreams:    {"ends_upstreams", 503, kindUnavailable},
 	ReasonInternal:         {"internal_error", 500, kindServer},
 }
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -70,7 +70,9 @@
 	restarts  atomic.Uint64
 	onRestart func(addr string)
 
-	noticed    noticeCounts
+	noticed      map[string]*notices // by name
+	noticeCounts noticeCounts
+
 	answered   answered
 	outageTime spanrill.Millis // how long the store has answered nobody when entries may have lapsed
 }
@@ -99,7 +101,7 @@
 	t := &Table{
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
 		all: map[string]*Upstream{}, byAddr: map[string]*Upstream{}, held: map[string]held{}, bad: map[string]bool{}, left: map[string]departed{}, seen: make(chan struct{}),
-		past: map[string]*past{}, claims: map[string]*claim{}, onRestart: func(string) {},
+		past: map[string]*past{}, claims: map[string]*claim{}, noticed: map[string]*notices{}, onRestart: func(string) {},
 		hold: defaultDrain - holdMargin, outageTime: defaultDrain - outageMargin,
 	}
 	t.outage.Store(-int64(outageMemory) * 2)
@@ -154,6 +156,9 @@
 		return
 	}
 	t.vacate(u)
+	if entry.Addr != old.Addr {
+		u.foundAt = t.clock.Now()
+	}
 	u.entry.Store(&entry)
 	t.occupy(u)
 	if entry.Leaving && !old.Leaving {
@@ -169,6 +174,10 @@
 		starts = p.starts
 	}
 	u := newUpstream(entry, starts)
+	u.foundAt = t.foundAt(entry)
+	if said := t.noticed[entry.ID]; said != nil {
+		u.notices = said
+	}
 	t.all[entry.ID] = u
 	events.UpstreamFound.Log(t.log, logrus.Fields{
 		"upstream": u.ID(), "service": entry.Service, "addr": entry.Addr, "zone": entry.Zone,
@@ -177,6 +186,17 @@
 	t.occupy(u)
 }
 
+// foundAt returns since when the upstream of a new entry is known to be at its address: its
+// entry may have been there until just now. The caller holds the lock.
+func (t *Table) foundAt(entry spanrill.EngineEntry) spanrill.Millis {
+	for _, d := range t.left {
+		if d.upstream.Name() == entry.ID && d.upstream.Addr() == entry.Addr {
+			return d.upstream.foundAt
+		}
+	}
+	return t.clock.Now()
+}
+
 // occupy notes an upstream at its address. Another one that was there has ended. The caller
 // holds the lock.
 func (t *Table) occupy(u *Upstream) {
--- a/state/fleet/gone.go
+++ b/state/fleet/gone.go
@@ -44,7 +44,7 @@
 		return
 	}
 	since := t.clock.Now() - spanrill.Millis(t.outage.Load())
-	if since >= outageMemory || t.all[id].Entry().Leaving {
+	if since >= outageMemory || t.all[id].Leaving() {
 		t.remove(id, "entry gone")
 		return
 	}
--- a/state/fleet/incarnation.go
+++ b/state/fleet/incarnation.go
@@ -112,6 +112,8 @@
 	p.starts++
 	u.end()
 	next := newUpstream(entry, p.starts)
+	next.foundAt, next.notices = u.foundAt, u.notices.startAgain()
+	t.rememberNotices(next)
 	next.restartedAt = t.clock.Now()
 	t.vacate(u)
 	t.all[entry.ID] = next
--- a/state/fleet/refusal.go
+++ b/state/fleet/refusal.go
@@ -72,9 +72,11 @@
 // RefusedAt returns when the upstream last refused a request of this daemon.
 func (u *Upstream) RefusedAt() spanrill.Millis { return spanrill.Millis(u.refusal.metAt.Load()) }
 
-// RefusedHere reports whether it was this daemon that found it refusing.
+// RefusedHere reports whether it was this daemon that found it refusing. A rest is asked of
+// one daemon and a word that it leaves may have reached one alone; the others are not bound
+// by it, and rather take another upstream.
 func (u *Upstream) RefusedHere(now spanrill.Millis) bool {
-	return u.refusal.times.Load() > 0 && u.Refusing(now)
+	return u.refusal.times.Load() > 0 && u.Refusing(now) || u.Rests(now) || u.SaidLeaving()
 }
 
 // Accepted notes that the upstream works on a new request that was sent then. If
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -23,7 +23,7 @@
 
 	avoidUntil atomic.Int64 // on the daemon's clock; has failed, gets no new requests until then
 	refusal    refusal
-	notices    notices
+	notices    *notices
 	dead       atomic.Bool // did not answer when it was asked
 	refuses    atomic.Bool // nothing listens at its address
 	listenedAt atomic.Int64
@@ -33,6 +33,7 @@
 	lastOK     atomic.Int64 // when it last answered or produced something
 	eventGap   atomic.Int64 // smoothed pause between events of streams that begin here, in microseconds
 
+	foundAt     spanrill.Millis // since when it is known to be at its address
 	restartedAt spanrill.Millis // when it was noticed that it is not the first of its name, or 0
 	orders      orderCount
 }
@@ -45,7 +46,7 @@
 }
 
 func newUpstream(e spanrill.EngineEntry, starts int) *Upstream {
-	u := &Upstream{id: incarnationID(&e, starts)}
+	u := &Upstream{id: incarnationID(&e, starts), notices: &notices{}}
 	u.entry.Store(&e)
 	return u
 }
@@ -120,7 +121,7 @@
 
 // Takes reports whether the upstream may be given new requests at all: its
 // entry is there and it is not leaving.
-func (u *Upstream) Takes() bool { return !u.removed.Load() && !u.Entry().Leaving }
+func (u *Upstream) Takes() bool { return !u.removed.Load() && !u.Leaving() }
 
 // TakesAt is Takes at the moment of sending: an upstream whose entry may have lapsed is
 // kept for a time that ends between two looks.
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -154,6 +154,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkBefore(ctx); err != nil {
+		c.idle.Put(addr, cn)
+		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("before sending to %s: %w", addr, err)}
+	}
 	if onSilence != nil {
 		s := &silence{every: every, do: onSilence}
 		cn.silence = s
