Of requests that were kept from upstreams one is tried in the fleet, at one upstream

Ruled out: an end that was not recognized (the lines of all ends are there, and the three sends behind the first were made before its end was known anywhere).

Change: a trial is told to all at once, as a loss is, and holds the request back for 10 s; a trial goes to one upstream; callers are told times up to 2 s apart.

--- a/coordination/exchange/suspects.go
+++ b/coordination/exchange/suspects.go
@@ -17,7 +17,7 @@
 func SuspectMarks(marks []suspect.Mark) []peermsg.SuspectMark {
 	told := make([]peermsg.SuspectMark, len(marks))
 	for i, m := range marks {
-		told[i] = peermsg.SuspectMark{Content: uint64(m.Content), Upstream: m.Upstream, Age: m.Age, Fresh: m.Fresh}
+		told[i] = peermsg.SuspectMark{Content: uint64(m.Content), Upstream: m.Upstream, Age: m.Age, Fresh: m.Fresh, Trial: m.Trial}
 	}
 	return told
 }
@@ -27,7 +27,7 @@
 func (e *Exchange) TakeSuspects(told []peermsg.SuspectMark) {
 	marks := make([]suspect.Mark, len(told))
 	for i, m := range told {
-		marks[i] = suspect.Mark{Content: suspect.Content(m.Content), Upstream: m.Upstream, Age: m.Age, Fresh: m.Fresh}
+		marks[i] = suspect.Mark{Content: suspect.Content(m.Content), Upstream: m.Upstream, Age: m.Age, Fresh: m.Fresh, Trial: m.Trial}
 	}
 	if news := e.state.Suspects.Take(marks); news > 0 {
 		events.SuspectsHeard.Log(e.log, logrus.Fields{"marks": len(marks), "news": news})
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -231,7 +231,7 @@
 func (g *generation) send() error {
 	req := g.requestFor(g.path)
 	defer fasthttp.ReleaseRequest(req)
-	g.sends++
+	g.noteSend()
 	g.sentTo[g.first.ID()] = g.first
 	g.quiet, g.firstEvent = g.relay.Clock.Now(), 0
 	g.logSent(g.first, g.path, g.behind)
--- a/coordination/relay/continuation.go
+++ b/coordination/relay/continuation.go
@@ -132,7 +132,7 @@
 	c := &continuation{g: g, path: path, sentAt: g.relay.Clock.Now(), why: why, ctx: ctx, cancel: cancel, done: make(chan struct{})}
 	g.next = c
 	g.continuations = append(g.continuations, c)
-	g.sends++
+	g.noteSend()
 	g.sentTo[first.ID()] = first
 	req := g.requestFor(path)
 	g.logContinues(c)
--- a/coordination/relay/maysend.go
+++ b/coordination/relay/maysend.go
@@ -17,6 +17,12 @@
 	return q.upstreamsKnown()
 }
 
+// noteSend notes that the request is sent now.
+func (q *request) noteSend() {
+	q.sends++
+	q.try.Sent()
+}
+
 // stillAllowed checks again just before a request is sent, since it may have
 // waited, or this process may have stood still: its caller must be there, the
 // configuration must be fresh, and the newest one must still know the key.
--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -185,7 +185,7 @@
 	defer cancel()
 	req := q.upstreamRequest(spanrill.UpstreamSend{EngineID: u.Name(), Priority: q.priority()})
 	defer fasthttp.ReleaseRequest(req)
-	q.sends++
+	q.noteSend()
 	q.logSent(u, nil, "")
 	answer, err := r.HTTP.Do(r.sendingTo(ctx, u), u.Addr(), req, q.reuse())
 	if err != nil {
--- a/coordination/suspect/ledger.go
+++ b/coordination/suspect/ledger.go
@@ -22,7 +22,10 @@
 
 // suspicion is what is known of a content.
 type suspicion struct {
-	losses []loss
+	losses  []loss
+	trial   spanrill.Millis // when one that was kept back was tried last, at any daemon
+	tried   bool
+	heardOf spanrill.Millis // when that trial was noted here
 }
 
 // Verdict says whether a request may be sent.
@@ -30,6 +33,7 @@
 	losses     int
 	refused    bool
 	proved     bool
+	begins     bool
 	retryAfter spanrill.Millis
 }
 
@@ -43,12 +47,17 @@
 // Losses returns how many upstreams have ended under the request.
 func (v Verdict) Losses() int { return v.losses }
 
+// BeginsTrial reports whether the request is from now on the one that is tried of those that
+// were kept back. All daemons have to hear of it at once.
+func (v Verdict) BeginsTrial() bool { return v.begins }
+
 // RetryAfter returns when the caller of a request that is refused should come back.
 func (v Verdict) RetryAfter() spanrill.Millis { return v.retryAfter }
 
 // Ledger counts the upstreams that have ended under each content.
 type Ledger struct {
 	clock spanrill.Clock
+	draw  func() float64 // from 0 to 1
 
 	mu       sync.Mutex
 	suspects map[Content]*suspicion
@@ -65,9 +74,21 @@
 	ok  bool
 }
 
+// Option changes a default of New.
+type Option func(*Ledger)
+
+// WithDraw sets what draws numbers from 0 to 1, by which callers are told different times.
+func WithDraw(draw func() float64) Option {
+	return func(l *Ledger) { l.draw = draw }
+}
+
 // New returns a ledger that knows of no losses.
-func New(clock spanrill.Clock) *Ledger {
-	return &Ledger{clock: clock, suspects: map[Content]*suspicion{}, served: newServed(clock.Now())}
+func New(clock spanrill.Clock, opts ...Option) *Ledger {
+	l := &Ledger{clock: clock, draw: func() float64 { return 0 }, suspects: map[Content]*suspicion{}, served: newServed(clock.Now())}
+	for _, o := range opts {
+		o(l)
+	}
+	return l
 }
 
 // Lost notes that an upstream has ended under a request, and returns what follows. Contents
@@ -165,6 +186,16 @@
 	return at
 }
 
+// since is from when the time counts for which the content is kept back: the last loss or
+// trial. A trial that brings nothing new, as when the upstream has no room, is followed by
+// the next one as late as a loss is.
+func (s *suspicion) since() spanrill.Millis {
+	if s.tried {
+		return max(s.last(), s.trial)
+	}
+	return s.last()
+}
+
 // isOver reports whether what is known is too old to count.
 func (s *suspicion) isOver(now spanrill.Millis) bool {
 	memory := suspectMemory
@@ -210,6 +241,8 @@
 	ledger  *Ledger
 	content Content
 	trial   bool // it was kept back before, and others wait for its end
+	sent    bool
+	sentAt  spanrill.Millis // the first time in its trial
 }
 
 // Begin begins a request that has come. Its End must be called.
@@ -220,14 +253,45 @@
 	l := t.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	v := l.judge(t.content, l.clock.Now(), t.trial)
-	if s := l.suspects[t.content]; !v.refused && !t.trial && s != nil && s.held() {
-		t.trial = true
+	now := l.clock.Now()
+	v := l.judge(t.content, now, t.trial)
+	s := l.suspects[t.content]
+	switch {
+	case v.refused || s == nil || !s.held():
+	case !t.trial:
+		t.trial, v.begins = true, true
 		l.trials++
+		s.noteTrial(now, now)
+	case t.sent && now-t.sentAt < trialTime:
+		v.refused, v.retryAfter = true, l.comesBack(holdTime)
 	}
 	return v
 }
 
+// Sent notes that the request has been sent to an upstream. In its trial it is sent to one:
+// what is refused or breaks off there must not meet the next.
+func (t *Try) Sent() {
+	if t.trial && !t.sent {
+		t.sent, t.sentAt = true, t.ledger.clock.Now()
+	}
+}
+
+// noteTrial notes that a request of the content is tried, and reports whether that is news.
+func (s *suspicion) noteTrial(at, now spanrill.Millis) bool {
+	if s.tried && at-s.trial < sameTrial {
+		return false
+	}
+	s.tried, s.trial, s.heardOf = true, at, now
+	return true
+}
+
+// comesBack is when a caller should come back that has to wait that long. Callers of one
+// content are told different times: four that were told the same came to four daemons within
+// 72 ms, and two more upstreams ended.
+func (l *Ledger) comesBack(wait spanrill.Millis) spanrill.Millis {
+	return wait + spanrill.Millis(l.draw()*float64(comeSpread))
+}
+
 // End ends the request.
 func (t *Try) End() {
 	if !t.trial {
@@ -246,12 +310,14 @@
 		return Verdict{}
 	}
 	v := Verdict{losses: len(s.losses)}
-	switch waited := now - s.last(); {
+	switch waited := now - s.since(); {
 	case s.proved():
 		v.refused, v.proved, v.retryAfter = true, true, provedRetry
 	case !s.held():
 	case waited < holdTime:
-		v.refused, v.retryAfter = true, holdTime-waited
+		if !trial {
+			v.refused, v.retryAfter = true, l.comesBack(holdTime-waited)
+		}
 	case l.trials > 0 && !trial:
 		v.refused, v.retryAfter = true, trialRetry
 	}
--- a/coordination/suspect/marks.go
+++ b/coordination/suspect/marks.go
@@ -15,6 +15,7 @@
 	Upstream uint32
 	Age      spanrill.Millis
 	Fresh    bool
+	Trial    bool // no loss: a request of the content is tried, at whatever upstream
 }
 
 const (
@@ -45,6 +46,9 @@
 				marks = append(marks, k.mark(c, now))
 			}
 		}
+		if s.tried && now-s.heardOf < tellTime {
+			marks = append(marks, s.trialMark(c, now))
+		}
 	}
 	return newest(marks, marksTold)
 }
@@ -78,9 +82,16 @@
 	for i := range s.losses {
 		marks[i] = s.losses[i].mark(c, l.clock.Now())
 	}
+	if s.tried {
+		marks = append(marks, s.trialMark(c, l.clock.Now()))
+	}
 	return marks
 }
 
+func (s *suspicion) trialMark(c Content, now spanrill.Millis) Mark {
+	return Mark{Content: c, Age: now - s.trial, Trial: true}
+}
+
 func (s *suspicion) keepsBack(now spanrill.Millis) bool {
 	return !s.isOver(now) && (s.held() || s.proved())
 }
@@ -134,9 +145,25 @@
 		if m.Age < 0 || m.Age >= provedMemory || l.served.lately(m.Content, now) {
 			continue
 		}
+		if m.Trial {
+			l.takeTrial(m, now)
+			continue
+		}
 		if l.note(m.Content, Loss{Upstream: m.Upstream, At: now - m.Age, Fresh: m.Fresh}, now) {
 			news++
 		}
 	}
 	return news
 }
+
+// takeTrial takes that another daemon tries a content that is kept back here too. The caller
+// holds the lock.
+func (l *Ledger) takeTrial(m Mark, now spanrill.Millis) {
+	s := l.suspects[m.Content]
+	if s == nil || m.Age >= holdTime {
+		return
+	}
+	if s.noteTrial(now-m.Age, now) {
+		l.heardAt = now
+	}
+}
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -42,9 +42,17 @@
 	// 3 to 5 s after its end, and a chain is whole some seconds after that. Then one such
 	// request at a time is tried.
 	holdTime = 10 * spanrill.Second
-	// trialRetry is when a caller should come back whose request waits for the trial of
-	// another one: a stream has shown within a second that its engine stays.
-	trialRetry = spanrill.Second
+	// trialTime is how long a trial takes: a stream has shown within a second that its
+	// engine stays. trialRetry is when a caller should come back whose request waits for the
+	// trial of another one.
+	trialTime  = spanrill.Second
+	trialRetry = trialTime
+	// sameTrial is by how much the times may differ at which daemons heard of one trial.
+	sameTrial = spanrill.Second
+	// comeSpread is how far apart callers of one content are told to come back at the most:
+	// of ten callers the first two are 0.2 s apart, and an end is known everywhere 0.15 s
+	// after the request was sent.
+	comeSpread = 2 * spanrill.Second
 	// suspectMemory is how long losses of a request that is not proved are remembered, and
 	// provedMemory those of one that is: until the fault of the engines may be mended.
 	suspectMemory = 10 * spanrill.Minute
--- a/events/events.go
+++ b/events/events.go
@@ -153,6 +153,7 @@
 	SuspectsKept       = define(636, logrus.InfoLevel, "requests under which upstreams end are kept in the store")
 	SuspectsRead       = define(637, logrus.InfoLevel, "requests under which upstreams end were read from the store")
 	SuspectsNotKept    = define(638, logrus.WarnLevel, "requests under which upstreams end cannot be kept in the store")
+	RequestTried       = define(639, logrus.InfoLevel, "request that was kept from upstreams is tried at one")
 	LogsDropped        = define(630, logrus.WarnLevel, "log lines dropped because they were not read in time")
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,7 +202,7 @@
 		retry.WithBorrow(func(ctx context.Context, service string, want float64) float64 {
 			return g.exchange.Borrow(ctx, service, want)
 		}))
-	g.suspects = suspect.New(g.clock)
+	g.suspects = suspect.New(g.clock, suspect.WithDraw(g.random.Float64))
 	var err error
 	if g.peers, err = newPeers(g); err != nil {
 		return fmt.Errorf("build peers: %w", err)
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -257,6 +257,7 @@
 	Upstream uint32   // hash of its name
 	Age      spanrill.Millis
 	Fresh    bool // the request had begun there shortly before
+	Trial    bool // no end: a request of the content is tried again
 }
 
 // Placement is what the holder of the lease of placement says. Other daemons
