--- a/soak/run.go
+++ b/soak/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -115,10 +114,7 @@
 func (r *run) startDaemons() error {
 	var seeds []string
 	for i := range r.options.Shape.Daemons {
-		addrs, err := freeAddrs(4)
-		if err != nil {
-			return err
-		}
+		addrs := r.addrs(i)
 		name := fmt.Sprintf("daemon-%d", i)
 		p, err := newProcess(r.options.Dir, r.options.Daemon, name, addrs[0], addrs[1], map[string]any{
 			"name": name, "availability_zone": fmt.Sprintf("zone-%d", i%r.options.Shape.Zones), "listen": addrs[0], "ready_listen": addrs[1],
@@ -141,18 +137,22 @@
 // linkAddr is where a daemon reaches the store.
 func (w *world) linkAddr(daemon int) string { return w.links[daemon].Addr() }
 
-// freeAddrs returns loopback addresses that nobody uses at the moment.
-func freeAddrs(n int) ([]string, error) {
-	addrs := make([]string, n)
+const (
+	// firstPort lies below the ports that the operating system gives to connections.
+	firstPort = 20000
+	// portsEach is how many addresses a daemon listens on.
+	portsEach = 4
+)
+
+// addrs returns where a daemon listens: each run has a loopback address of its own, by its
+// process, so that runs side by side and connections that come and go take nobody's port.
+func (r *run) addrs(daemon int) []string {
+	pid := os.Getpid()
+	addrs := make([]string, portsEach)
 	for i := range addrs {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("find a free address: %w", err)
-		}
-		defer func() { _ = ln.Close() }()
-		addrs[i] = ln.Addr().String()
+		addrs[i] = fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&0x3f, pid>>8&0xff, 1+pid&0x7f, firstPort+daemon*portsEach+i)
 	}
-	return addrs, nil
+	return addrs
 }
 
 // awaitService waits until every daemon is ready and answers requests of each kind.
