Only callers' requests are looked at for a connection that was closed at once

A question to an engine whose new connection is reset at accept counted as one at whose address nobody takes connections, so that the engine was dead after one try, where two tries were made before this work: an engine at its cap would have lost its streams. Questions and orders are judged as they were.

--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -169,7 +169,7 @@
 		c.idle.Put(addr, cn)
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("before sending to %s: %w", addr, err)}
 	}
-	if !cn.reused && !cn.proveOpen() {
+	if !cn.reused && isRequest(ctx) && !cn.proveOpen() {
 		_ = cn.Close()
 		c.meters.ClosedAtOnce.Inc()
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("connect to %s: %w", addr, errClosedAtOnce)}
