The test of resets at accept waits until the connection stands

The reset had come while the connection was made, which is a failed dial and rightly counted as one. The server now resets once the connection stands, so that the same check always meets the case that it names; outcome and count are checked as before.

--- a/transport/httpcall/before_test.go
+++ b/transport/httpcall/before_test.go
@@ -69,9 +69,11 @@
 		{"after the first byte", 1, false, spanrill.OutcomeUnknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			reset, sent := make(chan struct{}), make(chan struct{})
+			stands, reset, sent := make(chan struct{}), make(chan struct{}), make(chan struct{})
 			addr := serve(t, func(conn net.Conn) {
-				if !c.first {
+				if c.first {
+					<-stands // one that is reset while it is made is a failed dial of its own
+				} else {
 					<-sent
 				}
 				_, _ = io.ReadFull(conn, make([]byte, c.reads))
@@ -82,6 +84,7 @@
 			client := New(WithMeters(meter.New()))
 			defer client.Close()
 			ctx := Before(context.Background(), func() error {
+				close(stands)
 				if c.first {
 					<-reset
 				}
