The test of resets at accept waits until the reset has arrived

The test now looks at the connection itself until it is gone. No check is loosened: outcome and count are as before.

No code of the daemon is changed.

--- a/transport/httpcall/before_test.go
+++ b/transport/httpcall/before_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"runtime"
+	"syscall"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -83,10 +85,16 @@
 			})
 			client := New(WithMeters(meter.New()))
 			defer client.Close()
+			var raw syscall.RawConn
+			client.dialer.Control = func(_, _ string, conn syscall.RawConn) error {
+				raw = conn
+				return nil
+			}
 			ctx := Before(context.Background(), func() error {
 				close(stands)
 				if c.first {
 					<-reset
+					awaitGone(raw)
 				}
 				return nil
 			})
@@ -106,6 +114,15 @@
 	}
 }
 
+// awaitGone waits until the reset of a connection has arrived: it takes a moment also on a
+// machine's own addresses.
+func awaitGone(raw syscall.RawConn) {
+	for state := PeerSilent; state != PeerGone; {
+		_ = raw.Control(func(fd uintptr) { state = peek(int(fd)) })
+		runtime.Gosched()
+	}
+}
+
 // telling is a body that tells when it is read, behind the head of its request.
 type telling struct {
 	sent chan struct{}
