The test of resets after accept waits until bytes of the request are written

Its server reset the connection when the body of the request was first read, and nothing is written before that: head and first part of a body leave together. A reset that came quickly enough met a call of which no byte had been sent, and "did not run" is the true outcome of such a one.

Ruled out: a fault of the daemon. The outcome comes from the count of bytes that the operating system took, which was 0.

Change: the body has two parts and the server resets when the second is read, behind the first one's flush, so that the case is the one that its name says.

--- a/transport/httpcall/before_test.go
+++ b/transport/httpcall/before_test.go
@@ -123,17 +123,22 @@
 	}
 }
 
-// telling is a body that tells when it is read, behind the head of its request.
+// telling is a body of two parts that tells when the second one is read: the head and the
+// first part are with the operating system by then, which each part is written out for. When
+// the first part is read nothing has been written, and a reset that comes then rightly gives
+// a call that did not run.
 type telling struct {
-	sent chan struct{}
-	told bool
+	sent  chan struct{}
+	parts int
 }
 
 func (b *telling) Read(p []byte) (int, error) {
-	if b.told {
+	b.parts++
+	if b.parts > 2 {
 		return 0, io.EOF
 	}
-	b.told = true
-	close(b.sent)
+	if b.parts == 2 {
+		close(b.sent)
+	}
 	return copy(p, "body"), nil
 }
