Retries in bursts exceed the budget: failing test, known red

Logs: six daemons send 106, 148 and 130 repeats in the tenths of a second behind the losses of seconds 5, 11 and 14, and one between. No daemon had sent any before second 5.

Hypotheses: (1) requests are counted over a longer time than the window that the budget is for, (2) in a small fleet a daemon that asks again at once gets a part of what is left, while others still hold parts of what was left before. TestBudgetIsNeverExceeded missed both: its daemons want retries all the time, so that none are saved up, and all of them ask at the same moment. They now ask each at its own.

--- a/coordination/retry/fleet_test.go
+++ b/coordination/retry/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 
 	"spanrill"
@@ -22,13 +23,15 @@
 	daemons []*trialDaemon
 	gone    []moment // of daemons that have died
 	borrows int
+	bursts  []spanrill.Millis // when retries are wanted, nil for always
 }
 
 // trialDaemon is one daemon of a trial.
 type trialDaemon struct {
 	shared *Shared
-	wants  float64 // retries a step
-	asks   float64 // requests a step
+	wants  float64         // retries a step, in bursts if the trial has any
+	phase  spanrill.Millis // of its rounds of news
+	asks   float64         // requests a step
 	due    float64
 	told   []Count // what was counted in the rounds before, the newest last
 	news   Count   // of the others, as heard last
@@ -56,9 +59,14 @@
 
 // newTrial draws a fleet of 1 to 400 daemons.
 func newTrial(seed uint64) *trial {
+	return newTrialOf(seed, func(random *rng.Source) int { return 1 + random.IntN(400) })
+}
+
+// newTrialOf draws a fleet of a size that is drawn too.
+func newTrialOf(seed uint64, size func(*rng.Source) int) *trial {
 	random := rng.New(seed)
 	t := &trial{random: random, clock: clock.NewManual(), lost: random.Float64() * 0.1, churn: random.Float64() < 0.3}
-	n := 1 + random.IntN(400)
+	n := size(random)
 	t.churn = t.churn && n >= 100
 	t.limits = Limits{Ratio: 0.2, Slack: float64(n) * (1 + 2*random.Float64()), Window: 10 * spanrill.Second}
 	if t.rounds = 1; n > 9 {
@@ -72,6 +80,9 @@
 
 func (t *trial) start() *trialDaemon {
 	d := &trialDaemon{asks: 0.2 * t.random.Float64(), since: t.clock.Now()}
+	if t.rounds == 1 {
+		d.phase = trialStep * spanrill.Millis(t.random.IntN(int(trialRound/trialStep)))
+	}
 	d.shared = NewShared(t.clock, t.limits, 16, WithBorrower(func(_ context.Context, want float64) float64 { return t.borrow(d, want) }))
 	return d
 }
@@ -107,14 +118,28 @@
 func (t *trial) run() (most float64) {
 	for t.clock.Now() < trialTime {
 		t.step()
+		t.round()
 		if t.clock.Now()%trialRound == 0 {
-			t.round()
 			most = max(most, t.used())
 		}
 	}
 	return most
 }
 
+// burst reports whether retries are wanted now.
+func (t *trial) burst(now spanrill.Millis) bool {
+	return t.bursts == nil || slices.Contains(t.bursts, now)
+}
+
+// drawBursts has retries wanted in a few moments only, as when engines fail together, none of
+// them before a window has passed.
+func (t *trial) drawBursts() {
+	for at := t.limits.Window; at < trialTime; {
+		at += trialStep * spanrill.Millis(1+t.random.IntN(60))
+		t.bursts = append(t.bursts, at)
+	}
+}
+
 func (t *trial) step() {
 	now := t.clock.Now()
 	for _, d := range t.daemons {
@@ -122,7 +147,7 @@
 			d.shared.Request()
 			d.asked = append(d.asked, moment{now, 1})
 		}
-		for n := 0.0; n < d.wants && d.shared.TakeSoon(context.Background(), Running); n++ {
+		for n := 0.0; n < d.wants && t.burst(now) && d.shared.TakeSoon(context.Background(), Running); n++ {
 			d.spent = append(d.spent, moment{now, 1})
 		}
 	}
@@ -141,12 +166,19 @@
 	t.daemons[i] = next
 }
 
-// round lets news of some rounds ago arrive.
+// round lets news arrive at the daemons whose time it is: of some rounds ago, or, in a fleet
+// that is small enough for daemons to ask one another, of this moment.
 func (t *trial) round() {
-	for _, d := range t.daemons {
-		d.told = append(d.told, d.shared.Own())
+	now := t.clock.Now()
+	if now%trialRound == 0 {
+		for _, d := range t.daemons {
+			d.told = append(d.told, d.shared.Own())
+		}
 	}
 	for _, d := range t.daemons {
+		if now%trialRound != d.phase {
+			continue
+		}
 		if t.random.Float64() >= t.lost {
 			d.news, d.heard = t.heard(d)
 		}
@@ -162,7 +194,13 @@
 func (t *trial) heard(by *trialDaemon) (c Count, daemons int) {
 	for _, d := range t.daemons {
 		at := len(d.told) - t.rounds
-		if d != by && at >= 0 {
+		switch {
+		case d == by:
+		case t.rounds == 1:
+			own := d.shared.Own()
+			c.Requests += own.Requests
+			c.Retries += own.Retries
+		case at >= 0:
 			c.Requests += d.told[at].Requests
 			c.Retries += d.told[at].Retries
 		}
@@ -211,6 +249,30 @@
 // In 400 random fleets a tenth of the daemons got 0.78 to 0.95 of it.
 const leastUsable = 0.77
 
+// Repeats of a service went beyond what is allowed: engines failed at seconds 5, 11 and 14, and
+// within ten seconds six daemons sent 391 repeats for 953 requests, where 387 are allowed. No
+// daemon had sent any before the first loss. The log of that day has 106, 148 and 130 of them
+// in the tenths of a second behind the losses: a daemon may spend at once all that is left.
+func TestBurstsStayWithinTheBudget(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			f := newTrialOf(seed, func(random *rng.Source) int {
+				if seed%3 == 0 {
+					return 10 + random.IntN(90)
+				}
+				return 1 + random.IntN(9)
+			})
+			f.churn = false
+			f.demand(1)
+			f.drawBursts()
+			if most := f.run(); most > 1 {
+				t.Errorf("%d daemons, %d rounds: %.3f of the budget was spent in a window", len(f.daemons), f.rounds, most)
+			}
+		})
+	}
+}
+
 // A tenth of the daemons, which need retries when others do not, get most of the
 // budget. When each had its own part and no more, a tenth got 0.13 to 0.25 of it.
 func TestATenthCanUseTheBudget(t *testing.T) {
