Retries in bursts stay within the budget: windows, and what small fleets have not heard yet

A daemon counted requests over eleven tenths of the window that the budget is for: it gave retries that the window does not have. Where daemons ask one another directly, one that had spent its part and asked again got a part of what was left at once, while the others still held parts of what had been left before. Class: a part of a common budget is renewed before the others must have heard of what was spent. Large fleets have kept back what is unheard since they borrow; small ones did not.

Change: requests are counted over at most a window and retries over at least that, in buckets of a fortieth of it; what is spent or lent counts against a part for two rounds of news also where daemons ask directly.

Figures, 1,200 random fleets with bursts: fullest window 1.119 before (35 of 200 small ones over), 0.998 after (0 of 600).

--- a/coordination/retry/loan.go
+++ b/coordination/retry/loan.go
@@ -65,6 +65,10 @@
 	// lateRounds is by how many rounds later than other news all have heard of a retry:
 	// one that was borrowed is spent in the next round, and one question may be lost.
 	lateRounds = 2
+	// lateDirect is the same where daemons ask one another directly. In random fleets of 1 to
+	// 9 daemons that want retries in bursts the fullest window held 1.119 of the budget when
+	// all were taken to have heard at once, with the counts as they are now, and holds 0.998.
+	lateDirect = 1
 	// newsRound is the pause between two rounds of news.
 	newsRound spanrill.Millis = 250
 )
@@ -151,7 +155,11 @@
 // give takes retries off this daemon's part. The caller holds the lock.
 func (s *Shared) give(n float64) {
 	s.left = max(0, s.left-n)
-	heard := newsRound * spanrill.Millis(s.fleet.Rounds+lateRounds)
+	late := lateRounds
+	if s.fleet.Rounds == 1 {
+		late = lateDirect
+	}
+	heard := newsRound * spanrill.Millis(s.fleet.Rounds+late)
 	s.unheard = append(s.unheard, loan{n: n, until: s.clock.Now() + heard})
 }
 
@@ -167,10 +175,6 @@
 		s.borrowed[i].n -= n
 		need -= n
 	}
-	if s.fleet.Rounds == 1 {
-		s.left = max(0, s.left-need) // all hear of it before they spend more
-		return true
-	}
 	s.give(need)
 	return true
 }
--- a/coordination/retry/shared.go
+++ b/coordination/retry/shared.go
@@ -70,9 +70,10 @@
 
 // margin is the part of the budget that is used: the windows in which daemons
 // count do not begin at the same moment, and what a daemon has spent is forgotten
-// when it dies. In random fleets of 1 to 400 daemons, a part of which wants all it can
-// get, with news late and lost and one daemon in fifty replaced in a window, the
-// fullest window of 400 such fleets held 0.99 of the budget.
+// when it dies. In random fleets with news late and lost the fullest window held 0.998
+// of the budget: 1,200 fleets of 1 to 100 daemons that want retries in bursts, 120 of up to
+// 400 that want them all the time, in a third of which one daemon in fifty is replaced in a
+// window. With 0.97 in place of it, and twice as long buckets, 1.063.
 const margin = 0.95
 
 // unsettled is what a daemon may spend that does not know how many there are: what
@@ -120,9 +121,9 @@
 
 // Round takes what other daemons have counted and begins a new round.
 //
-// Where it takes several rounds to hear of every daemon, what the others spend
-// meanwhile is not known. What each daemon spends of its part, or lends, therefore
-// counts against the part until the others must have heard of it. A daemon that does
+// What the others spend until every daemon is heard of again is not known. What each
+// daemon spends of its part, or lends, therefore counts against the part until the others
+// must have heard of it. A daemon that does
 // not know yet how many there are, because all have just started, earns retries by its
 // own requests, which is safe for any number, and lends none.
 func (s *Shared) Round(others Count, fleet Fleet) {
@@ -174,19 +175,24 @@
 	return s.left + s.stillBorrowed()
 }
 
-// buckets is into how many parts a window is divided.
-const buckets = 10
+// buckets is into how many parts a window is divided. The shorter they are, the less of a
+// window's requests is left out and the less beyond it of retries is counted: a tenth of the
+// daemons of a large fleet get 0.839 of the budget in the mean of 120 random fleets with 40,
+// 0.827 with 20.
+const buckets = 40
 
 // recentBuckets is over how many of them the requests that come now are counted: few
 // enough to show a burst of some seconds, and enough that a fleet of 300 requests a
 // second is counted to within a twentieth.
-const recentBuckets = 2
+const recentBuckets = 8
 
-// window counts in a sliding window: one bucket more than the window holds, so
-// that it never counts less than the window.
+// window counts in a sliding window. Requests are counted over at most its length and
+// retries over at least that: a budget that counts the requests of a bucket more gives retries
+// that the window does not have. A daemon that is alone spent 1.037 of its budget so, when
+// retries that had been saved up were wanted in one moment.
 type window struct {
 	width  spanrill.Millis
-	counts [buckets + 1]Count
+	counts [buckets + 1]Count           // one more than the window holds
 	number [buckets + 1]spanrill.Millis // of the bucket's time
 }
 
@@ -203,8 +209,10 @@
 	n := now / max(1, w.width)
 	var c Count
 	for i, number := range w.number {
-		if n-number <= buckets {
+		if n-number < buckets {
 			c.Requests += w.counts[i].Requests
+		}
+		if n-number <= buckets {
 			c.Retries += w.counts[i].Retries
 		}
 		if age := n - number; age >= 1 && age <= recentBuckets {
