The soak checks rests, upstreams that leave, and the retry budget of all daemons

Upstreams now note each request that arrives with what they answer, and three bounds are judged over all of them by pure functions (bounds.go): at most two requests of a daemon within a rest, none later than the time of drain behind a passed on word of leaving, repeats within ratio and slack in each sliding window.

--- a/soak/check.go
+++ b/soak/check.go
@@ -98,6 +98,12 @@
 			add(s, ruleRevoked, fmt.Sprintf("key %s was withdrawn over %v before, and it ran", s.key, revoke))
 		}
 	}
+	t := r.traffic()
+	for rule, found := range map[string][]breach{ruleRests: t.rests(), ruleLeaves: t.leaves(), ruleBudget: t.budget()} {
+		for _, b := range found {
+			add(b.by, rule, b.what)
+		}
+	}
 	for _, what := range r.world.fleet.Bad() {
 		all = append(all, Violation{Rule: ruleLayers, What: what})
 	}
@@ -110,3 +116,15 @@
 	}
 	return append(all, r.recovered...)
 }
+
+// traffic is what callers sent and upstreams got until now.
+func (r *run) traffic() *traffic {
+	t := &traffic{arrivals: r.world.fleet.Arrivals(), requests: map[string]seen{}}
+	for _, s := range append(r.records.list(), r.barred.list()...) {
+		t.requests[s.id] = s
+	}
+	t.excused = func(p *process, upstream string, from, to time.Time) bool {
+		return r.wasDisturbed(p, from, to) || r.wasCutOff(upstream, from, to)
+	}
+	return t
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -130,6 +130,7 @@
 	var link *faultproxy.Proxy
 	if s.Kind == UpstreamLinks {
 		_, u := r.world.at(s.Target)
+		r.cut(u)
 		link = u.link
 	} else {
 		link = r.world.links[s.Target%len(r.world.links)]
--- a/soak/run.go
+++ b/soak/run.go
@@ -64,6 +64,7 @@
 
 	mu        sync.Mutex
 	disturbed map[*process][]time.Time
+	cutOff    map[string][]time.Time // by upstream
 }
 
 // disturb notes that a daemon may not answer for a while from now on.
@@ -73,11 +74,31 @@
 	r.disturbed[p] = append(r.disturbed[p], time.Now())
 }
 
+// cut notes that an upstream may not be reached for a while from now on.
+func (r *run) cut(u *upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutOff[u.engine.ID] = append(r.cutOff[u.engine.ID], time.Now())
+}
+
 // wasDisturbed reports whether a daemon was disturbed between two times.
 func (r *run) wasDisturbed(p *process, from, to time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, at := range r.disturbed[p] {
+	return anyNear(r.disturbed[p], from, to)
+}
+
+// wasCutOff reports whether an upstream was cut off between two times.
+func (r *run) wasCutOff(upstream string, from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return anyNear(r.cutOff[upstream], from, to)
+}
+
+// anyNear reports whether a fault that began at one of some times may have lasted until
+// between two others.
+func anyNear(begun []time.Time, from, to time.Time) bool {
+	for _, at := range begun {
 		if at.After(from.Add(-longestFault)) && at.Before(to) {
 			return true
 		}
@@ -87,7 +108,7 @@
 
 // Run plays one seed. An error means that it could not be played.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	r := &run{options: o, turns: map[*process]*sync.Mutex{}, gone: map[*upstream]bool{}, disturbed: map[*process][]time.Time{}}
+	r := &run{options: o, turns: map[*process]*sync.Mutex{}, gone: map[*upstream]bool{}, disturbed: map[*process][]time.Time{}, cutOff: map[string][]time.Time{}}
 	var err error
 	if r.world, err = newWorld(o.Shape); err != nil {
 		return nil, fmt.Errorf("build the world: %w", err)
@@ -120,7 +141,10 @@
 			"name": name, "availability_zone": fmt.Sprintf("zone-%d", i%r.options.Shape.Zones), "listen": addrs[0], "ready_listen": addrs[1],
 			"peer_listen": addrs[2], "metrics_listen": addrs[3], "peers": append([]string{}, seeds...), "platform": r.world.linkAddr(i),
 			"fleet_secret": "a secret for this run alone",
-			"bounds":       map[string]any{"revoke_ms": revoke.Milliseconds(), "grace_ms": grace.Milliseconds(), "retry_ratio": 0.2, "retry_slack": 200, "retry_window_ms": 10000},
+			"bounds": map[string]any{
+				"revoke_ms": revoke.Milliseconds(), "grace_ms": grace.Milliseconds(), "drain_ms": drain.Milliseconds(),
+				"retry_ratio": budgetRatio, "retry_slack": budgetSlack, "retry_window_ms": budgetWindow.Milliseconds(),
+			},
 		})
 		if err != nil {
 			return err
--- a/soak/world.go
+++ b/soak/world.go
@@ -81,9 +81,9 @@
 // startUpstream starts the upstream of a place, under a name of its own.
 func (w *world) startUpstream(place int) (*upstream, error) {
 	w.started++
-	service, kind := "advice", "card"
+	service, kind := platformtest.ModelService, "card"
 	if place >= w.shape.Engines {
-		service, kind = "readings", ""
+		service, kind = platformtest.PlainService, ""
 	}
 	zone := fmt.Sprintf("zone-%d", place%w.shape.Zones)
 	e, err := w.fleet.Start(fmt.Sprintf("u-%03d", w.started), service, zone, kind)
