--- a/coordination/layoutrun/placer_test.go
+++ b/coordination/layoutrun/placer_test.go
@@ -68,7 +68,7 @@
 
 // place runs a placer over n engines until every one of them is done, and
 // returns the engines and the table.
-func place(t *testing.T, n int, c *cards, may MayAct) (*Placer, *fleet.Table) {
+func place(t *testing.T, n int, c spanrill.LayerEngines, may MayAct) (*Placer, *fleet.Table) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
