A daemon's own descriptors bound its idle connections, orders and questions

Cause: what one daemon has open to all upstreams together was bounded by nothing. The holder of the lease ordered all engines at once over a connection each, and asked all of them at once for their pace every 5 s; the limit of descriptors, which the platform tells each process, was not read. Its own dials then failed, and a dial that failed for want of descriptors was taken for the engine's refusal: engines were ejected for it. Class: that of the rests: a limit that we are told and that nothing keeps to. Sums over many upstreams were not looked at where each of them was bounded.

A lack of descriptors, ports or memory of one's own says nothing of an upstream (event 518).

--- a/coordination/conncap/conncap.go
+++ b/coordination/conncap/conncap.go
@@ -5,9 +5,13 @@
 // written, so that its caller cannot be told that it has not run. Connections that are kept
 // idle count as those in use do.
 //
+// A daemon has a limit of its own too, that of its descriptors, which callers, peers and
+// upstreams share.
+//
 // # Usage
 //
 //	keep := conncap.Idle(service.MaxConnections, daemons)
+//	all := conncap.IdleOfAll(settings.Descriptors)
 package conncap
 
 const (
@@ -40,3 +44,23 @@
 	}
 	return min(mostIdle, part)
 }
+
+const (
+	// idleDescriptors is the part of a daemon's descriptors that idle connections to all
+	// upstreams may take. The rest is for callers, peers and calls under way. Without a limit
+	// a daemon that had to do with 2,997 upstreams had 3,895 connections of 3,900 that it could
+	// have, and its dials failed (301 daemons, one play).
+	idleDescriptors = 0.25
+	// usualDescriptors is what a daemon has that was not told: what operating systems give a
+	// process that asks for nothing.
+	usualDescriptors = 1024
+)
+
+// IdleOfAll returns how many idle connections a daemon with that many descriptors keeps to all
+// upstreams together.
+func IdleOfAll(descriptors int) int {
+	if descriptors <= 0 {
+		descriptors = usualDescriptors
+	}
+	return max(1, int(idleDescriptors*float64(descriptors)))
+}
--- a/coordination/conncap/conncap_test.go
+++ b/coordination/conncap/conncap_test.go
@@ -28,3 +28,11 @@
 		})
 	}
 }
+
+func TestIdleOfAll(t *testing.T) {
+	for _, c := range []struct{ descriptors, want int }{{4100, 1025}, {0, 256}, {-3, 256}, {1, 1}, {1 << 20, 1 << 18}} {
+		if got := IdleOfAll(c.descriptors); got != c.want {
+			t.Errorf("of %d descriptors %d are kept, want %d", c.descriptors, got, c.want)
+		}
+	}
+}
--- a/coordination/layoutrun/carrier.go
+++ b/coordination/layoutrun/carrier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
@@ -59,7 +60,9 @@
 	for ctx.Err() == nil && c.placer.clock.Now() < limit && c.upstream.Takes() {
 		report, err := c.report(ctx)
 		if err != nil {
-			c.upstream.SetDead(true) // it is asked again by the upkeep, which notes its return
+			if ctx.Err() == nil && !spanrill.OwnLack(err) {
+				c.upstream.SetDead(true) // it is asked again by the upkeep, which notes its return
+			}
 			c.log(events.OrderFailed, logrus.Fields{"error": err, "asked": "report"})
 			return false
 		}
@@ -96,6 +99,10 @@
 }
 
 func (c *carrier) report(ctx context.Context) (spanrill.EngineReport, error) {
+	if err := c.placer.calls.enter(ctx); err != nil {
+		return spanrill.EngineReport{}, err
+	}
+	defer c.placer.calls.leave()
 	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
 	defer cancel()
 	return c.placer.engines.Report(ctx, c.upstream.Addr())
@@ -107,16 +114,12 @@
 	if c.given >= maxOrders {
 		return false
 	}
-	term, ok := c.placer.mayAct()
-	if !ok {
+	term, state, err := c.place(ctx, report)
+	if errors.Is(err, errLeaseLost) {
 		c.log(events.OrderWaits, logrus.Fields{"why": "lease lost"})
 		return false
 	}
 	c.given++
-	callCtx, cancel := context.WithTimeout(ctx, callWait.Duration())
-	defer cancel()
-	order := spanrill.PlaceOrder{Layers: c.order.move.Layers, Term: term, Sequence: report.Sequence, Cut: c.order.move.Cut}
-	state, err := c.placer.engines.Place(callCtx, c.upstream.Addr(), c.upstream.Name(), order)
 	fields := logrus.Fields{"sequence": report.Sequence, "held": report.Layers, "term": term, "given": c.given}
 	if err != nil {
 		fields["error"] = err
@@ -144,6 +147,26 @@
 	return true
 }
 
+// errLeaseLost means that this daemon may give no orders any more.
+var errLeaseLost = errors.New("the lease is lost")
+
+// place gives the order under the term that holds once it may be sent: it waits for others.
+func (c *carrier) place(ctx context.Context, report spanrill.EngineReport) (term uint64, state spanrill.OrderState, err error) {
+	if err := c.placer.calls.enter(ctx); err != nil {
+		return 0, 0, err
+	}
+	defer c.placer.calls.leave()
+	term, ok := c.placer.mayAct()
+	if !ok {
+		return 0, 0, errLeaseLost
+	}
+	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
+	defer cancel()
+	order := spanrill.PlaceOrder{Layers: c.order.move.Layers, Term: term, Sequence: report.Sequence, Cut: c.order.move.Cut}
+	state, err = c.placer.engines.Place(ctx, c.upstream.Addr(), c.upstream.Name(), order)
+	return term, state, err
+}
+
 // loadTime is how long the new layers take to load, times a factor.
 func (c *carrier) loadTime(factor float64) spanrill.Millis {
 	held, next := c.upstream.Entry().Layers, c.order.move.Layers
--- a/coordination/layoutrun/doubt.go
+++ b/coordination/layoutrun/doubt.go
@@ -70,6 +70,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d.asking = false
+	if spanrill.OwnLack(err) {
+		return err // it says nothing of the engine
+	}
 	lost := err != nil
 	d.note(!lost && report.Waiting == 0 && report.KVUsed < emptyEnough*report.KVTotal, p.clock.Now())
 	leaves := d.room && u.RefusedAt() > d.roomAt+roomTime
--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -67,9 +67,10 @@
 	grewAt  map[string]spanrill.Millis
 	firstAt map[string]spanrill.Millis
 	orders  task.Group
-	spread  func() spanrill.Millis     // how long news takes to all daemons
-	doubts  map[string]*doubt          // by engine
-	askedAt spanrill.Millis            // when all engines were asked for their pace
+	spread  func() spanrill.Millis // how long news takes to all daemons
+	doubts  map[string]*doubt      // by engine
+	paces   paces
+	calls   calls
 	seenAt  map[string]spanrill.Millis // by engine, when it was first seen
 }
 
@@ -95,6 +96,7 @@
 		ordered: map[string]*order{}, known: map[string]int{},
 		grewAt: map[string]spanrill.Millis{}, firstAt: map[string]spanrill.Millis{},
 		spread: func() spanrill.Millis { return usualSpread }, doubts: map[string]*doubt{}, seenAt: map[string]spanrill.Millis{},
+		calls: newCalls(),
 	}
 	for _, o := range opts {
 		o(p)
--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -258,10 +258,14 @@
 // refused reports whether the other end said itself that nothing listens.
 func refused(err error) bool {
 	var call *spanrill.CallError
-	return errors.As(err, &call) && call.Phase == spanrill.PhaseDial && !errors.Is(err, context.DeadlineExceeded)
+	return errors.As(err, &call) && call.Phase == spanrill.PhaseDial && !errors.Is(err, context.DeadlineExceeded) && !spanrill.OwnLack(err)
 }
 
 func (p *Prober) note(u *fleet.Upstream, q *question) {
+	if spanrill.OwnLack(q.err) {
+		events.ConnectionsLacking.Log(p.log, logrus.Fields{"upstream": u.ID(), "addr": u.Addr(), "error": q.err})
+		return // a daemon that has no descriptors left would take all engines for dead
+	}
 	dead := q.err != nil
 	if spanrill.NothingListens(q.err) {
 		u.NotListening()
--- a/coordination/probe/probe_test.go
+++ b/coordination/probe/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,7 @@
 	mu      sync.Mutex
 	silent  int  // the first n questions get no answer
 	refuses bool // nothing listens
+	lacks   bool // this machine has no descriptor left for a connection
 	asked   int
 }
 
@@ -31,6 +33,9 @@
 	if m.refuses {
 		return spanrill.EngineReport{}, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: errors.New("connection refused")}
 	}
+	if m.lacks {
+		return spanrill.EngineReport{}, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: errors.WithStack(syscall.EMFILE)}
+	}
 	if silent {
 		<-ctx.Done()
 		return spanrill.EngineReport{}, ctx.Err()
@@ -54,6 +59,7 @@
 		{"nothing at all is heard for a moment", &mute{silent: perTry}, false, false, 2 * perTry},
 		{"nothing is ever heard again", &mute{silent: 100}, false, true, tries * perTry},
 		{"it refuses the connection", &mute{refuses: true}, false, true, perTry},
+		{"it cannot be asked for want of descriptors", &mute{lacks: true}, true, false, tries * perTry},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			log := logrus.New()
--- a/events/events.go
+++ b/events/events.go
@@ -122,6 +122,7 @@
 	UpstreamRests       = define(515, logrus.InfoLevel, "upstream asks for rest")
 	UpstreamSaysLeaving = define(516, logrus.InfoLevel, "upstream says in an answer that it leaves")
 	RestUnreadable      = define(517, logrus.WarnLevel, "upstream asks for rest in words that are no time")
+	ConnectionsLacking  = define(518, logrus.WarnLevel, "this machine can make no connection for want of descriptors, ports or memory")
 
 	ChainsChanged = define(508, logrus.InfoLevel, "chains of a service changed")
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,7 +192,8 @@
 
 func (g *Gateway) build(connect Connect) error {
 	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout), httpcall.WithLogger(g.log), httpcall.WithMeters(g.meters),
-		httpcall.WithOnHead(g.noteHead), httpcall.WithMaxIdle(g.maxIdle))
+		httpcall.WithOnHead(g.noteHead), httpcall.WithMaxIdle(g.maxIdle),
+		httpcall.WithMaxTotal(conncap.IdleOfAll(g.settings.Descriptors)))
 	g.config = routes.NewCurrent(g.clock)
 	g.adapter = connect(g.settings.Platform, g.http, g.storeCalled)
 	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain),
--- a/pool/drop_test.go
+++ b/pool/drop_test.go
@@ -46,3 +46,29 @@
 		t.Error("a value was kept")
 	}
 }
+
+// A bound on all values discards those that have lain longest, whatever their key.
+func TestMaxTotal(t *testing.T) {
+	var discarded []int
+	p := New(WithMaxTotal[string, int](3), WithDiscard[string](func(v int) { discarded = append(discarded, v) }))
+	p.Put("a", 1)
+	p.Put("b", 2)
+	p.Put("a", 3)
+	p.Put("c", 4) // 1 goes
+	if v, ok := p.Get("b"); !ok || v != 2 {
+		t.Fatalf("got %d, %t", v, ok)
+	}
+	p.Put("d", 5)
+	p.Put("e", 6) // 3 goes, since 2 is in use
+	if want := []int{1, 3}; !slices.Equal(discarded, want) {
+		t.Errorf("discarded %v, want %v", discarded, want)
+	}
+	if n := p.Drop("c"); n != 1 {
+		t.Errorf("%d dropped, want 1", n)
+	}
+	p.Close()
+	slices.Sort(discarded)
+	if want := []int{1, 3, 4, 5, 6}; !slices.Equal(discarded, want) {
+		t.Errorf("discarded %v at the end, want %v", discarded, want)
+	}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -28,7 +28,8 @@
 	Peers         []string `json:"peers"`
 	Platform      string   `json:"platform"`
 	FleetSecret   string   `json:"fleet_secret"`
-	MemoryMB      int      `json:"memory_mb"` // 0: no limit
+	MemoryMB      int      `json:"memory_mb"`   // 0: no limit
+	Descriptors   int      `json:"descriptors"` // that the process may have, 0: not known
 	Bounds        Bounds   `json:"bounds"`
 	Log           Log      `json:"log"`
 }
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -61,6 +61,7 @@
 	meters      *meter.Meters
 	onHead      OnHead
 	maxIdle     func(addr string) int
+	maxTotal    int
 }
 
 // OnHead is told of the head of an answer and how long ago its call began.
@@ -95,6 +96,11 @@
 	return func(c *Client) { c.maxIdle = f }
 }
 
+// WithMaxTotal sets how many idle connections are kept to all addresses together.
+func WithMaxTotal(n int) Option {
+	return func(c *Client) { c.maxTotal = n }
+}
+
 // WithOnHead sets what is told of the head of each answer, before its caller sees it.
 func WithOnHead(f OnHead) Option {
 	return func(c *Client) { c.onHead = f }
@@ -112,7 +118,9 @@
 	for _, o := range opts {
 		o(c)
 	}
-	idle := []pool.Option[string, *conn]{pool.WithDiscard[string](func(cn *conn) { _ = cn.Close() })}
+	idle := []pool.Option[string, *conn]{
+		pool.WithDiscard[string](func(cn *conn) { _ = cn.Close() }), pool.WithMaxTotal[string, *conn](c.maxTotal),
+	}
 	if c.maxIdle != nil {
 		idle = append(idle, pool.WithMaxIdleOf[string, *conn](c.maxIdle))
 	}
--- a/upstream.go
+++ b/upstream.go
@@ -228,5 +228,16 @@
 // host is there, and no process listens at the address.
 func NothingListens(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// OwnLack reports whether an error says that this machine could not make a connection for
+// want of descriptors, ports or memory. It says nothing of the other end.
+func OwnLack(err error) bool {
+	for _, lack := range [...]error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, lack) {
+			return true
+		}
+	}
+	return false
+}
+
 // Outcome returns what the failure says about the request.
 func (e *CallError) Outcome() Outcome { return OutcomeOf(e.Phase, e.Written) }
