--- a/coordination/probe/probe_test.go
+++ b/coordination/probe/probe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -43,10 +44,54 @@
 	return spanrill.EngineReport{Pace: 1}, nil
 }
 
+// steady is a clock on which no time passes between a question and its end. A machine that is
+// busy delays questions, and a prober that sees this asks again, as it should; how often it asks
+// would then say nothing of what is tested.
+type steady struct{ spanrill.Clock }
+
+func (steady) Now() spanrill.Millis { return spanrill.Second }
+
+// jumping is a clock on which more time passes between two looks than an answer may take, as
+// when this process stands still.
+type jumping struct {
+	spanrill.Clock
+	now atomic.Int64
+}
+
+func (j *jumping) Now() spanrill.Millis {
+	return spanrill.Millis(j.now.Add(int64(answerWait + 2*lateBy)))
+}
+
+// perTry is how often an engine is asked in one try: a question and its repetition.
+const perTry = 2
+
+// probed has a prober ask one engine and returns that. Heard says when something came from any
+// engine.
+func probed(engine spanrill.LayerEngines, now spanrill.Clock, heard func(now spanrill.Millis) spanrill.Millis) *fleet.Upstream {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	table := fleet.New(now, func(spanrill.Item) (spanrill.EngineEntry, error) {
+		return spanrill.EngineEntry{ID: "e", Service: "s", Addr: "1:1"}, nil
+	}, fleet.WithLogger(log))
+	table.Listed([]spanrill.Item{{Name: "e"}}, 1, 0)
+	p := New(engine, now, log, WithHeard(func() spanrill.Millis { return heard(now.Now()) }))
+	u := table.View().ByID("e")
+	p.Check(context.Background(), []*fleet.Upstream{u})
+	return u
+}
+
+// A silence in which this process stood still says nothing: the engine is asked again.
+func TestSilenceWhileStandingStill(t *testing.T) {
+	m := &mute{silent: 100}
+	u := probed(m, &jumping{Clock: clock.NewSystem()}, func(now spanrill.Millis) spanrill.Millis { return now })
+	if m.asked <= perTry || !u.Dead() {
+		t.Errorf("asked %d times, dead %t, want more than %d and true in the end", m.asked, u.Dead(), perTry)
+	}
+}
+
 // An engine is dead when its silence says something: others were heard
 // meanwhile, or nothing is heard of it however often it is asked.
 func TestSilenceIsJudged(t *testing.T) {
-	const perTry = 2 // a question and its repetition
 	for _, c := range []struct {
 		name  string
 		mute  *mute
@@ -62,20 +107,12 @@
 		{"it cannot be asked for want of descriptors", &mute{lacks: true}, true, false, tries * perTry},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			system := clock.NewSystem()
-			table := fleet.New(system, func(spanrill.Item) (spanrill.EngineEntry, error) {
-				return spanrill.EngineEntry{ID: "e", Service: "s", Addr: "1:1"}, nil
-			}, fleet.WithLogger(log))
-			table.Listed([]spanrill.Item{{Name: "e"}}, 1, 0)
-			heard := func() spanrill.Millis { return -1 }
-			if c.heard {
-				heard = func() spanrill.Millis { return system.Now() + 1 }
-			}
-			p := New(c.mute, system, log, WithHeard(heard))
-			u := table.View().ByID("e")
-			p.Check(context.Background(), []*fleet.Upstream{u})
+			u := probed(c.mute, steady{clock.NewSystem()}, func(now spanrill.Millis) spanrill.Millis {
+				if c.heard {
+					return now + 1
+				}
+				return -1
+			})
 			if u.Dead() != c.dead {
 				t.Errorf("dead %t, want %t", u.Dead(), c.dead)
 			}
