--- a/coordination/layoutrun/many_test.go
+++ b/coordination/layoutrun/many_test.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"runtime"
 	"sync"
 	"testing"
 
-	"github.com/sirupsen/logrus"
-
 	"spanrill"
 	"spanrill/clock"
-	"spanrill/state/fleet"
 )
 
 // What was seen: of 301 daemons before 2,997 engines one made 1,204 new connections a second,
@@ -114,7 +109,7 @@
 		t.Run(fmt.Sprint(c.engines, " engines"), func(t *testing.T) {
 			cards := &countingCards{cards: newCards(), asked: map[string]int{}}
 			now := clock.NewManual()
-			p := pacedPlacer(t, c.engines, cards, now)
+			p, _ := placerOf(t, c.engines, spanrill.LayerRange{From: 0, To: 5}, cards, always, now)
 			for range seconds * int(spanrill.Second) / int(round) {
 				p.askPaces(context.Background())
 				_ = p.orders.Wait() // their errors are logged where they happen
@@ -133,26 +128,3 @@
 		})
 	}
 }
-
-// pacedPlacer is a placer before engines that hold layers.
-func pacedPlacer(t *testing.T, engines int, calls spanrill.LayerEngines, now spanrill.Clock) *Placer {
-	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	table := fleet.New(now, func(item spanrill.Item) (e spanrill.EngineEntry, err error) {
-		err = json.Unmarshal(item.Value, &e)
-		return e, err
-	}, fleet.WithLogger(log))
-	var items []spanrill.Item
-	for i := range engines {
-		id := fmt.Sprint("e", i)
-		value, err := json.Marshal(spanrill.EngineEntry{ID: id, Service: "s", Addr: id, Zone: "z", Kind: "card", Layers: spanrill.LayerRange{From: 0, To: 5}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		items = append(items, spanrill.Item{Name: id, Value: value})
-	}
-	table.Listed(items, 1, 0)
-	models := func() []spanrill.ServiceInfo { return []spanrill.ServiceInfo{{Name: "s", Model: model}} }
-	return New(always, calls, table, models, now, log)
-}
--- a/coordination/layoutrun/placer_test.go
+++ b/coordination/layoutrun/placer_test.go
@@ -69,18 +69,25 @@
 // place runs a placer over n engines until every one of them is done, and
 // returns the engines and the table.
 func place(t *testing.T, n int, c spanrill.LayerEngines, may MayAct) (*Placer, *fleet.Table) {
+	t.Helper()
+	p, table := placerOf(t, n, spanrill.LayerRange{}, c, may, clock.NewSystem())
+	p.known["s"], p.grewAt["s"] = n, -settleMost // all engines have been there for long
+	return p, table
+}
+
+// placerOf returns a placer of n engines that hold the same layers.
+func placerOf(t *testing.T, n int, held spanrill.LayerRange, c spanrill.LayerEngines, may MayAct, now spanrill.Clock) (*Placer, *fleet.Table) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	system := clock.NewSystem()
-	table := fleet.New(system, func(item spanrill.Item) (e spanrill.EngineEntry, err error) {
+	table := fleet.New(now, func(item spanrill.Item) (e spanrill.EngineEntry, err error) {
 		err = json.Unmarshal(item.Value, &e)
 		return e, err
 	}, fleet.WithLogger(log))
 	var items []spanrill.Item
 	for i := range n {
 		id := fmt.Sprintf("e%d", i)
-		value, err := json.Marshal(spanrill.EngineEntry{ID: id, Service: "s", Addr: id, Zone: "z", Kind: "card"})
+		value, err := json.Marshal(spanrill.EngineEntry{ID: id, Service: "s", Addr: id, Zone: "z", Kind: "card", Layers: held})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -88,9 +95,7 @@
 	}
 	table.Listed(items, 1, 0)
 	models := func() []spanrill.ServiceInfo { return []spanrill.ServiceInfo{{Name: "s", Model: model}} }
-	p := New(may, c, table, models, system, log)
-	p.known["s"], p.grewAt["s"] = n, -settleMost // all engines have been there for long
-	return p, table
+	return New(may, c, table, models, now, log), table
 }
 
 func newCards() *cards {
