The order of daemons is kept until one comes or goes

Cause: parents in the trees of news, and turns to ask the store, go by the order of all daemons by rendezvous hashing. It was sorted anew for each round of news, each question of a daemon below and each look at a rank, and the comparison worked out the hash of two names each time.

Ruled out: fewer rounds (news would be older); a hash kept with each member alone (the sort and the copies stay).

Change: membership.List keeps a roster and, for keys that are asked for again, the order of its members; exchange works out the trees once for each order; targets of gossip and of news are drawn without copying or sorting all members.

--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -109,6 +109,7 @@
 	placement placement // what the holder of the lease said last
 
 	sums      sums         // in a large fleet
+	trees     *topology    // at the last look
 	others    atomic.Int64 // daemons that are alive, without this one, at the last round
 	grewAt    atomic.Int64 // when a daemon was added last
 	startedAt spanrill.Millis
--- a/coordination/exchange/sums.go
+++ b/coordination/exchange/sums.go
@@ -152,7 +152,7 @@
 	if len(asked.Below) == 0 {
 		return nil
 	}
-	ranked, own := e.peers.Ranked(), e.own()
+	t, own := e.topology(), e.own()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	news := map[int]*peermsg.FleetSum{}
@@ -160,7 +160,7 @@
 		if tree < 0 || tree >= roots {
 			continue
 		}
-		if tree < len(ranked) && ranked[tree].Name == e.state.Name {
+		if tree < len(t.ranked) && t.ranked[tree].Name == e.state.Name {
 			e.sums.fleet[tree] = whole{sum: e.subtree(tree, own), own: *own, at: e.clock.Now()}
 		}
 		if w := e.sums.fleet[tree]; w.sum.daemons > 0 {
--- a/coordination/exchange/tree.go
+++ b/coordination/exchange/tree.go
@@ -1,7 +1,8 @@
 package exchange
 
 import (
-	"sort"
+	"maps"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
@@ -25,18 +26,19 @@
 // trees, the holder of the lease if this daemon is near the root, and those that
 // were not asked for longest.
 func (e *Exchange) targets() []target {
-	others := e.peers.Others()
-	if int64(len(others)) > e.others.Swap(int64(len(others))) {
+	t := e.topology()
+	others := len(t.ranked) - 1
+	if int64(others) > e.others.Swap(int64(others)) {
 		e.grewAt.Store(int64(e.clock.Now()))
 	}
 	if settled := e.Settled(); settled != e.wasSettled.Swap(settled) && settled {
-		events.FleetKnown.Log(e.log, logrus.Fields{"daemons": 1 + len(others)})
+		events.FleetKnown.Log(e.log, logrus.Fields{"daemons": 1 + others})
 	}
 	var out []target
-	if len(others) > fanout {
-		out = e.chosen(others)
+	if others > fanout {
+		out = e.chosen(t)
 	} else {
-		for _, m := range others {
+		for _, m := range e.peers.Others() {
 			out = append(out, target{member: m})
 		}
 	}
@@ -47,52 +49,128 @@
 }
 
 // chosen returns whom to ask in a large fleet.
-func (e *Exchange) chosen(others []peermsg.Member) []target {
-	ranked := e.peers.Ranked()
-	parents, holder := e.near(ranked)
-	zone := ""
-	if i := place(ranked, e.state.Name); i >= 0 {
-		zone = ranked[i].Zone
-	}
-	e.deepest.Store(int64(depth(ranked)))
-	first := func(name string) bool { return len(parents[name]) > 0 || name == holder }
+func (e *Exchange) chosen(t *topology) []target {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.forgetAsked(others)
-	for i := len(others) - 1; i > 0; i-- {
-		k := e.random.IntN(i + 1)
-		others[i], others[k] = others[k], others[i]
-	}
-	sort.SliceStable(others, func(i, k int) bool {
-		a, b := others[i].Name, others[k].Name
-		if first(a) != first(b) {
-			return first(a)
-		}
-		if here := others[i].Zone == zone; here != (others[k].Zone == zone) {
-			return here
-		}
-		return e.askedAt[a] < e.askedAt[b]
-	})
+	parents, holder := e.near(t)
 	out := make([]target, 0, asked)
-	for _, m := range others[:asked] {
+	add := func(at int) {
+		m := t.ranked[at]
 		out = append(out, target{member: m, trees: parents[m.Name]})
 	}
+	for at, m := range t.ranked {
+		if m.Name != e.state.Name && (len(parents[m.Name]) > 0 || m.Name == holder) {
+			add(at)
+		}
+	}
+	for _, pool := range [][]int{t.near, t.far} {
+		for _, at := range e.longestUnasked(t, pool, asked-len(out), out) {
+			add(at)
+		}
+	}
 	return out
 }
 
+// longestUnasked returns the daemons of a pool that were not asked for longest, up to a
+// number, and none of those that are targets already. Of equal ones chance decides. The
+// caller holds the lock.
+func (e *Exchange) longestUnasked(t *topology, pool []int, n int, targets []target) []int {
+	var out []int
+	for range n {
+		best, equal := -1, 0
+		for _, at := range pool {
+			name := t.ranked[at].Name
+			if slices.Contains(out, at) || slices.ContainsFunc(targets, func(t target) bool { return t.member.Name == name }) {
+				continue
+			}
+			switch {
+			case best < 0 || e.askedAt[name] < e.askedAt[t.ranked[best].Name]:
+				best, equal = at, 1
+			case e.askedAt[name] == e.askedAt[t.ranked[best].Name]:
+				equal++
+				if e.random.IntN(equal) == 0 {
+					best = at
+				}
+			}
+		}
+		if best < 0 {
+			break
+		}
+		out = append(out, best)
+	}
+	return out
+}
+
+// topology is the trees as this daemon sees them. It is worked out anew when a daemon comes
+// or goes.
+type topology struct {
+	ranked []peermsg.Member
+	self   int   // place of this daemon in ranked, or -1
+	near   []int // places of the other daemons of its availability zone
+	far    []int // places of all others
+	depth  int   // levels of a tree
+	// zones are the names of the daemons of the availability zone in the order of each
+	// tree, and ats are the places of this daemon among them.
+	zones [roots][]string
+	ats   [roots]int
+}
+
+// topology returns the trees over the daemons that are alive.
+func (e *Exchange) topology() *topology {
+	ranked := e.peers.Ranked()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if t := e.trees; t != nil && len(t.ranked) == len(ranked) && len(ranked) > 0 && &t.ranked[0] == &ranked[0] {
+		return t
+	}
+	e.trees = newTopology(ranked, e.state.Name)
+	e.forgetAsked(ranked)
+	e.deepest.Store(int64(e.trees.depth))
+	return e.trees
+}
+
+func newTopology(ranked []peermsg.Member, self string) *topology {
+	t := &topology{ranked: ranked, self: place(ranked, self), depth: depth(ranked)}
+	zone := ""
+	if t.self >= 0 {
+		zone = ranked[t.self].Zone
+	}
+	for at, m := range ranked {
+		switch {
+		case at == t.self:
+		case m.Zone == zone:
+			t.near = append(t.near, at)
+		default:
+			t.far = append(t.far, at)
+		}
+	}
+	for tree := range t.zones {
+		for i := range ranked {
+			m := ranked[(tree+i)%len(ranked)]
+			if m.Zone != zone {
+				continue
+			}
+			if m.Name == self {
+				t.ats[tree] = len(t.zones[tree])
+			}
+			t.zones[tree] = append(t.zones[tree], m.Name)
+		}
+	}
+	return t
+}
+
+// root returns the name of the root of a tree.
+func (t *topology) root(tree int) string { return t.ranked[tree%len(t.ranked)].Name }
+
 // forgetAsked forgets when daemons were asked that are gone. The caller holds
 // the lock.
-func (e *Exchange) forgetAsked(others []peermsg.Member) {
-	kept := make(map[string]spanrill.Millis, len(others))
-	for _, m := range others {
-		kept[m.Name] = e.askedAt[m.Name]
-	}
-	for name := range e.mute {
-		if _, ok := kept[name]; !ok {
-			delete(e.mute, name)
-		}
+func (e *Exchange) forgetAsked(alive []peermsg.Member) {
+	names := make(map[string]bool, len(alive))
+	for _, m := range alive {
+		names[m.Name] = true
 	}
-	e.askedAt = kept
+	maps.DeleteFunc(e.askedAt, func(name string, _ spanrill.Millis) bool { return !names[name] })
+	maps.DeleteFunc(e.mute, func(name string, _ bool) bool { return !names[name] })
 }
 
 // noteMute notes whether a peer has answered its last question.
@@ -107,55 +185,36 @@
 }
 
 // near returns those that this daemon asks in every round: its parents, by name,
-// with the trees, and at a root the holder of the lease.
-func (e *Exchange) near(ranked []peermsg.Member) (parents map[string][]int, holder string) {
+// with the trees, and at a root the holder of the lease. The caller holds the lock.
+func (e *Exchange) near(t *topology) (parents map[string][]int, holder string) {
 	parents = map[string][]int{}
-	self := place(ranked, e.state.Name)
-	if self < 0 {
+	if t.self < 0 {
 		return parents, ""
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	for tree := range roots {
-		if name := e.parent(rotated(ranked, tree), ranked[self].Zone); name != "" {
+		if name := e.parent(t, tree); name != "" {
 			parents[name] = append(parents[name], tree)
 		}
 	}
-	if self < roots && e.placement.said != nil {
+	if t.self < roots && e.placement.said != nil {
 		holder = e.placement.said.Holder
 	}
 	return parents, holder
 }
 
-// rotated returns the order of a tree: the first in it is the root.
-func rotated(ranked []peermsg.Member, tree int) []peermsg.Member {
-	return append(append([]peermsg.Member(nil), ranked[tree:]...), ranked[:tree]...)
-}
-
-// parent returns the name of this daemon's parent in the tree of that order, or
-// "" at the root. In each availability zone, the daemon at place i has the one at
-// place (i-1)/fanout as its parent, and the first has the root: little crosses
-// between zones. A parent that did not answer its last question is passed over
-// for its own parent. The caller holds the lock.
-func (e *Exchange) parent(order []peermsg.Member, zone string) string {
-	root := order[0].Name
+// parent returns the name of this daemon's parent in a tree, or "" at the root. In each
+// availability zone, the daemon at place i has the one at place (i-1)/fanout as its
+// parent, and the first has the root: little crosses between zones. A parent that did not
+// answer its last question is passed over for its own parent. The caller holds the lock.
+func (e *Exchange) parent(t *topology, tree int) string {
+	root := t.root(tree)
 	if root == e.state.Name {
 		return ""
 	}
-	var names []string
-	at := 0
-	for _, m := range order {
-		if m.Name == e.state.Name {
-			at = len(names)
-		}
-		if m.Zone == zone {
-			names = append(names, m.Name)
-		}
-	}
-	for at > 0 {
+	for at := t.ats[tree]; at > 0; {
 		at = (at - 1) / fanout
-		if !e.mute[names[at]] {
-			return names[at]
+		if name := t.zones[tree][at]; !e.mute[name] {
+			return name
 		}
 	}
 	return root
@@ -163,12 +222,7 @@
 
 // place returns the rank of a daemon, or -1.
 func place(ranked []peermsg.Member, name string) int {
-	for i, m := range ranked {
-		if m.Name == name {
-			return i
-		}
-	}
-	return -1
+	return slices.IndexFunc(ranked, func(m peermsg.Member) bool { return m.Name == name })
 }
 
 // levels is through how many daemons news goes from a root until all have it.
--- a/coordination/membership/gossip.go
+++ b/coordination/membership/gossip.go
@@ -1,10 +1,8 @@
 package membership
 
 import (
-	"cmp"
 	"context"
 	"slices"
-	"sort"
 	"strings"
 
 	"spanrill/protocol/peermsg"
@@ -22,29 +20,42 @@
 // to answer. All but one of the random members are of this daemon's availability
 // zone in a large fleet, because bytes between zones are paid for.
 func (l *List) targets() []peermsg.Member {
-	others := l.Others()
-	for i := len(others) - 1; i > 0; i-- {
-		k := l.random.IntN(i + 1)
-		others[i], others[k] = others[k], others[i]
+	r := l.live.Load()
+	picked := l.pick(nil, r.others, 1)
+	if len(r.others) > largeFleet {
+		picked = l.pick(picked, r.near, l.fanout)
 	}
-	if len(others) > largeFleet {
-		nearFirst(others[1:], l.self.Zone)
+	picked = l.pick(picked, r.others, l.fanout)
+	members := make([]peermsg.Member, len(picked))
+	for i, at := range picked {
+		members[i] = r.members[at]
 	}
-	few := min(l.fanout, len(others))
-	return append(others[:few:few], l.suspects()...)
+	return append(members, l.suspects()...)
+}
+
+// pick adds places of a pool at random until there are n, as far as the pool goes. The
+// pool is not copied: n is small, and the fleet may be large.
+func (l *List) pick(picked, pool []int, n int) []int {
+	left := 0
+	for _, at := range pool {
+		if !slices.Contains(picked, at) {
+			left++
+		}
+	}
+	for ; left > 0 && len(picked) < n; left-- {
+		at := pool[l.random.IntN(len(pool))]
+		for slices.Contains(picked, at) {
+			at = pool[l.random.IntN(len(pool))]
+		}
+		picked = append(picked, at)
+	}
+	return picked
 }
 
 // largeFleet is the number of other members from which gossip stays near: fewer
 // are all reached within a few rounds.
 const largeFleet = 16
 
-// nearFirst brings members of a zone to the front and keeps their order.
-func nearFirst(members []peermsg.Member, zone string) {
-	sort.SliceStable(members, func(i, k int) bool {
-		return members[i].Zone == zone && members[k].Zone != zone
-	})
-}
-
 // suspects returns suspected members. Each of them is tried in every round
 // until it is heard of or dead.
 func (l *List) suspects() []peermsg.Member {
@@ -56,13 +67,12 @@
 // inState returns the entries in some states in the order of their names. The caller
 // holds the lock.
 func (l *List) inState(states ...state) []*entry {
-	found := make([]*entry, 0, len(l.entries))
-	for _, e := range l.entries {
+	var found []*entry
+	for _, e := range l.sorted {
 		if slices.Contains(states, e.state) {
 			found = append(found, e)
 		}
 	}
-	slices.SortFunc(found, func(a, b *entry) int { return strings.Compare(a.member.Name, b.member.Name) })
 	return found
 }
 
@@ -93,7 +103,7 @@
 	if len(unknown) == 0 {
 		return peermsg.Member{}, false
 	}
-	sort.Slice(unknown, func(i, k int) bool { return unknown[i].Name < unknown[k].Name })
+	slices.SortFunc(unknown, func(a, b peermsg.Member) int { return strings.Compare(a.Name, b.Name) })
 	return unknown[l.random.IntN(len(unknown))], true
 }
 
@@ -113,15 +123,20 @@
 	l.self.Revision = l.revision()
 	members := append(make([]peermsg.Member, 0, maxMembers), l.self)
 	members = appendMembers(members, l.inState(suspected))
-	others := l.inState(alive, left)
-	for i := 0; i < len(others) && len(members) < maxMembers; i++ {
-		k := i + l.random.IntN(len(others)-i)
-		others[i], others[k] = others[k], others[i]
-		members = append(members, others[i].member)
-	}
+	members = l.appendSome(members, l.inState(alive, left))
 	return &peermsg.Gossip{Members: members}
 }
 
+// appendSome adds random entries until the members fill a message.
+func (l *List) appendSome(members []peermsg.Member, entries []*entry) []peermsg.Member {
+	for i := 0; i < len(entries) && len(members) < maxMembers; i++ {
+		k := i + l.random.IntN(len(entries)-i)
+		entries[i], entries[k] = entries[k], entries[i]
+		members = append(members, entries[i].member)
+	}
+	return members
+}
+
 // Take learns from the gossip of a peer.
 func (l *List) Take(g *peermsg.Gossip) {
 	var newer *peermsg.Member
@@ -167,14 +182,13 @@
 	}
 }
 
-// introduction returns this daemon's own entry and those of some living members, which
-// differ from receiver to receiver.
+// introduction returns this daemon's own entry and those of some living members, drawn
+// anew for each receiver.
 func (l *List) introduction(to string) *peermsg.Gossip {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	others := slices.DeleteFunc(l.inState(alive), func(e *entry) bool { return e.member.Name == to })
-	slices.SortFunc(others, func(a, b *entry) int { return cmp.Compare(rank(to, a.member.Name), rank(to, b.member.Name)) })
-	members := appendMembers([]peermsg.Member{l.self}, others[:min(len(others), maxMembers-1)])
+	members := l.appendSome([]peermsg.Member{l.self}, others)
 	return &peermsg.Gossip{Members: members, Answer: true}
 }
 
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -46,13 +46,24 @@
 	round    spanrill.Millis
 	fanout   int
 
-	live    atomic.Pointer[[]peermsg.Member]
+	live    atomic.Pointer[roster]
 	mu      sync.Mutex
 	self    peermsg.Member
 	entries map[string]*entry
+	sorted  []*entry          // the same in the order of their names
 	seeds   map[string]string // box name to peer address
 	changed bool              // whether the live members differ from live
 	nudge   chan struct{}
+
+	ordersMu sync.Mutex
+	orders   map[string]order // by key
+}
+
+// roster is the live members at one moment. It is not changed after it was made.
+type roster struct {
+	members []peermsg.Member // in the order of their names
+	others  []int            // places of all but this daemon
+	near    []int            // of these, places of those in its availability zone
 }
 
 // Option changes a default of New.
@@ -98,7 +109,7 @@
 		clock: clock, send: send, log: logrus.StandardLogger(), random: rng.New(1),
 		onNewer: func(peermsg.Member) {}, revision: func() uint64 { return 0 },
 		round: defaultRound, fanout: defaultFanout, self: self,
-		entries: map[string]*entry{}, seeds: map[string]string{}, nudge: make(chan struct{}, 1),
+		entries: map[string]*entry{}, seeds: map[string]string{}, nudge: make(chan struct{}, 1), orders: map[string]order{},
 	}
 	for _, o := range opts {
 		o(l)
@@ -112,16 +123,14 @@
 
 // Live returns the members that are alive or merely suspected, this daemon
 // included, in the order of their names. The slice must not be changed.
-func (l *List) Live() []peermsg.Member { return *l.live.Load() }
+func (l *List) Live() []peermsg.Member { return l.live.Load().members }
 
 // Others returns the live members without this daemon.
 func (l *List) Others() []peermsg.Member {
-	all := l.Live()
-	others := make([]peermsg.Member, 0, len(all))
-	for _, m := range all {
-		if m.Name != l.self.Name {
-			others = append(others, m)
-		}
+	r := l.live.Load()
+	others := make([]peermsg.Member, len(r.others))
+	for i, at := range r.others {
+		others[i] = r.members[at]
 	}
 	return others
 }
--- a/coordination/membership/owners.go
+++ b/coordination/membership/owners.go
@@ -1,7 +1,8 @@
 package membership
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -11,12 +12,48 @@
 // Owners returns the n live members that own a key, by rendezvous hashing:
 // when a member comes or goes, only its own keys move.
 func (l *List) Owners(key string, n int) []peermsg.Member {
-	live := l.Live()
-	ranked := append([]peermsg.Member(nil), live...)
-	sort.Slice(ranked, func(i, k int) bool { return rank(key, ranked[i].Name) > rank(key, ranked[k].Name) })
+	ranked := ranked(key, l.Live())
 	return ranked[:min(n, len(ranked))]
 }
 
+// Ranked returns all live members in the order in which they own a key. The order is
+// kept until a member comes or goes, so that it costs little to ask for the same key
+// again. The slice must not be changed.
+func (l *List) Ranked(key string) []peermsg.Member {
+	of := l.live.Load()
+	l.ordersMu.Lock()
+	defer l.ordersMu.Unlock()
+	o := l.orders[key]
+	if o.of != of {
+		o = order{of: of, ranked: ranked(key, of.members)}
+		l.orders[key] = o
+	}
+	return o.ranked
+}
+
+// order is the members of a roster in the order in which they own a key.
+type order struct {
+	of     *roster
+	ranked []peermsg.Member
+}
+
+func ranked(key string, members []peermsg.Member) []peermsg.Member {
+	type scored struct {
+		score uint64
+		at    int
+	}
+	scores := make([]scored, len(members))
+	for i, m := range members {
+		scores[i] = scored{rank(key, m.Name), i}
+	}
+	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	out := make([]peermsg.Member, len(members))
+	for i, s := range scores {
+		out[i] = members[s.at]
+	}
+	return out
+}
+
 // Owns reports whether this daemon is among the n owners of a key.
 func (l *List) Owns(key string, n int) bool {
 	return l.OwnsAmong(key, n, func(peermsg.Member) bool { return true })
--- a/coordination/membership/state.go
+++ b/coordination/membership/state.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 
 	"github.com/sirupsen/logrus"
 
@@ -44,12 +45,21 @@
 		return false
 	}
 	l.changed = l.changed || m.Incarnation != old.Incarnation
-	l.entries[m.Name] = e
+	if l.entries[m.Name] == nil {
+		l.insert(m.Name, e)
+	}
 	e.member, e.risen = m, l.clock.Now()
 	l.change(e, stateOf(m))
 	return true
 }
 
+// insert adds the entry of a member that is not known. The caller holds the lock.
+func (l *List) insert(name string, e *entry) {
+	at, _ := slices.BinarySearchFunc(l.sorted, name, func(e *entry, name string) int { return strings.Compare(e.member.Name, name) })
+	l.sorted = slices.Insert(l.sorted, at, e)
+	l.entries[name] = e
+}
+
 func stateOf(m peermsg.Member) state {
 	if m.Leaving {
 		return left
@@ -85,12 +95,10 @@
 	l.mu.Lock()
 	now := l.clock.Now()
 	scale := l.patience()
-	for name, e := range l.entries {
+	l.sorted = slices.DeleteFunc(l.sorted, func(e *entry) bool { return l.forgets(e, now, scale) })
+	for _, e := range l.sorted {
 		silent := now - e.risen
 		switch {
-		case silent > scale*forgetRounds:
-			delete(l.entries, name)
-			l.changed = true
 		case e.state == left:
 		case silent > scale*deadRounds:
 			l.change(e, dead)
@@ -102,6 +110,17 @@
 	l.publish()
 }
 
+// forgets forgets a member whose count has not risen for very long, and reports whether
+// it did. The caller holds the lock.
+func (l *List) forgets(e *entry, now, scale spanrill.Millis) bool {
+	if now-e.risen <= scale*forgetRounds {
+		return false
+	}
+	delete(l.entries, e.member.Name)
+	l.changed = true
+	return true
+}
+
 // patience is the length of a round for judging: it grows once the members no
 // longer fit into one message, since then not every count comes with each
 // round. The caller holds the lock.
@@ -118,8 +137,22 @@
 		return
 	}
 	l.changed = false
-	live := appendMembers(make([]peermsg.Member, 0, len(l.entries)+1), l.inState(alive, suspected))
-	at := sort.Search(len(live), func(i int) bool { return live[i].Name >= l.self.Name })
-	live = slices.Insert(live, at, l.self)
-	l.live.Store(&live)
+	members := appendMembers(make([]peermsg.Member, 0, len(l.sorted)+1), l.inState(alive, suspected))
+	self := sort.Search(len(members), func(i int) bool { return members[i].Name >= l.self.Name })
+	members = slices.Insert(members, self, l.self)
+	l.live.Store(newRoster(members, self))
+}
+
+func newRoster(members []peermsg.Member, self int) *roster {
+	r := &roster{members: members, others: make([]int, 0, len(members)-1)}
+	for at, m := range members {
+		if at == self {
+			continue
+		}
+		r.others = append(r.others, at)
+		if m.Zone == members[self].Zone {
+			r.near = append(r.near, at)
+		}
+	}
+	return r
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -71,9 +71,7 @@
 
 // Ranked returns all daemons that are alive, in the order in which they ask the
 // platform's store.
-func (p *peers) Ranked() []peermsg.Member {
-	return p.list.Owners(askStore, len(p.list.Live()))
-}
+func (p *peers) Ranked() []peermsg.Member { return p.list.Ranked(askStore) }
 
 // askStore names the duty of asking the platform's store, for the ranks.
 const askStore = "store"
@@ -86,7 +84,16 @@
 
 // rankAmong is the same if only this daemon and the members that match count.
 func (p *peers) rankAmong(what string, match func(peermsg.Member) bool) int {
-	return min(ranks, p.list.Rank(what, match))
+	better := 0
+	for _, m := range p.list.Ranked(what) {
+		if m.Name == p.name || better == ranks {
+			break
+		}
+		if match(m) {
+			better++
+		}
+	}
+	return better
 }
 
 // Ask sends a request to a peer and decodes its reply.
