Chains are read zone by zone, and only where something has changed

Ruled out: reading less often (a chain that has lost an engine would be chosen meanwhile); reading beside the requests (the same work, and old chains).

Change: whole chains inside a zone are looked for among its holders alone; a Reader keeps those of a zone until one of its holders changes; chains with holes are taken from the best one of each zone, and only the zone that gave one is looked at again; of holders that are alike the first stands for all.

--- a/coordination/chain/chain_test.go
+++ b/coordination/chain/chain_test.go
@@ -76,7 +76,7 @@
 }
 
 // Chains of 975 engines in three availability zones: 97 ms when each holder was compared
-// with all before it, 7.9 ms now.
+// with all before it, 7.9 ms when all zones were gone through for each chain, 1.4 ms now.
 func BenchmarkRead(b *testing.B) {
 	var holders []Holder
 	for i := range 975 {
--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -114,6 +114,7 @@
 
 // layouts is the chains of a service in one view.
 type layouts struct {
+	reader  *chain.Reader
 	version uint64
 	model   *spanrill.EngineModel
 	chains  []*chain.Chain
@@ -133,7 +134,7 @@
 	if l != nil && l.version == v.Version() && l.model == m {
 		return l.chains
 	}
-	var holders []chain.Holder
+	holders := make([]chain.Holder, 0, len(v.Of(service)))
 	for _, u := range v.Of(service) {
 		e := u.Entry()
 		if l := u.Layers(); u.Takes() && l.Len() > 0 && l.To <= m.Layers && !replaced(v, u) {
@@ -141,7 +142,12 @@
 		}
 	}
 	next := &layouts{version: v.Version(), model: m}
-	next.chains, _ = chain.Read(m.Layers, holders)
+	if l != nil && l.model.Layers == m.Layers {
+		next.reader = l.reader
+	} else {
+		next.reader = chain.NewReader(m.Layers)
+	}
+	next.chains, _ = next.reader.Read(holders)
 	next.shape = shapeOf(next.chains)
 	if l == nil || l.shape != next.shape {
 		events.ChainsChanged.Log(r.log, logrus.Fields{"service": service, "chains": next.shape, "view": v.Version()})
