Rounds of news go over the upstreams that a daemon has to do with

Cause: each round of news went over all upstreams six times (what is held here, who refuses, paces, refusals, orders, what others hold), working out the hash of each id each time; each look for silent ones went over all; and each view was made anew, with three maps and a sort, after any change.

Ruled out: rounds less often (what others hold would be older).

Change: an upstream keeps its key; a table keeps the upstreams that this daemon's own requests have met, and a view finds one by its key, so that rounds go over these and over what was told; a view shares maps and lists with the one before unless an upstream has come, gone or moved. What is told and applied is as before.

--- a/coordination/exchange/apply.go
+++ b/coordination/exchange/apply.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"maps"
+
 	"spanrill"
 	"spanrill/coordination/retry"
 	"spanrill/protocol/peermsg"
@@ -22,22 +24,66 @@
 	e.state.Budgets.Round(others.retries, retry.Fleet{
 		Heard: heard, Daemons: max(heard, 1+int(e.others.Load())), Rounds: e.Rounds(), Settled: e.Settled(),
 	})
-	e.state.Fleet.View().Each(e.forgetShown)
+	e.forgetShown()
 	e.applyPaces()
 	e.applyRefusals(now)
-	targets, changed := e.targetsNow(now), false
-	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
-		s := others.uses[hash(u.ID())]
-		u.SetPeers(max(0, s.tokens), max(0, s.calls))
+	e.applyUses(others.uses)
+	if e.applyTargets(e.targetsNow(now)) {
+		e.state.Fleet.Touch()
+	}
+}
+
+// shown is the upstreams, by key, that have something of other daemons' words: in each
+// round those alone are gone over, and not all.
+type shown struct {
+	used     map[uint32]use
+	targeted map[uint32]told
+}
+
+// applyUses notes what the requests of other daemons hold. The caller holds the lock.
+func (e *Exchange) applyUses(uses map[uint32]use) {
+	view := e.state.Fleet.View()
+	for key := range e.shown.used {
+		if _, still := uses[key]; still {
+			continue
+		}
+		if u := view.ByKey(key); u != nil {
+			u.SetPeers(0, 0)
+		}
+	}
+	for key, s := range uses {
+		if u := view.ByKey(key); u != nil {
+			u.SetPeers(max(0, s.tokens), max(0, s.calls))
+		}
+	}
+	e.shown.used = uses
+}
+
+// applyTargets notes what engines are being ordered to hold, and reports whether that is
+// news. The caller holds the lock.
+func (e *Exchange) applyTargets(targets map[uint32]told) (changed bool) {
+	view := e.state.Fleet.View()
+	for key := range e.shown.targeted {
+		if _, still := targets[key]; still {
+			continue
+		}
+		if u := view.ByKey(key); u != nil {
+			changed = u.SetTarget(nil) || changed
+		}
+	}
+	for key, t := range targets {
+		u := view.ByKey(key)
+		if u == nil {
+			continue
+		}
 		var target *fleet.Target
-		if t, ok := targets[hash(u.ID())]; ok && t.said >= u.RestartedAt() {
+		if t.said >= u.RestartedAt() {
 			target = &t.target
 		}
 		changed = u.SetTarget(target) || changed
-	})
-	if changed {
-		e.state.Fleet.Touch()
 	}
+	e.shown.targeted = targets
+	return changed
 }
 
 // held is the sum over all other daemons, and of how many daemons something is
@@ -75,14 +121,12 @@
 			refusing[id] = true
 		}
 	}
-	if len(refusing) == 0 {
-		return
-	}
-	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
-		if refusing[hash(u.ID())] {
+	view := e.state.Fleet.View()
+	for key := range refusing {
+		if u := view.ByKey(key); u != nil {
 			u.Told(now)
 		}
-	})
+	}
 }
 
 // refusalFresh is how old such news may be: two rounds.
@@ -100,7 +144,7 @@
 		}
 	}
 	for id, target := range e.state.Targets() {
-		e.remember(hash(id), target, now)
+		e.remember(fleet.KeyOf(id), target, now)
 	}
 	targets := make(map[uint32]told, len(e.told))
 	for id, t := range e.told {
@@ -139,8 +183,10 @@
 }
 
 // forgetShown forgets targets that the entries show.
-func (e *Exchange) forgetShown(u *fleet.Upstream) {
-	if t, ok := e.told[hash(u.ID())]; ok && t.target.Done && u.Entry().Layers == t.target.Layers {
-		delete(e.told, hash(u.ID()))
-	}
+func (e *Exchange) forgetShown() {
+	view := e.state.Fleet.View()
+	maps.DeleteFunc(e.told, func(key uint32, t told) bool {
+		u := view.ByKey(key)
+		return u != nil && t.target.Done && u.Entry().Layers == t.target.Layers
+	})
 }
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -22,12 +22,10 @@
 import (
 	"cmp"
 	"context"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
@@ -108,7 +106,8 @@
 
 	mu    sync.Mutex
 	heard map[string]heard // by name of the peer
-	told  map[uint32]told  // by hash of the engine's id
+	told  map[uint32]told  // by key of the engine
+	shown shown
 
 	asking  map[string]bool            // peers with a question under way
 	askedAt map[string]spanrill.Millis // by name of the peer, when it was asked last
@@ -290,17 +289,10 @@
 		n.Uses, n.Retries = own.Uses, own.Retries
 	}
 	now := e.clock.Now()
-	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
+	e.state.Fleet.EachActive(func(u *fleet.Upstream) {
 		if u.RefusedHere(now) {
-			n.Refusing = append(n.Refusing, hash(u.ID()))
+			n.Refusing = append(n.Refusing, u.Key())
 		}
 	})
 	return n
 }
-
-// hash shortens an id for messages. Starts that a daemon has counted itself are no part of
-// what all daemons know an upstream by.
-func hash(id string) uint32 {
-	shared, _, _ := strings.Cut(id, fleet.StartsMark)
-	return uint32(xxhash.Sum64String(shared))
-}
--- a/coordination/exchange/placement.go
+++ b/coordination/exchange/placement.go
@@ -64,13 +64,13 @@
 	}
 	p := &peermsg.Placement{Holder: e.state.Name}
 	p.Version, p.Left = e.state.Lease.Left()
-	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
+	e.state.Fleet.EachActive(func(u *fleet.Upstream) {
 		if u.Slow() {
-			p.Slow = append(p.Slow, peermsg.Pace{Upstream: hash(u.ID()), Times: u.Pace()})
+			p.Slow = append(p.Slow, peermsg.Pace{Upstream: u.Key(), Times: u.Pace()})
 		}
 	})
 	for id, t := range e.state.Targets() {
-		p.Targets = append(p.Targets, peermsg.Target{Upstream: hash(id), From: t.Layers.From, To: t.Layers.To, Done: t.Done})
+		p.Targets = append(p.Targets, peermsg.Target{Upstream: fleet.KeyOf(id), From: t.Layers.From, To: t.Layers.To, Done: t.Done})
 	}
 	return p
 }
@@ -97,11 +97,22 @@
 		paces[p.Upstream] = p.Times
 	}
 	changed := false
-	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
+	set := func(u *fleet.Upstream, pace float64) {
 		before := u.Slow()
-		u.SetPace(paces[hash(u.ID())])
+		u.SetPace(pace)
 		changed = changed || u.Slow() != before
+	}
+	e.state.Fleet.EachActive(func(u *fleet.Upstream) {
+		if _, slow := paces[u.Key()]; !slow {
+			set(u, 0)
+		}
 	})
+	view := e.state.Fleet.View()
+	for key, pace := range paces {
+		if u := view.ByKey(key); u != nil {
+			set(u, pace)
+		}
+	}
 	if changed {
 		e.state.Fleet.Touch()
 	}
--- a/coordination/exchange/sums.go
+++ b/coordination/exchange/sums.go
@@ -81,9 +81,9 @@
 func (e *Exchange) own() *sum {
 	s := newSum()
 	s.daemons = 1
-	e.state.Fleet.View().Each(func(u *fleet.Upstream) {
+	e.state.Fleet.EachActive(func(u *fleet.Upstream) {
 		if tokens, calls := u.OwnTokens(), u.OwnCalls(); tokens != 0 || calls != 0 {
-			s.uses[hash(u.ID())] = use{tokens: tokens, calls: calls}
+			s.uses[u.Key()] = use{tokens: tokens, calls: calls}
 		}
 	})
 	for service, c := range e.state.Budgets.Own() {
--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -287,9 +287,9 @@
 
 // Recheck asks the dead among the upstreams again, and forgets engines that
 // are gone. It is called a few times a second.
-func (p *Prober) Recheck(ctx context.Context, v *fleet.View) {
-	now := p.clock.Now()
-	v.Each(func(u *fleet.Upstream) {
+func (p *Prober) Recheck(ctx context.Context, table *fleet.Table) {
+	now, v := p.clock.Now(), table.View()
+	table.EachActive(func(u *fleet.Upstream) {
 		if u.Dead() && p.age(u.ID(), now) >= againAfter {
 			p.ask(ctx, u)
 		}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -91,7 +91,7 @@
 func (g *Gateway) upkeep(ctx context.Context) error {
 	for ctx.Err() == nil {
 		g.fleet.Tend()
-		g.prober.Recheck(ctx, g.fleet.View())
+		g.prober.Recheck(ctx, g.fleet)
 		g.names.Ask(ctx, g.fleet)
 		g.noteFreshness()
 		g.noteOdd()
--- a/gateway/startfleet_test.go
+++ b/gateway/startfleet_test.go
@@ -257,7 +257,7 @@
 		})
 		d.every("upkeep", func() spanrill.Millis {
 			d.Gateway.fleet.Tend()
-			d.prober.Recheck(context.Background(), d.Gateway.fleet.View())
+			d.prober.Recheck(context.Background(), d.Gateway.fleet)
 			d.names.Ask(context.Background(), d.Gateway.fleet)
 			return upkeepGap
 		})
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -22,6 +22,7 @@
 //	gone.go         entries that go, and upstreams that leave
 //	answered.go     when the store has answered, for entries that may have lapsed
 //	notice.go       what upstreams say of themselves in their answers
+//	active.go       upstreams that this daemon has to do with
 //	upstream.go     one upstream; refusal.go, risk.go and lag.go what is thought of it
 //
 // # Usage
@@ -55,6 +56,8 @@
 	unread  unreadable
 	left    map[string]departed // by id, upstreams whose entries have gone lately
 	view    atomic.Pointer[View]
+	changed bool // upstreams have come or gone, or have other addresses, since the view was made
+	active  *active
 	outage  atomic.Int64 // end of the last failed call of the store
 	version uint64
 	at      uint64          // revision of the store up to which everything is known
@@ -102,7 +105,8 @@
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
 		all: map[string]*Upstream{}, byAddr: map[string]*Upstream{}, held: map[string]held{}, bad: map[string]bool{}, left: map[string]departed{}, seen: make(chan struct{}),
 		past: map[string]*past{}, claims: map[string]*claim{}, noticed: map[string]*notices{}, onRestart: func(string) {},
-		hold: defaultDrain - holdMargin, outageTime: defaultDrain - outageMargin,
+		active: &active{set: map[*Upstream]struct{}{}},
+		hold:   defaultDrain - holdMargin, outageTime: defaultDrain - outageMargin,
 	}
 	t.outage.Store(-int64(outageMemory) * 2)
 	t.answered = answered{from: neverAnswered, to: neverAnswered}
@@ -119,13 +123,6 @@
 // View returns the upstreams as they are known now.
 func (t *Table) View() *View { return t.view.Load() }
 
-// LastHeard returns when anything last came from any upstream.
-func (t *Table) LastHeard() spanrill.Millis {
-	last := spanrill.Millis(0)
-	t.View().Each(func(u *Upstream) { last = max(last, u.LastOK()) })
-	return last
-}
-
 // NoteOutage notes that a call of the store has failed.
 func (t *Table) NoteOutage() { t.outage.Store(int64(t.clock.Now())) }
 
@@ -155,12 +152,17 @@
 		t.restart(u, entry, "its entry tells another start")
 		return
 	}
-	t.vacate(u)
+	moves := entry.Addr != old.Addr || entry.Service != old.Service
+	if moves {
+		t.vacate(u)
+	}
 	if entry.Addr != old.Addr {
 		u.foundAt = t.clock.Now()
 	}
 	u.entry.Store(&entry)
-	t.occupy(u)
+	if moves {
+		t.occupy(u)
+	}
 	if entry.Leaving && !old.Leaving {
 		events.UpstreamLeaving.Log(t.log, logrus.Fields{"upstream": u.ID(), "revision": entry.Revision})
 	}
@@ -173,9 +175,10 @@
 	if p := t.past[entry.ID]; p != nil {
 		starts = p.starts
 	}
-	u := newUpstream(entry, starts)
+	u := t.newUpstream(entry, starts)
 	u.foundAt, u.knownAt = t.foundAt(entry), t.clock.Now()
 	u.notices = t.noticesOf(&entry)
+	u.activate() // it may have asked for rest before
 	t.all[entry.ID] = u
 	events.UpstreamFound.Log(t.log, logrus.Fields{
 		"upstream": u.ID(), "service": entry.Service, "addr": entry.Addr, "zone": entry.Zone,
@@ -198,6 +201,7 @@
 // occupy notes an upstream at its address. Another one that was there has ended. The caller
 // holds the lock.
 func (t *Table) occupy(u *Upstream) {
+	t.changed = true
 	other := t.byAddr[u.Addr()]
 	t.byAddr[u.Addr()] = u
 	if other == nil || other.Name() == u.Name() {
@@ -211,6 +215,7 @@
 
 // vacate notes that an upstream is not at its address any more. The caller holds the lock.
 func (t *Table) vacate(u *Upstream) {
+	t.changed = true
 	if t.byAddr[u.Addr()] == u {
 		delete(t.byAddr, u.Addr())
 	}
@@ -223,14 +228,15 @@
 	t.publish()
 }
 
+// publish makes the next view. Where upstreams have neither come nor gone it shares what it
+// holds with the one before. The caller holds the lock.
 func (t *Table) publish() {
 	t.version++
-	v := &View{version: t.version, byID: make(map[string]*Upstream, len(t.all)), byService: map[string][]*Upstream{}, byAddr: make(map[string]*Upstream, len(t.all))}
-	for _, u := range t.all {
-		v.byID[u.ID()] = u
-		v.byAddr[u.Addr()] = u
-		v.byService[u.Service()] = append(v.byService[u.Service()], u)
-	}
-	v.sort()
-	t.view.Store(v)
+	v := *t.view.Load()
+	if t.changed {
+		v = newView(t.all)
+		t.changed = false
+	}
+	v.version = t.version
+	t.view.Store(&v)
 }
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -130,7 +130,7 @@
 		{"moves away", r(0, 4), &Target{Layers: r(6, 12)}, r(0, 0)},
 		{"is done", r(0, 4), &Target{Layers: r(6, 12), Done: true}, r(6, 12)},
 	} {
-		u := newUpstream(spanrill.EngineEntry{Layers: c.held}, 0)
+		u := newTestUpstream(spanrill.EngineEntry{Layers: c.held}, 0)
 		u.SetTarget(c.target)
 		if got := u.Layers(); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
@@ -140,7 +140,7 @@
 
 // Refusals in a row keep requests away for longer each time.
 func TestRefusalsInARow(t *testing.T) {
-	u := newUpstream(spanrill.EngineEntry{}, 0)
+	u := newTestUpstream(spanrill.EngineEntry{}, 0)
 	var now, last spanrill.Millis
 	for range maxRefusals {
 		u.Refused(now, false)
@@ -163,7 +163,7 @@
 
 // Streams that run on an engine say nothing of whether it takes new requests.
 func TestRunningStreamsDoNotEndARefusal(t *testing.T) {
-	u := newUpstream(spanrill.EngineEntry{}, 0)
+	u := newTestUpstream(spanrill.EngineEntry{}, 0)
 	u.Refused(100, true)
 	if u.Worked(110); !u.Avoided(120) {
 		t.Fatal("a running stream ended the avoidance")
@@ -172,7 +172,7 @@
 
 // One that refuses although it has room is left alone for longer at once.
 func TestRefusalWithRoom(t *testing.T) {
-	u := newUpstream(spanrill.EngineEntry{}, 0)
+	u := newTestUpstream(spanrill.EngineEntry{}, 0)
 	u.Refused(0, true)
 	if !u.Avoided(roomyRefusal-1) || u.Avoided(roomyRefusal) {
 		t.Fatal("it is not left alone for roomyRefusal")
@@ -288,3 +288,8 @@
 		})
 	}
 }
+
+// newTestUpstream returns an upstream of a table that knows no other.
+func newTestUpstream(e spanrill.EngineEntry, starts int) *Upstream {
+	return New(clock.NewManual(), nil).newUpstream(e, starts)
+}
--- a/state/fleet/incarnation.go
+++ b/state/fleet/incarnation.go
@@ -23,8 +23,8 @@
 // that starts again every second is heard of late by some seconds.
 const endedKept = 8
 
-// StartsMark stands between a name and the starts that were counted here, in an id.
-const StartsMark = "~"
+// startsMark stands between a name and the starts that were counted here, in an id.
+const startsMark = "~"
 
 // startedAgain reports whether a newer entry is of another incarnation than an older one.
 // The count rises without a new revision, so that of one revision two counts are seen.
@@ -42,7 +42,7 @@
 	case e.Born > 0:
 		return e.ID + "/" + strconv.FormatInt(e.Born, 36)
 	case starts > 0:
-		return e.ID + StartsMark + strconv.Itoa(starts)
+		return e.ID + startsMark + strconv.Itoa(starts)
 	}
 	return e.ID
 }
@@ -111,9 +111,10 @@
 	p.end(old.Born)
 	p.starts++
 	u.end()
-	next := newUpstream(entry, p.starts)
+	next := t.newUpstream(entry, p.starts)
 	next.foundAt, next.notices = u.foundAt, u.notices.startAgain()
 	t.rememberNotices(next)
+	next.activate() // its rest goes on
 	next.knownAt, next.restartedAt = t.clock.Now(), t.clock.Now()
 	t.vacate(u)
 	t.all[entry.ID] = next
--- a/state/fleet/notice.go
+++ b/state/fleet/notice.go
@@ -96,6 +96,7 @@
 	}
 	t.rememberNotices(u)
 	t.noteRest(u, n)
+	defer u.activate()
 	if n.Leaving && !u.notices.leaving.Swap(true) {
 		t.noticeCounts.leaving.Add(1)
 		events.UpstreamSaysLeaving.Log(t.log, logrus.Fields{"upstream": u.ID(), "entry_leaving": u.Entry().Leaving, "entry_gone": u.Removed()})
--- a/state/fleet/refusal.go
+++ b/state/fleet/refusal.go
@@ -52,6 +52,7 @@
 		u.refusal.unsaid.Store(true)
 	}
 	u.refusal.hold(now, wait)
+	u.activate()
 }
 
 // Told takes another daemon's word that the upstream refuses new requests.
--- a/state/fleet/upstream.go
+++ b/state/fleet/upstream.go
@@ -10,6 +10,9 @@
 // Upstream is one engine or plain service, and what this daemon knows of it.
 type Upstream struct {
 	id      string // of this incarnation
+	key     uint32 // of the id
+	active  *active
+	listed  atomic.Bool // among the active ones
 	entry   atomic.Pointer[spanrill.EngineEntry]
 	removed atomic.Bool
 	ended   atomic.Bool            // another incarnation is in its place
@@ -46,8 +49,9 @@
 	at    spanrill.Millis // when that was heard
 }
 
-func newUpstream(e spanrill.EngineEntry, starts int) *Upstream {
-	u := &Upstream{id: incarnationID(&e, starts), notices: &notices{}}
+func (t *Table) newUpstream(e spanrill.EngineEntry, starts int) *Upstream {
+	u := &Upstream{id: incarnationID(&e, starts), active: t.active, notices: &notices{}}
+	u.key = KeyOf(u.id)
 	u.entry.Store(&e)
 	return u
 }
@@ -64,6 +68,9 @@
 // ID returns the upstream's id, which is new with each of its starts.
 func (u *Upstream) ID() string { return u.id }
 
+// Key returns the key by which messages between daemons name the upstream.
+func (u *Upstream) Key() uint32 { return u.key }
+
 // Name returns the name under which the upstream stands in the store and which it answers
 // to. It may stay the same when the upstream starts again.
 func (u *Upstream) Name() string { return u.Entry().ID }
@@ -163,7 +170,11 @@
 func (u *Upstream) Dead() bool { return u.dead.Load() || u.ended.Load() }
 
 // SetDead notes whether the upstream answers, and reports whether that is news.
-func (u *Upstream) SetDead(dead bool) bool { return u.dead.Swap(dead) != dead }
+func (u *Upstream) SetDead(dead bool) bool {
+	news := u.dead.Swap(dead) != dead
+	u.activate()
+	return news
+}
 
 // NotListening notes that a connection was refused: nothing listens at the upstream's
 // address.
@@ -188,6 +199,9 @@
 // Heard notes that the upstream has answered a question.
 func (u *Upstream) Heard(now spanrill.Millis) {
 	u.lastOK.Store(int64(now))
+	if u.active != nil {
+		u.active.heard(now)
+	}
 	u.Listens(now)
 }
 
@@ -235,7 +249,10 @@
 
 // Reserve adds tokens that a request of this daemon holds. A negative number
 // gives them back.
-func (u *Upstream) Reserve(tokens int64) { u.ownTokens.Add(tokens) }
+func (u *Upstream) Reserve(tokens int64) {
+	u.ownTokens.Add(tokens)
+	u.activate()
+}
 
 // OwnTokens returns the tokens that requests of this daemon hold.
 func (u *Upstream) OwnTokens() int64 { return u.ownTokens.Load() }
@@ -244,7 +261,10 @@
 func (u *Upstream) Tokens() int64 { return u.ownTokens.Load() + u.peerTokens.Load() }
 
 // Begin counts a request of this daemon, and End its end.
-func (u *Upstream) Begin() { u.ownCalls.Add(1) }
+func (u *Upstream) Begin() {
+	u.ownCalls.Add(1)
+	u.activate()
+}
 
 // End ends a request that Begin has counted.
 func (u *Upstream) End() { u.ownCalls.Add(-1) }
@@ -262,7 +282,12 @@
 }
 
 // SetPace notes how many times slower than its kind the upstream reports to be.
-func (u *Upstream) SetPace(pace float64) { u.pace.Store(int64(pace * paceUnit)) }
+func (u *Upstream) SetPace(pace float64) {
+	u.pace.Store(int64(pace * paceUnit))
+	if pace > 1 {
+		u.activate()
+	}
+}
 
 // Pace returns the slowness that the upstream reported last, at least 1.
 func (u *Upstream) Pace() float64 { return max(1, float64(u.pace.Load())/paceUnit) }
