Peers tell each other what has changed of the entries, not all of them

Cause: a daemon that a change had not reached fetched all entries from a peer: 66 KB packed with 2,922 engines, 3 ms to encode for each version, and to decode, merge and sort for each daemon, at each change. Changes grow with the engines and so does each message, so that the cost grows with the square.

Ruled out: longer pauses between fetches (a leaving has to be known in seconds).

Change: who asks says up to which revision of the store all is known to it; the peer answers with the entries of later revisions and the names of those that have gone since, or with all entries where it does not know what has gone since (after a whole list, and beyond 4,800 names). Answers are packed once for each version and revision.

A change among 2,922 engines takes under 200 bytes (TestOneChangeIsToldAlone).

One thing is no longer told in passing: that an engine has started again, found by a report before its entry shows it, reaches the others with the entry.

--- a/coordination/exchange/exchange_test.go
+++ b/coordination/exchange/exchange_test.go
@@ -36,7 +36,7 @@
 
 func (p *peer) Ranked() []peermsg.Member { return append(p.Others(), peermsg.Member{Name: "here"}) }
 
-func (p *peer) Ask(_ context.Context, _ string, kind uint8, _, reply any) error {
+func (p *peer) Ask(_ context.Context, _ string, kind uint8, req, reply any) error {
 	if p.silent {
 		return errSilent
 	}
@@ -50,7 +50,7 @@
 	case uint8(peermsg.KindRouteConfig):
 		answer = p.exchange.RouteConfig()
 	case uint8(peermsg.KindEntries):
-		answer = p.exchange.Entries()
+		answer = p.exchange.Entries(req.(*peermsg.AskEntries))
 	}
 	p.clock.Advance(p.takes)
 	data, err := peermsg.Encode(answer)
--- a/coordination/exchange/fetch.go
+++ b/coordination/exchange/fetch.go
@@ -64,7 +64,8 @@
 func (e *Exchange) fetchEntries(ctx context.Context, m peermsg.Member) error {
 	sent := e.clock.Now()
 	var r peermsg.Entries
-	if err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindEntries), nil, &r); err != nil {
+	asked := &peermsg.AskEntries{After: e.state.Fleet.At()}
+	if err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindEntries), asked, &r); err != nil {
 		return err
 	}
 	value, err := unpack(r.Packed)
@@ -75,7 +76,9 @@
 	if err := peermsg.Decode(value, &list); err != nil {
 		return err
 	}
-	e.state.Fleet.Merge(fleet.Knowledge{Entries: list.Entries, At: r.At, Change: r.Change, Unreadable: list.Unreadable}, sent-r.Age)
+	e.state.Fleet.Merge(fleet.Knowledge{
+		Entries: list.Entries, At: r.At, Change: r.Change, Unreadable: list.Unreadable, After: r.After, Gone: list.Gone,
+	}, sent-r.Age)
 	return nil
 }
 
--- a/coordination/exchange/packed_test.go
+++ b/coordination/exchange/packed_test.go
@@ -25,7 +25,8 @@
 func TestEntriesArePackedOnce(t *testing.T) {
 	_, here, there, _ := pair(1)
 	there.table.Merge(manyEntries(40), 0)
-	first, again := there.exchange.Entries(), there.exchange.Entries()
+	whole := &peermsg.AskEntries{}
+	first, again := there.exchange.Entries(whole), there.exchange.Entries(whole)
 	if &first.Packed[0] != &again.Packed[0] {
 		t.Error("they were encoded twice")
 	}
@@ -38,6 +39,32 @@
 	}
 }
 
+// After one change a peer that knew all is told of that change alone: 66 KB when it was told
+// all 2,922 entries.
+func TestOneChangeIsToldAlone(t *testing.T) {
+	c, here, there, _ := pair(1)
+	k := manyEntries(2922)
+	k.At, k.Change = 5000, 5000
+	there.table.Merge(k, c.Now())
+	ask := func() *peermsg.Entries { return there.exchange.Entries(&peermsg.AskEntries{After: here.table.At()}) }
+	whole := len(ask().Packed)
+	if err := here.exchange.fetchEntries(t.Context(), peermsg.Member{}); err != nil {
+		t.Fatal(err)
+	}
+	k.Entries[7].Layers, k.Entries[7].Revision = spanrill.LayerRange{From: 40, To: 44}, 5001
+	there.table.Merge(fleet.Knowledge{Entries: k.Entries[7:8], At: 5001, Change: 5001, After: 5000, Gone: []string{k.Entries[9].ID}}, c.Now())
+	if one := len(ask().Packed); one > 200 {
+		t.Errorf("one change takes %d bytes, all entries %d", one, whole)
+	}
+	if err := here.exchange.fetchEntries(t.Context(), peermsg.Member{}); err != nil {
+		t.Fatal(err)
+	}
+	view := here.table.View()
+	if u := view.ByID(k.Entries[7].ID); u.Layers() != k.Entries[7].Layers || view.ByID(k.Entries[9].ID) != nil || len(view.Of("advice")) != 2921 {
+		t.Errorf("layers %v, %d upstreams", u.Layers(), len(view.Of("advice")))
+	}
+}
+
 // One answer with 1,001 entries: before, encoded for each that asks; now, once.
 func BenchmarkEntries(b *testing.B) {
 	_, _, there, _ := pair(1)
@@ -51,7 +78,7 @@
 	})
 	b.Run("packed", func(b *testing.B) {
 		for b.Loop() {
-			b.ReportMetric(float64(len(there.exchange.Entries().Packed)), "bytes")
+			b.ReportMetric(float64(len(there.exchange.Entries(&peermsg.AskEntries{}).Packed)), "bytes")
 		}
 	})
 }
--- a/gateway/drainfleet_test.go
+++ b/gateway/drainfleet_test.go
@@ -165,7 +165,7 @@
 	case uint8(peermsg.KindNews):
 		answer = e.News(req.(*peermsg.AskNews))
 	case uint8(peermsg.KindEntries):
-		answer = e.Entries()
+		answer = e.Entries(req.(*peermsg.AskEntries))
 	case uint8(peermsg.KindRouteConfig):
 		answer = e.RouteConfig()
 	default:
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -150,7 +150,11 @@
 		}
 		return nil, err
 	case peermsg.KindEntries:
-		return p.gateway.exchange.Entries(), nil
+		var m peermsg.AskEntries
+		if err = peermsg.Decode(payload, &m); err != nil {
+			return nil, err
+		}
+		return p.gateway.exchange.Entries(&m), nil
 	}
 	return nil, fmt.Errorf("unknown kind %d", kind)
 }
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -33,7 +33,7 @@
 	KindNews    peernet.Kind = 9 // payload AskNews, reply News
 
 	KindRouteConfig peernet.Kind = 10 // no payload, reply RouteConfig
-	KindEntries     peernet.Kind = 11 // no payload, reply Entries
+	KindEntries     peernet.Kind = 11 // AskEntries, reply Entries
 	KindLoan        peernet.Kind = 12 // AskLoan, reply Loan
 	KindSuspects    peernet.Kind = 13 // SuspectNews, no reply
 )
@@ -301,13 +301,21 @@
 	Retries  float64
 }
 
-// Entries is all entries of upstreams as they stood at a revision of the store.
+// AskEntries asks for the entries of upstreams.
+type AskEntries struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	After    uint64   // revision of the store up to which all are known, or 0
+}
+
+// Entries is the entries of upstreams as they stood at a revision of the store, or what has
+// changed of them since an earlier one.
 type Entries struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Packed   []byte   // an EntryList, compressed
 	At       uint64
 	Change   uint64
 	Age      spanrill.Millis
+	After    uint64 // the changes are those behind it, or 0 for all entries
 }
 
 // EntryList is entries of upstreams.
@@ -315,6 +323,7 @@
 	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Entries    []spanrill.EngineEntry
 	Unreadable []string // names of entries that name no upstream to use
+	Gone       []string // names of entries that have gone, among changes
 }
 
 // Target is the range that an engine is being ordered to hold.
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -19,6 +19,7 @@
 //	incarnation.go  upstreams that start again under their names
 //	claim.go        entries that name the address of another upstream
 //	unreadable.go   entries that name no upstream
+//	ends.go         which entries have gone, for peers that ask for changes
 //	gone.go         entries that go, and upstreams that leave
 //	answered.go     when the store has answered, for entries that may have lapsed
 //	notice.go       what upstreams say of themselves in their answers
@@ -53,6 +54,7 @@
 	byAddr  map[string]*Upstream // the same
 	held    map[string]held      // by name, entries that may have lapsed
 	bad     map[string]bool      // by name, entries that cannot be read
+	ends    *ends
 	unread  unreadable
 	left    map[string]departed // by id, upstreams whose entries have gone lately
 	view    atomic.Pointer[View]
@@ -103,7 +105,7 @@
 func New(clock spanrill.Clock, decode func(spanrill.Item) (spanrill.EngineEntry, error), opts ...Option) *Table {
 	t := &Table{
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
-		all: map[string]*Upstream{}, byAddr: map[string]*Upstream{}, held: map[string]held{}, bad: map[string]bool{}, left: map[string]departed{}, seen: make(chan struct{}),
+		all: map[string]*Upstream{}, byAddr: map[string]*Upstream{}, held: map[string]held{}, bad: map[string]bool{}, ends: newEnds(), left: map[string]departed{}, seen: make(chan struct{}),
 		past: map[string]*past{}, claims: map[string]*claim{}, noticed: map[string]*notices{}, onRestart: func(string) {},
 		active: &active{set: map[*Upstream]struct{}{}},
 		hold:   defaultDrain - holdMargin, outageTime: defaultDrain - outageMargin,
@@ -129,6 +131,7 @@
 // put takes one entry. The caller holds the lock.
 func (t *Table) put(entry spanrill.EngineEntry) {
 	delete(t.bad, entry.ID)
+	t.ends.undo(entry.ID)
 	if t.hasEnded(entry.ID, entry.Born) {
 		return
 	}
--- a/state/fleet/knowledge.go
+++ b/state/fleet/knowledge.go
@@ -20,13 +20,18 @@
 	t.Merge(k, sent)
 }
 
-// Knowledge is all entries as they stood at a revision of the store.
+// Knowledge is all entries as they stood at a revision of the store, or what has changed of
+// them behind an earlier one.
 type Knowledge struct {
 	Entries []spanrill.EngineEntry
 	At      uint64
 	Change  uint64 // revision up to which there were changes, at most At
 	// Unreadable are the names of entries that name no upstream to use.
 	Unreadable []string
+	// After is the revision behind which these are the changes, or 0 for all entries.
+	After uint64
+	// Gone are the names of the entries that have gone behind After.
+	Gone []string
 }
 
 // Merge takes what the store or a peer knows, if it is newer than what is known
@@ -35,9 +40,13 @@
 	defer t.tellRestarts()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if k.At < t.at {
+	if k.At < t.at || k.After > t.at {
 		return false
 	}
+	if k.After > 0 {
+		t.mergeChanges(k, sent)
+		return true
+	}
 	there, before := make(map[string]bool, len(k.Entries)), t.proved
 	t.prove(sent)
 	for _, entry := range k.Entries {
@@ -53,6 +62,9 @@
 			t.gone(id, before, sent)
 		}
 	}
+	if k.At > t.at {
+		t.ends.restart(k.At) // what came and went meanwhile is not known
+	}
 	maps.DeleteFunc(t.claims, func(id string, _ *claim) bool { return !there[id] })
 	maps.DeleteFunc(t.bad, func(id string, _ bool) bool { return !there[id] })
 	t.admitFree()
@@ -62,12 +74,52 @@
 	return true
 }
 
+// mergeChanges takes what has changed behind a revision up to which all is known here. The
+// caller holds the lock.
+func (t *Table) mergeChanges(k Knowledge, sent spanrill.Millis) {
+	before := t.proved
+	t.prove(sent)
+	for _, entry := range k.Entries {
+		t.put(entry)
+	}
+	for _, id := range k.Unreadable {
+		t.setUnreadable(id)
+	}
+	for _, id := range k.Gone {
+		t.gone(id, before, sent)
+		t.ends.note(id, k.At)
+	}
+	t.admitFree()
+	t.at, t.change = k.At, max(t.change, k.Change)
+	t.publish()
+}
+
+// KnowledgeAfter returns what has changed behind a revision of the store, or all entries if
+// that is not known.
+func (t *Table) KnowledgeAfter(after uint64) Knowledge {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := t.knowledge()
+	gone, ok := t.ends.after(after)
+	if !ok || after == 0 || after > t.at {
+		return k
+	}
+	k.After, k.Gone = after, gone
+	k.Entries = slices.DeleteFunc(k.Entries, func(e spanrill.EngineEntry) bool { return e.Revision <= after })
+	return k
+}
+
 // Knowledge returns all entries, for a peer. Those that are held are not among
 // them: the store no longer has them, and a peer that has seen no outage must not
 // keep them.
 func (t *Table) Knowledge() Knowledge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.knowledge()
+}
+
+// knowledge is Knowledge for a caller that holds the lock.
+func (t *Table) knowledge() Knowledge {
 	k := Knowledge{At: t.at, Change: t.change, Unreadable: slices.Collect(maps.Keys(t.bad))}
 	for _, c := range t.claims {
 		k.Entries = append(k.Entries, c.entry)
@@ -122,6 +174,7 @@
 		switch {
 		case c.Gone && !stays[c.Name]:
 			t.gone(c.Name, before, sent)
+			t.ends.note(c.Name, at)
 		case c.Gone || c.Revision <= t.at: // there again, or known from a peer
 		default:
 			if entry, ok := t.read(c.Item); ok {
--- a/state/fleet/unreadable.go
+++ b/state/fleet/unreadable.go
@@ -44,6 +44,7 @@
 // lock.
 func (t *Table) setUnreadable(name string) {
 	t.bad[name] = true
+	t.ends.undo(name)
 	delete(t.claims, name)
 	if t.all[name] != nil {
 		t.remove(name, "its entry cannot be read")
