Daemons tell each other what has changed of the orders to engines

Cause: the holder of the lease told all of its orders to each that asked, and all handed them on whole, to four peers and two parents in each of four rounds a second. Found beside it: a key of 32 bits names two of 2,922 engines in one of a thousand fleets, and an engine then took the order to the other for its own.

Ruled out: orders less often (an engine that moves would be chosen for what it gives up); 64 bits for a key (four bytes more in each message, for one fleet in a thousand).

Change: what the holder says has a sequence that rises with each change; who asks says which sequence of which holder it knows, and hears what has changed behind it, or all. A parent is told what it did not know at its last answer. Of two engines with one key neither is found by it, and their entries tell what they hold.

--- a/coordination/exchange/apply.go
+++ b/coordination/exchange/apply.go
@@ -138,9 +138,9 @@
 // entries follow them late, or not at all while the store is away. The caller
 // holds the lock.
 func (e *Exchange) targetsNow(now spanrill.Millis) map[uint32]told {
-	if e.fresh(e.placement) {
-		for _, t := range e.placement.said.Targets {
-			e.remember(t.Upstream, fleet.Target{Layers: spanrill.LayerRange{From: t.From, To: t.To}, Done: t.Done}, e.placement.at)
+	if e.fresh(&e.placement) {
+		for key, t := range e.placement.orders.targets {
+			e.remember(key, t.target, e.placement.at)
 		}
 	}
 	for id, target := range e.state.Targets() {
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -114,7 +114,9 @@
 	mute    map[string]bool            // peers that did not answer their last question
 	asks    task.Group
 
-	placement placement // what the holder of the lease said last
+	placement placement              // what the holder of the lease said last
+	own       placement              // what this daemon says as the holder
+	peerKnows map[string]knownOrders // by name of a peer, what it knew when it answered last
 
 	sums      sums         // in a large fleet
 	trees     *topology    // at the last look
@@ -140,7 +142,7 @@
 
 // New returns an exchange.
 func New(peers Peers, state State, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source) *Exchange {
-	e := &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}, asking: map[string]bool{}, askedAt: map[string]spanrill.Millis{}, fetching: make(chan struct{}, 1), mute: map[string]bool{}}
+	e := &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, heard: map[string]heard{}, told: map[uint32]told{}, asking: map[string]bool{}, peerKnows: map[string]knownOrders{}, askedAt: map[string]spanrill.Millis{}, fetching: make(chan struct{}, 1), mute: map[string]bool{}}
 	e.startedAt = clock.Now()
 	e.grewAt.Store(int64(e.startedAt))
 	return e
@@ -214,7 +216,7 @@
 	defer cancel()
 	sent := e.clock.Now()
 	var news peermsg.News
-	err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindNews), e.question(t.trees), &news)
+	err := e.peers.Ask(ctx, m.PeerAddr, uint8(peermsg.KindNews), e.question(t), &news)
 	e.noteMute(m.Name, err != nil)
 	if err != nil {
 		return err
@@ -225,6 +227,7 @@
 	e.mu.Lock()
 	e.heard[cmp.Or(news.Name, m.Name)] = heard{news: news, at: sent}
 	e.mu.Unlock()
+	e.notePeerKnows(m.Name, news.Placement)
 	if news.Placement == nil {
 		e.forgetPlacement(m.Name, sent)
 	}
@@ -276,7 +279,7 @@
 func (e *Exchange) News(asked *peermsg.AskNews) *peermsg.News {
 	n := &peermsg.News{
 		Name: e.state.Name, Revision: e.state.Config.Revision(), ProofAge: e.state.Config.Age(),
-		Placement: e.placementNews(), Leaving: e.state.Leaving(), StoreSilent: e.state.StoreSilent(),
+		Placement: e.placementNews(knownOrders{asked.Holder, asked.Sequence}), Leaving: e.state.Leaving(), StoreSilent: e.state.StoreSilent(),
 	}
 	n.UpstreamsAt, n.UpstreamsChange, n.UpstreamsAge = e.state.Fleet.Proof()
 	n.StoreAnswered = min(e.state.Fleet.AnsweredFor(), answeredMost)
@@ -285,7 +288,7 @@
 	e.takePlacement(asked.Placement, e.clock.Now())
 	n.Fleet = e.fleetNews(asked)
 	if e.Rounds() == 1 {
-		own := e.own().message()
+		own := e.ownSum().message()
 		n.Uses, n.Retries = own.Uses, own.Retries
 	}
 	now := e.clock.Now()
--- a/coordination/exchange/placement.go
+++ b/coordination/exchange/placement.go
@@ -8,17 +8,26 @@
 
 // placement is what the holder of the lease of placement has said, and when.
 type placement struct {
-	said *peermsg.Placement
-	at   spanrill.Millis // no later than it was said
+	holder  string           // name, or "" if none is known
+	at      spanrill.Millis  // no later than it was said
+	version spanrill.Version // of its lease, or "" if it acts without
+	left    spanrill.Millis  // time for which the lease held then
+	slow    []peermsg.Pace
+	orders  orders
 }
 
-// placementFresh is how long the holder's word is believed in a fleet that asks
-// all others in every round: a few rounds.
-const placementFresh = spanrill.Second
+const (
+	// placementFresh is how long the holder's word is believed in a fleet that asks
+	// all others in every round: a few rounds.
+	placementFresh = spanrill.Second
+	// ownEvery is how often the holder looks at what it has to say, however many ask: a
+	// fifth of a round.
+	ownEvery spanrill.Millis = gap / 5
+)
 
 // fresh reports whether the holder was heard of lately.
-func (e *Exchange) fresh(p placement) bool {
-	return p.said != nil && e.clock.Now()-p.at < placementFresh+2*(e.SpreadTime()-gap)
+func (e *Exchange) fresh(p *placement) bool {
+	return p.holder != "" && e.clock.Now()-p.at < placementFresh+2*(e.SpreadTime()-gap)
 }
 
 // PlacementHeld reports whether another daemon has said lately that it holds the
@@ -26,7 +35,7 @@
 func (e *Exchange) PlacementHeld() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.fresh(e.placement)
+	return e.fresh(&e.placement)
 }
 
 // takePlacement takes what the holder of the lease said, from itself or from
@@ -37,11 +46,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	at := sent - said.Age
-	if at <= e.placement.at {
-		return
+	p, at := &e.placement, sent-said.Age
+	if at <= p.at || said.After > 0 && said.Holder != p.holder || !p.orders.take(said) {
+		return // the next question says what is known here
 	}
-	e.placement = placement{said: said, at: at}
+	p.holder, p.at, p.version, p.left, p.slow = said.Holder, at, said.Version, said.Left, said.Slow
 	if said.Left > said.Age {
 		e.state.Lease.Heard(said.Version, said.Left-said.Age)
 	}
@@ -51,49 +60,90 @@
 func (e *Exchange) forgetPlacement(name string, sent spanrill.Millis) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.placement.said != nil && e.placement.said.Holder == name {
+	if e.placement.holder == name {
 		e.placement = placement{at: sent}
 	}
 }
 
-// placementNews returns what this daemon says as the holder of the lease, or
-// hands on what the holder said.
-func (e *Exchange) placementNews() *peermsg.Placement {
-	if !e.state.Placement() {
-		return e.handOn()
-	}
-	p := &peermsg.Placement{Holder: e.state.Name}
-	p.Version, p.Left = e.state.Lease.Left()
-	e.state.Fleet.EachActive(func(u *fleet.Upstream) {
-		if u.Slow() {
-			p.Slow = append(p.Slow, peermsg.Pace{Upstream: u.Key(), Times: u.Pace()})
-		}
-	})
-	for id, t := range e.state.Targets() {
-		p.Targets = append(p.Targets, peermsg.Target{Upstream: fleet.KeyOf(id), From: t.Layers.From, To: t.Layers.To, Done: t.Done})
+// knownOrders returns what this daemon knows of the orders.
+func (e *Exchange) knownOrders() knownOrders {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return knownOrders{holder: e.placement.holder, sequence: e.placement.orders.sequence}
+}
+
+// ordersKnownBy returns what a peer knew of the orders when it answered last.
+func (e *Exchange) ordersKnownBy(peer string) knownOrders {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peerKnows[peer]
+}
+
+func (e *Exchange) notePeerKnows(peer string, said *peermsg.Placement) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if said == nil {
+		delete(e.peerKnows, peer)
+		return
 	}
-	return p
+	e.peerKnows[peer] = knownOrders{holder: said.Holder, sequence: said.Sequence}
 }
 
-func (e *Exchange) handOn() *peermsg.Placement {
+// placementNews returns what this daemon says as the holder of the lease, or hands on of
+// what the holder said, to a daemon that knows some of it.
+func (e *Exchange) placementNews(known knownOrders) *peermsg.Placement {
+	holds := e.state.Placement()
+	if holds {
+		e.lookAtOwn()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.fresh(e.placement) {
+	p := &e.placement
+	if holds {
+		p = &e.own
+	}
+	if !holds && !e.fresh(p) {
 		return nil
 	}
-	p := *e.placement.said
-	p.Age = e.clock.Now() - e.placement.at
-	return &p
+	said := &peermsg.Placement{Holder: p.holder, Age: e.clock.Now() - p.at, Version: p.version, Left: p.left, Slow: p.slow}
+	if known.holder != p.holder {
+		known.sequence = 0
+	}
+	p.orders.tell(said, known.sequence)
+	return said
+}
+
+// lookAtOwn notes what this daemon has to say as the holder of the lease.
+func (e *Exchange) lookAtOwn() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now, p := e.clock.Now(), &e.own
+	if p.holder != "" && now-p.at < ownEvery {
+		return
+	}
+	p.holder, p.at = e.state.Name, now
+	p.version, p.left = e.state.Lease.Left()
+	p.slow = nil
+	e.state.Fleet.EachActive(func(u *fleet.Upstream) {
+		if u.Slow() {
+			p.slow = append(p.slow, peermsg.Pace{Upstream: u.Key(), Times: u.Pace()})
+		}
+	})
+	targets := map[uint32]fleet.Target{}
+	for id, t := range e.state.Targets() {
+		targets[fleet.KeyOf(id)] = t
+	}
+	p.orders.set(targets)
 }
 
 // applyPaces takes from the holder of the lease, which asks all engines now and
 // then, which of them are slow. The caller holds the lock.
 func (e *Exchange) applyPaces() {
-	if !e.fresh(e.placement) {
+	if !e.fresh(&e.placement) {
 		return
 	}
 	paces := map[uint32]float64{}
-	for _, p := range e.placement.said.Slow {
+	for _, p := range e.placement.slow {
 		paces[p.Upstream] = p.Times
 	}
 	changed := false
--- a/coordination/exchange/sums.go
+++ b/coordination/exchange/sums.go
@@ -77,8 +77,8 @@
 	return s
 }
 
-// own is this daemon's part.
-func (e *Exchange) own() *sum {
+// ownSum is this daemon's part.
+func (e *Exchange) ownSum() *sum {
 	s := newSum()
 	s.daemons = 1
 	e.state.Fleet.EachActive(func(u *fleet.Upstream) {
@@ -111,18 +111,20 @@
 	return total
 }
 
-// question is what a parent in trees is asked, or nil for other daemons.
-func (e *Exchange) question(trees []int) *peermsg.AskNews {
+// question is what a daemon is asked; a parent in trees is told something too.
+func (e *Exchange) question(t target) *peermsg.AskNews {
 	q := &peermsg.AskNews{Name: e.state.Name, Suspects: e.state.Suspects.Digest()}
-	if len(trees) == 0 {
+	known := e.knownOrders()
+	q.Holder, q.Sequence = known.holder, known.sequence
+	if len(t.trees) == 0 {
 		return q
 	}
-	own := e.own()
-	q.Placement = e.placementNews()
+	own := e.ownSum()
+	q.Placement = e.placementNews(e.ordersKnownBy(t.member.Name))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	q.Below = map[int]*peermsg.Sum{}
-	for _, tree := range trees {
+	for _, tree := range t.trees {
 		s := e.subtree(tree, own)
 		q.Below[tree] = s.message()
 		e.sums.fleet[tree].own = *own
@@ -152,7 +154,7 @@
 	if len(asked.Below) == 0 {
 		return nil
 	}
-	t, own := e.topology(), e.own()
+	t, own := e.topology(), e.ownSum()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	news := map[int]*peermsg.FleetSum{}
--- a/coordination/exchange/tree.go
+++ b/coordination/exchange/tree.go
@@ -172,6 +172,7 @@
 	}
 	maps.DeleteFunc(e.askedAt, func(name string, _ spanrill.Millis) bool { return !names[name] })
 	maps.DeleteFunc(e.mute, func(name string, _ bool) bool { return !names[name] })
+	maps.DeleteFunc(e.peerKnows, func(name string, _ knownOrders) bool { return !names[name] })
 }
 
 // noteMute notes whether a peer has answered its last question.
@@ -197,8 +198,8 @@
 			parents[name] = append(parents[name], tree)
 		}
 	}
-	if t.self < roots && e.placement.said != nil {
-		holder = e.placement.said.Holder
+	if t.self < roots {
+		holder = e.placement.holder
 	}
 	return parents, holder
 }
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -206,6 +206,11 @@
 	Placement *Placement // what the holder of the lease of placement said last, or nil
 
 	Suspects uint64 // digest of the requests that the one that asks keeps back
+
+	// Holder and Sequence are what is known of the holder of the lease of placement and of
+	// what it has said, or "" and 0.
+	Holder   string
+	Sequence uint64
 }
 
 // FleetSum is the sum over all daemons that reached the root of a tree.
@@ -270,6 +275,9 @@
 	Left     spanrill.Millis  // time for which the lease held when it said so
 	Targets  []Target         // what engines are being ordered to hold
 	Slow     []Pace           // engines that are slow
+	Sequence uint64           // rises with each change of the targets
+	After    uint64           // the targets are those that have changed behind that sequence, or all if 0
+	Dropped  []uint32         // hashes of the ids of engines that are no targets any more, among changes
 }
 
 // Pace is how many times slower than its kind an engine reports to be.
--- a/state/fleet/active_test.go
+++ b/state/fleet/active_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 
 	"spanrill"
@@ -106,6 +107,30 @@
 	}
 }
 
+// An engine took the order to another one for its own where the ids of both have the same
+// key, as two of these 2,922 do.
+func TestNeitherOfTwoWithOneKeyIsFound(t *testing.T) {
+	now := clock.NewManual()
+	table, keys := New(now, nil), map[uint32]int{}
+	k := Knowledge{At: 1, Change: 1}
+	for i := range 2922 {
+		id := fmt.Sprintf("i-%010x", i*7919)
+		k.Entries = append(k.Entries, spanrill.EngineEntry{ID: id, Service: "s", Addr: id, Revision: 1})
+		keys[KeyOf(id)]++
+	}
+	table.Merge(k, now.Now())
+	shared := 0
+	for key, n := range keys {
+		if found := table.View().ByKey(key) != nil; found != (n == 1) {
+			t.Errorf("key %x of %d upstreams is found: %t", key, n, found)
+		}
+		shared += n - 1
+	}
+	if shared != 1 {
+		t.Fatalf("%d share a key, want 1", shared)
+	}
+}
+
 // Views of 2,922 upstreams after a change that brings none and takes none: before, 3.3 ms;
 // now, 0.3 us.
 func BenchmarkTouch(b *testing.B) {
--- a/state/fleet/view.go
+++ b/state/fleet/view.go
@@ -25,7 +25,11 @@
 	for _, u := range all {
 		v.byID[u.ID()] = u
 		v.byAddr[u.Addr()] = u
-		v.byKey[u.Key()] = u
+		if _, twice := v.byKey[u.Key()]; twice {
+			v.byKey[u.Key()] = nil
+		} else {
+			v.byKey[u.Key()] = u
+		}
 		v.byService[u.Service()] = append(v.byService[u.Service()], u)
 	}
 	for _, list := range v.byService {
@@ -46,7 +50,9 @@
 // ByAddr returns the upstream at an address, or nil.
 func (v *View) ByAddr(addr string) *Upstream { return v.byAddr[addr] }
 
-// ByKey returns the upstream that messages between daemons name so, or nil.
+// ByKey returns the upstream that messages between daemons name so, or nil. Of two with one
+// key, which one in a thousand fleets of 2,922 engines has, neither is found: an order to
+// one of them would be taken for one to the other.
 func (v *View) ByKey(key uint32) *Upstream { return v.byKey[key] }
 
 // Each calls f for every upstream.
