Sums name the upstreams of one availability zone where many are in use

Cause: each round brought every daemon what requests hold at each upstream in use, by both trees, 24 bytes each, and each told it to eight daemons in each tree. With 2,922 upstreams in use an answer had 140 KB (99 daemons, every one in use): 0.56 MB a second for each daemon and 4.5 MB for a parent, whose link carries 2.5.

Ruled out: fewer rounds (a daemon would place requests by what was), hashes of 16 bits (two engines of 2,922 would share one in 66 cases).

Change: numbers are written compactly; a sum of more than 400 upstreams (4 KB, the budget of control in four rounds a second) names those of the asking daemon's zone one by one and tells of each other zone and service what is held in all, of which each upstream there is taken to hold its part; the upstreams of the second tree are asked for when the first one's are getting old. Fleets with fewer in use are told as before.

--- a/coordination/exchange/apply.go
+++ b/coordination/exchange/apply.go
@@ -27,7 +27,13 @@
 	e.forgetShown()
 	e.applyPaces()
 	e.applyRefusals(now)
+	if others.rest == nil {
+		e.applyRest(nil) // before those that are named again
+	}
 	e.applyUses(others.uses)
+	if others.rest != nil {
+		e.applyRest(others.rest)
+	}
 	if e.applyTargets(e.targetsNow(now)) {
 		e.state.Fleet.Touch()
 	}
@@ -38,6 +44,9 @@
 type shown struct {
 	used     map[uint32]use
 	targeted map[uint32]told
+
+	parts map[zoneService]use // of upstreams of other availability zones
+	view  uint64              // version of the view in which these were applied
 }
 
 // applyUses notes what the requests of other daemons hold. The caller holds the lock.
--- a/coordination/exchange/sums.go
+++ b/coordination/exchange/sums.go
@@ -1,6 +1,9 @@
 package exchange
 
 import (
+	"maps"
+	"slices"
+
 	"spanrill"
 	"spanrill/coordination/retry"
 	"spanrill/protocol/peermsg"
@@ -23,9 +26,10 @@
 
 // whole is the sum over all daemons, and what of it is this daemon's own.
 type whole struct {
-	sum sum
-	own sum // as it was told to the parent
-	at  spanrill.Millis
+	sum  sum
+	own  sum // as it was told to the parent
+	at   spanrill.Millis
+	rest *rest // of the other availability zones, if sum does not name their upstreams
 }
 
 // sum is a peermsg.Sum to reckon with.
@@ -33,6 +37,7 @@
 	daemons int
 	uses    map[uint32]use
 	retries map[string]retry.Count
+	rest    *rest // of upstreams that are not named, or nil
 }
 
 type use struct{ tokens, calls int64 }
@@ -123,7 +128,7 @@
 	q.Placement = e.placementNews(e.ordersKnownBy(t.member.Name))
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	q.Below = map[int]*peermsg.Sum{}
+	q.Below, q.Brief = map[int]*peermsg.Sum{}, e.unneeded(t.trees)
 	for _, tree := range t.trees {
 		s := e.subtree(tree, own)
 		q.Below[tree] = s.message()
@@ -165,8 +170,8 @@
 		if tree < len(t.ranked) && t.ranked[tree].Name == e.state.Name {
 			e.sums.fleet[tree] = whole{sum: e.subtree(tree, own), own: *own, at: e.clock.Now()}
 		}
-		if w := e.sums.fleet[tree]; w.sum.daemons > 0 {
-			news[tree] = &peermsg.FleetSum{Sum: *w.sum.message(), Age: e.clock.Now() - w.at}
+		if w := &e.sums.fleet[tree]; w.sum.daemons > 0 {
+			news[tree] = e.fleetSum(w, t.zoneOf(asked.Name), slices.Contains(asked.Brief, tree))
 		}
 	}
 	return news
@@ -180,22 +185,15 @@
 		if tree < 0 || tree >= roots || m == nil || sent-m.Age < e.sums.fleet[tree].at {
 			continue
 		}
-		e.sums.fleet[tree].sum, e.sums.fleet[tree].at = sumOf(&m.Sum), sent-m.Age
+		w := &e.sums.fleet[tree]
+		w.sum, w.at, w.rest = sumOf(&m.Sum), sent-m.Age, restOf(m)
 	}
 }
 
 // othersSum is what all other daemons hold, from the fuller of the trees that are
 // fresh. The caller holds the lock.
 func (e *Exchange) othersSum(now spanrill.Millis) (others sum, daemons int) {
-	best := -1
-	for tree, w := range e.sums.fleet {
-		if w.sum.daemons == 0 || now-w.at > keep {
-			continue
-		}
-		if best < 0 || w.sum.daemons > e.sums.fleet[best].sum.daemons {
-			best = tree
-		}
-	}
+	best := e.fullest(now)
 	others = newSum()
 	if best < 0 {
 		return others, 1
@@ -203,5 +201,24 @@
 	w := e.sums.fleet[best]
 	others.add(w.sum, 1)
 	others.add(w.own, -1)
+	others.rest = w.rest
+	if w.rest != nil {
+		maps.DeleteFunc(others.uses, func(key uint32, _ use) bool { _, named := w.sum.uses[key]; return !named })
+	}
 	return others, w.sum.daemons
 }
+
+// fullest returns the fuller of the trees that are fresh and name upstreams, or -1. The
+// caller holds the lock.
+func (e *Exchange) fullest(now spanrill.Millis) int {
+	best := -1
+	for tree, w := range e.sums.fleet {
+		if w.sum.daemons == 0 || now-w.at > keep || w.rest != nil && w.rest.brief {
+			continue
+		}
+		if best < 0 || w.sum.daemons > e.sums.fleet[best].sum.daemons {
+			best = tree
+		}
+	}
+	return best
+}
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -163,11 +163,15 @@
 
 // Encode returns a message as it is sent.
 func Encode(v any) ([]byte, error) {
-	data, err := msgpack.Marshal(v)
-	if err != nil {
+	var b bytes.Buffer
+	e := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(e)
+	e.Reset(&b)
+	e.UseCompactInts(true) // most numbers are small: a Use takes 24 bytes without, and about 11
+	if err := e.Encode(v); err != nil {
 		return nil, fmt.Errorf("encode message: %w", err)
 	}
-	return data, nil
+	return b.Bytes(), nil
 }
 
 // Decode reads a message.
@@ -211,13 +215,29 @@
 	// what it has said, or "" and 0.
 	Holder   string
 	Sequence uint64
+
+	Brief []int // trees of whose sums the upstreams are not asked for
 }
 
-// FleetSum is the sum over all daemons that reached the root of a tree.
+// FleetSum is the sum over all daemons that reached the root of a tree. In a fleet with many
+// upstreams it names those of the asking daemon's availability zone one by one, and tells of
+// the others what requests hold in each zone.
 type FleetSum struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Sum      Sum
 	Age      spanrill.Millis // of the sum at the root, when the answer was made
+	Zones    []ZoneUse       // of the other availability zones, where their upstreams are not named
+	Cut      bool            // they are not named
+	Brief    bool            // no upstreams are named, since they were not asked for
+}
+
+// ZoneUse is what requests hold at the upstreams of a service in one availability zone.
+type ZoneUse struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Zone     string
+	Service  string
+	Tokens   int64
+	Calls    int64
 }
 
 // News is what a daemon answers when it is asked for news.
