Parents of the trees and the holder of the lease are daemons that have the processor

Cause: who asks the store, who is a parent in the trees of news and who holds the lease of placement is drawn among all daemons. Of 985 one in twenty has 1.6 cores and the others 0.192: the first layout of 2,922 engines, their orders and the sums of hundreds of daemons fall to a small one in nineteen of twenty cases.

Ruled out: a setting that names the holder (no box is for control); the first one to come (seeds may be the smallest).

Change: settings take the share of a core and its speed; daemons tell it with the gossip, and duties go by the class of processor (powers of two), then by rendezvous hashing as before, so that fleets of alike boxes are as they were. A small daemon that has taken the lease at the start hands it back once the fleet is known; one that took it because the first ones did not keeps it for 30 s.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -50,6 +50,7 @@
 	holder   string
 	time     spanrill.Millis
 	contends func() bool
+	yields   func() bool
 
 	mu      sync.Mutex
 	term    uint64          // the term held, or 0
@@ -82,6 +83,11 @@
 	return func(l *Lease) { l.contends = contends }
 }
 
+// WithYields sets whether this daemon hands the lease back to others that are fitter.
+func WithYields(yields func() bool) Option {
+	return func(l *Lease) { l.yields = yields }
+}
+
 const (
 	defaultTime = 15 * spanrill.Second
 	// renewals is how often a lease is renewed within its time.
@@ -98,6 +104,7 @@
 	l := &Lease{
 		store: store, clock: clock, log: logrus.StandardLogger(), duty: duty, holder: holder,
 		time: defaultTime, contends: func() bool { return true },
+		yields: func() bool { return false },
 	}
 	for _, o := range opts {
 		o(l)
@@ -155,7 +162,10 @@
 // Run takes and renews the lease until the context ends, then hands it back.
 func (l *Lease) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if l.contends() || l.holds() {
+		switch {
+		case l.holds() && l.yields():
+			l.handBack()
+		case l.contends() || l.holds():
 			l.Step(ctx)
 		}
 		select {
--- a/coordination/membership/owners.go
+++ b/coordination/membership/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,9 +17,11 @@
 	return ranked[:min(n, len(ranked))]
 }
 
-// Ranked returns all live members in the order in which they own a key. The order is
-// kept until a member comes or goes, so that it costs little to ask for the same key
-// again. The slice must not be changed.
+// Ranked returns all live members in the order in which a duty falls to them: those with
+// more processor first, and among alike ones as they own the key. A parent of hundreds of
+// daemons, or whoever gives orders to thousands of engines, needs more than the smallest
+// machine has. The order is kept until a member comes or goes, so that it costs little to ask
+// for the same key again. The slice must not be changed.
 func (l *List) Ranked(key string) []peermsg.Member {
 	of := l.live.Load()
 	l.ordersMu.Lock()
@@ -26,11 +29,16 @@
 	o := l.orders[key]
 	if o.of != of {
 		o = order{of: of, ranked: ranked(key, of.members)}
+		slices.SortStableFunc(o.ranked, func(a, b peermsg.Member) int { return cmp.Compare(Class(b), Class(a)) })
 		l.orders[key] = o
 	}
 	return o.ranked
 }
 
+// Class returns the class of processor of a member: one class has from half to all of what
+// the next one begins at. Members that do not tell are of class 0.
+func Class(m peermsg.Member) int { return bits.Len(uint(max(0, m.Power))) }
+
 // order is the members of a roster in the order in which they own a key.
 type order struct {
 	of     *roster
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
+	"spanrill/coordination/membership"
 	"spanrill/events"
 	"spanrill/protocol/peermsg"
 	"spanrill/state/follow"
@@ -60,8 +61,26 @@
 	if g.draining.Load() || g.config.Table() == nil || g.exchange.PlacementHeld() {
 		return false
 	}
-	first := g.peers.rank("placement") < ranks && (!g.starting() || g.isSeed())
-	return first || now-g.freeSince.Load() > int64(othersContend)
+	if g.peers.rank("placement") < ranks && (!g.starting() || g.isSeed()) {
+		return true
+	}
+	late := now-g.freeSince.Load() > int64(othersContend)
+	if late {
+		g.lateAt.Store(now)
+	}
+	return late
+}
+
+// yields reports whether this daemon, as the holder of the lease of placement, leaves it to
+// one with more processor. A seed takes it when all start, whatever it has. Orders that are
+// under way go on, and the next holder sees from the engines what they hold.
+func (g *Gateway) yields() bool {
+	late := g.clock.Now()-spanrill.Millis(g.lateAt.Load()) < heldMemory
+	if late || g.starting() || !g.exchange.Settled() {
+		return false // the first ones did not take it when it was free
+	}
+	first := g.peers.list.Ranked("placement")[0]
+	return membership.Class(first) > membership.Class(peermsg.Member{Power: g.settings.Power()})
 }
 
 // othersContend is how long the lease is free before daemons without a rank try
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,7 @@
 	accepted    atomic.Bool   // connections were taken when this was looked at last
 	heldAt      atomic.Int64  // when this daemon last held the lease of placement
 	freeSince   atomic.Int64  // since when nobody is known to hold it, or -1
+	lateAt      atomic.Int64  // when this daemon last contended because the first ones had not
 	dropped     func() uint64
 	toldDrop    uint64 // of these were logged
 	done        chan struct{}
@@ -175,6 +176,7 @@
 		dropped: func() uint64 { return 0 },
 	}
 	g.heldAt.Store(-int64(heldMemory))
+	g.lateAt.Store(-int64(heldMemory))
 	g.daemons.Store(firstDaemons)
 	g.freeSince.Store(-1)
 	for _, o := range opts {
@@ -212,7 +214,7 @@
 		return fmt.Errorf("build peers: %w", err)
 	}
 	g.lease = lease.New(g.adapter.Store, g.clock, "placement", g.peers.name, lease.WithTime(leaseTime),
-		lease.WithLogger(g.log), lease.WithContends(g.contends))
+		lease.WithLogger(g.log), lease.WithContends(g.contends), lease.WithYields(g.yields))
 	g.keeper = suspect.NewKeeper(g.suspects, g.adapter.Store, g.clock, g.log, func() bool { _, ok := g.lease.Held(); return ok })
 	g.exchange = exchange.New(g.peers, exchange.State{
 		Name: g.peers.name, Zone: g.settings.Zone, Seeds: g.seeds(), Config: g.config, Fleet: g.fleet, Decode: g.adapter.DecodeConfig,
--- a/gateway/startfleet_test.go
+++ b/gateway/startfleet_test.go
@@ -38,6 +38,7 @@
 	callers bool                           // callers come to each daemon when it has started
 	engines *sizeEngines                   // in the store, or nil for one that stays as it is
 	sent    sentBytes
+	power   func(i int) float64 // share of a core of a daemon, or nil
 }
 
 // callersCome is how long after its start the first caller comes to a daemon that
@@ -51,6 +52,7 @@
 	starts spanrill.Millis
 	ready  spanrill.Millis // after its start, or -1
 	due    map[string]spanrill.Millis
+	cutOff bool // it cannot take the lease
 }
 
 const (
@@ -128,7 +130,13 @@
 // newSizeFleet returns daemons that start before many engines.
 func newSizeFleet(t testing.TB, daemons int, engines *sizeEngines, seed uint64) *startFleet {
 	t.Helper()
-	f := &startFleet{byName: map[string]*startDaemon{}, away: func(spanrill.Millis) bool { return false }, engines: engines, sent: sentBytes{kinds: map[peernet.Kind]int64{}}}
+	return newPowerFleet(t, daemons, engines, seed, nil)
+}
+
+// newPowerFleet is the same for daemons whose shares of a core differ.
+func newPowerFleet(t testing.TB, daemons int, engines *sizeEngines, seed uint64, power func(i int) float64) *startFleet {
+	t.Helper()
+	f := &startFleet{byName: map[string]*startDaemon{}, away: func(spanrill.Millis) bool { return false }, engines: engines, sent: sentBytes{kinds: map[peernet.Kind]int64{}}, power: power}
 	f.now.Store(int64(startBegin))
 	random := rng.New(seed)
 	for i := range daemons {
@@ -151,8 +159,11 @@
 	}
 	g.settings.Bounds.Drain, g.settings.Bounds.Revoke = 4*spanrill.Second, 5*spanrill.Second
 	g.adapter = Adapter{ConfigName: "main", DecodeConfig: startDecode}
+	if f.power != nil {
+		g.settings.CPUShare, g.settings.Cores = f.power(i), 1
+	}
 	self := peermsg.Member{Name: name + "/1", PeerAddr: name, // the name is new with each start
-		Zone: g.settings.Zone}
+		Zone: g.settings.Zone, Power: g.settings.Power()}
 	list := membership.New(self, d, d.send, membership.WithLogger(log), membership.WithRandom(g.random), membership.WithRound(memberRound))
 	g.peers = &peers{gateway: g, name: self.Name, list: list}
 	var seeds []spanrill.Box
@@ -163,6 +174,7 @@
 	}
 	list.SetBoxes(seeds)
 	g.freeSince.Store(-1)
+	g.lateAt.Store(-int64(heldMemory))
 	g.config = routes.NewCurrent(d)
 	g.fleet = fleet.New(d, simDecode, fleet.WithLogger(log), fleet.WithDrain(g.settings.Bounds.Drain))
 	g.lease = lease.New(nil, d, "placement", self.Name)
@@ -269,9 +281,14 @@
 
 // takeLease takes the lease if nobody has it: a read and a write.
 func (d *startDaemon) takeLease() spanrill.Millis {
+	if d.fleet.holder == d && d.yields() {
+		d.fleet.calls++
+		d.fleet.holder = nil
+		return leaseTime / 3
+	}
 	if d.contends() {
 		d.fleet.calls += 2
-		if d.fleet.holder == nil {
+		if d.fleet.holder == nil && !d.cutOff {
 			d.fleet.holder = d
 		}
 	}
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -49,6 +49,7 @@
 	Beat        uint64 // rises while the daemon runs
 	Revision    uint64 // configuration in force
 	Leaving     bool
+	Power       int // thousandths of a core that the daemon has, or 0 if that is not told
 }
 
 // Gossip tells what a daemon knows of some members.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -3,6 +3,7 @@
 import (
 	_ "embed" // the schema is embedded
 	"fmt"
+	"math"
 	"os"
 
 	"spanrill"
@@ -30,6 +31,8 @@
 	FleetSecret   string   `json:"fleet_secret"`
 	MemoryMB      int      `json:"memory_mb"`   // 0: no limit
 	Descriptors   int      `json:"descriptors"` // that the process may have, 0: not known
+	CPUShare      float64  `json:"cpu_share"`   // of a core that the process gets, 0: not known
+	Cores         float64  `json:"cores"`       // how many times as fast as one the core runs
 	Bounds        Bounds   `json:"bounds"`
 	Log           Log      `json:"log"`
 }
@@ -48,10 +51,13 @@
 // that leaves.
 const DefaultDrain = 2 * spanrill.Second
 
+// Power returns the processor of the box in thousandths of a core, or 0 if it is not known.
+func (g *Gateway) Power() int { return int(math.Round(1000 * g.CPUShare * g.Cores)) }
+
 // DefaultGateway returns settings in which all optional fields have their value.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Peers: []string{}, Log: Log{Level: "info"},
+		Peers: []string{}, Cores: 1, Log: Log{Level: "info"},
 		Bounds: Bounds{Drain: DefaultDrain, RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * spanrill.Second},
 	}
 }
