A test of what a daemon costs in a larger fleet

Simulated on a time of its own: 40 daemons before 150 engines and 120 before 450, all of which are given their layers within 4 s.

--- a/gateway/fleetsize_test.go
+++ b/gateway/fleetsize_test.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"testing"
 
 	"spanrill"
+	"spanrill/protocol/peermsg"
 	"spanrill/state/fleet"
 	"spanrill/transport/peernet"
 )
@@ -110,3 +112,71 @@
 	defer s.mu.Unlock()
 	s.kinds[kind] += int64(size)
 }
+
+// take returns the bytes of a kind so far and counts it anew.
+func (s *sentBytes) take(kind peernet.Kind) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.kinds[kind]
+	delete(s.kinds, kind)
+	return n
+}
+
+// fleetCost is what a fleet costs while engines change.
+type fleetCost struct {
+	news, entries, gossip float64 // bytes that a daemon sends in a second, in the mean
+	calls                 int     // of the store
+	spread                spanrill.Millis
+}
+
+// costOf has daemons start before engines, a part of which changes in each second later on.
+func costOf(t *testing.T, daemons, engines int) fleetCost {
+	t.Helper()
+	const starts, watched = 6 * spanrill.Second, 4 * spanrill.Second
+	e := &sizeEngines{count: engines, from: startBegin + starts, until: startBegin + starts + watched}
+	f := newSizeFleet(t, daemons, e, 1)
+	f.run(starts)
+	for _, kind := range []peernet.Kind{peermsg.KindNews, peermsg.KindEntries, peermsg.KindGossip} {
+		f.sent.take(kind)
+	}
+	f.calls = 0
+	f.run(watched)
+	each := func(kind peernet.Kind) float64 {
+		return float64(f.sent.take(kind)) / float64(daemons) / float64(watched/spanrill.Second)
+	}
+	c := fleetCost{news: each(peermsg.KindNews), entries: each(peermsg.KindEntries), gossip: each(peermsg.KindGossip), calls: f.calls}
+	for behind := true; behind && c.spread < sizeSpread; c.spread += simStep {
+		f.run(simStep)
+		behind = false
+		for _, d := range f.daemons {
+			behind = behind || d.Gateway.fleet.At() < e.revision(e.until)
+		}
+	}
+	return c
+}
+
+const (
+	// sizeBudget is the bytes a second that control may take of a daemon.
+	sizeBudget = 18_000
+	// sizeSpread is how long a change may take to be in force everywhere.
+	sizeSpread = 10 * spanrill.Second
+)
+
+// A daemon was told all entries at each change and all orders in each round, so that what a
+// daemon of a larger fleet was told grew with the engines times the changes: 43 MB of entries
+// and 82 MB of news among 60 daemons in 24 s before 2,922 engines. What is told now grows
+// with what changes, and the calls of the store do not grow.
+func TestCostOfADaemonInALargerFleet(t *testing.T) {
+	small, large := costOf(t, 40, 150), costOf(t, 120, 450)
+	t.Logf("40 daemons: %+v", small)
+	t.Logf("120 daemons: %+v", large)
+	if told := large.news + large.entries; told > sizeBudget || told > 3.5*(small.news+small.entries) {
+		t.Errorf("a daemon is told %.0f bytes a second, and %.0f in the small fleet", told, small.news+small.entries)
+	}
+	if large.calls > small.calls*3/2 {
+		t.Errorf("%d calls of the store, and %d in the small fleet", large.calls, small.calls)
+	}
+	if large.spread >= sizeSpread || small.spread >= sizeSpread {
+		t.Errorf("a change takes %d and %d ms to all daemons", small.spread, large.spread)
+	}
+}
