Daemons look when something can be due; the first in rank does not wait for seeds

Cause, by the simulation of 120 daemons: daemons learn one after the other, 3.4 to 5.7 s after their start, that they know the fleet. Seeds that knew it left the store to the first in rank, which still waited for the seeds; nobody asked for 1.2 s, and then all did. That this is what made 4.3 calls a daemon in the first 24 s of 985 is inferred. Found when daemons began to sleep until the age at which they may have to ask: they had looked every 50 ms, 40 times a second each, and looks at the engines by daemons that may give no orders were 6.7 a second more.

Ruled out: that seeds go on for 10 s (their news does not come down the trees: 62 calls in 4 s of 120 daemons).

Change: from 2.5 s after its start on a daemon that is the first of those it has heard of asks by its rank.

--- a/coordination/layoutrun/placer.go
+++ b/coordination/layoutrun/placer.go
@@ -45,6 +45,9 @@
 	// round is the pause between two looks at the engines: a hole is seen when
 	// the next look comes, and loading takes a second or more.
 	round spanrill.Millis = 150
+	// idleRound is the same for a daemon that may give no orders, and looks whether it
+	// may by now: a lease is taken over after seconds.
+	idleRound = 3 * round
 	// settleTime is how long no engine was added before the first layout is
 	// made: engines that start together appear over two or three seconds.
 	settleTime spanrill.Millis = 1200
@@ -110,13 +113,21 @@
 		p.Round(ctx)
 		select {
 		case <-ctx.Done():
-		case <-p.clock.After(round):
+		case <-p.clock.After(p.pause()):
 		}
 	}
 	_ = p.orders.Wait() // their errors are logged where they happen
 	return ctx.Err()
 }
 
+// pause returns how long to wait for the next look.
+func (p *Placer) pause() spanrill.Millis {
+	if _, may := p.mayAct(); may {
+		return round
+	}
+	return idleRound
+}
+
 // Round looks at all services once. A daemon that may give no orders notes only how many
 // engines there are.
 func (p *Placer) Round(ctx context.Context) {
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -168,11 +168,14 @@
 func (g *Gateway) upstreamsDue() spanrill.Millis {
 	_, _, age := g.fleet.Proof()
 	goal := g.entriesGoal()
-	if late := age - goal - newsRound; late >= 0 && g.exchange.StoreSilentToSome() &&
-		g.random.Float64() < toldChance(late, len(g.peers.list.Live()), g.exchange.SpreadTime()) {
+	late := age - goal - newsRound
+	if late < 0 || !g.exchange.StoreSilentToSome() {
+		return g.due(age, goal, g.settings.Bounds.Drain)
+	}
+	if g.random.Float64() < toldChance(late, len(g.peers.list.Live()), g.exchange.SpreadTime()) {
 		return 0
 	}
-	return g.due(age, goal, g.settings.Bounds.Drain)
+	return min(proofPoll, g.due(age, goal, g.settings.Bounds.Drain)) // the chance is one for each look
 }
 
 // entriesGoal is the age of the entries at which the first daemon in rank asks for them.
@@ -247,18 +250,24 @@
 // asks the store.
 func (g *Gateway) due(age, goal, bound spanrill.Millis) spanrill.Millis {
 	if age < goal {
-		return proofPoll
+		return untilAge(age, goal)
 	}
-	if g.waitsForSeeds() {
-		if age >= lateAge(goal, bound, g.random.Float64()) {
-			return 0
-		}
-		return proofPoll
+	asks := func(draw float64) spanrill.Millis { return lateAge(goal, bound, 1-draw) }
+	if !g.waitsForSeeds() {
+		rank, spread := g.askRank(), g.exchange.SpreadTime()
+		asks = func(draw float64) spanrill.Millis { return askAge(goal, bound, rank, spread, draw) }
 	}
-	if age >= askAge(goal, bound, g.askRank(), g.exchange.SpreadTime(), g.random.Float64()) {
+	if age >= asks(g.random.Float64()) {
 		return 0
 	}
-	return proofPoll
+	return untilAge(age, asks(0))
+}
+
+// untilAge returns how long to wait until knowledge of some age can be old enough to ask,
+// which it is not if news comes meanwhile. A daemon that looked every 50 ms instead was woken
+// 40 times a second for nothing. Ranks change, so that it looks in each round of news.
+func untilAge(age, asks spanrill.Millis) spanrill.Millis {
+	return min(newsRound, max(proofPoll, asks-age))
 }
 
 // starting reports whether this daemon has just started and does not know the fleet yet.
@@ -273,7 +282,7 @@
 const startTime = 20 * memberRound
 
 // waitsForSeeds reports whether this daemon leaves it to the seeds to ask the store.
-func (g *Gateway) waitsForSeeds() bool { return g.starting() && !g.isSeed() }
+func (g *Gateway) waitsForSeeds() bool { return g.starting() && !g.isSeed() && !g.isEarlyRoot() }
 
 // lateAge returns the age of knowledge at which a daemon asks the store that leaves it
 // to others: in the last second of what the bound allows. Before the trees stand news
@@ -302,7 +311,7 @@
 //
 // A daemon that has just started leaves it to the seeds; a seed counts only these.
 func (g *Gateway) askRank() int {
-	if g.starting() {
+	if g.starting() && !g.isEarlyRoot() {
 		return g.peers.rankAmong(askStore, func(m peermsg.Member) bool {
 			return slices.Contains(g.settings.Peers, m.PeerAddr) && !g.exchange.SaysStoreSilent(m.Name)
 		})
@@ -310,6 +319,19 @@
 	return g.peers.rankAmong(askStore, func(m peermsg.Member) bool { return !g.exchange.SaysStoreSilent(m.Name) })
 }
 
+// isEarlyRoot reports whether this daemon is the first in rank of those that it has heard of
+// when most have heard of most. Daemons learn one after the other that they know the fleet,
+// within seconds in a large one: seeds that know it leave the store to the first in rank,
+// from which the trees bring news, and all others would ask themselves if it still waited
+// for the seeds.
+func (g *Gateway) isEarlyRoot() bool {
+	return g.clock.Now()-g.startedAt >= rootTime && g.peers.rank(askStore) == 0
+}
+
+// rootTime is how long after its start a daemon has heard of most that started with it:
+// five rounds of gossip, each of which tells of 40 to three.
+const rootTime = 5 * memberRound
+
 // storeSilent reports whether the store gives this daemon no good answers.
 func (g *Gateway) storeSilent() bool {
 	return max(g.configs.Unanswered(), g.upstreams.Unanswered()) > storeSilence
--- a/gateway/due_test.go
+++ b/gateway/due_test.go
@@ -73,3 +73,16 @@
 		})
 	}
 }
+
+// A daemon looks again when it may have to ask, and not every 50 ms; it never sleeps beyond
+// the age at which it has to.
+func TestLooksAreNotMoreThanNeeded(t *testing.T) {
+	for _, c := range []struct{ age, asks, want spanrill.Millis }{
+		{0, 1000, newsRound}, {900, 1000, 100}, {990, 1000, proofPoll}, {1200, 1000, proofPoll},
+	} {
+		got := untilAge(c.age, c.asks)
+		if got != c.want || c.age+got > max(c.asks, c.age)+proofPoll {
+			t.Errorf("at an age of %d with %d to ask at it looks after %d ms, want %d", c.age, c.asks, got, c.want)
+		}
+	}
+}
