The heap may grow by a size, not by a proportion of what is live

Ruled out: a fixed smaller proportion (before few upstreams the daemon would collect more often, and pays for it).

Change: what the heap may grow by is 8 MB, between a half and three times what is live; 100 in 100 of it until 3 s after the start.

--- a/cli/spanrilldcmd/gateway.go
+++ b/cli/spanrilldcmd/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"spanrill/clock"
 	"spanrill/events"
 	"spanrill/gateway"
 	"spanrill/platform"
@@ -36,10 +37,7 @@
 	// memoryShare is the part of the memory limit at which the collector works
 	// harder, in hundredths: the rest is for buffers of the kernel.
 	memoryShare = 60
-	// gcPercent lets the heap grow to three times what is live: the daemon's
-	// live heap is a few megabytes, and collections cost processor time.
-	gcPercent = 300
-	megabyte  = 1 << 20
+	megabyte    = 1 << 20
 	// logsWait bounds the wait for log lines that are still queued at the end.
 	logsWait = 300 * time.Millisecond
 )
@@ -57,7 +55,12 @@
 		fmt.Fprintln(c.Root().Writer, "settings are right")
 		return nil
 	}
-	debug.SetGCPercent(gcPercent)
+	tuning, endTuning := context.WithCancel(context.WithoutCancel(ctx))
+	tuned := tuneCollector(tuning, clock.NewSystem())
+	defer func() {
+		endTuning()
+		<-tuned
+	}()
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB) * megabyte * memoryShare / 100)
 	}
--- /dev/null
+++ b/cli/spanrilldcmd/memory.go
@@ -0,0 +1,67 @@
+package spanrilldcmd
+
+import (
+	"context"
+	"runtime/debug"
+	"runtime/metrics"
+
+	"spanrill"
+)
+
+// The collector lets the heap grow in proportion to what is live, which is a few megabytes
+// before some upstreams and several times as much before thousands. The daemon allocates
+// about as much for a request in both cases, so that what the heap may grow by is a size, and
+// not a proportion.
+const (
+	// heapRoom is what the heap may grow by between two collections: two thirds of the least
+	// heap that the runtime collects at mostPercent.
+	heapRoom = 8 * megabyte
+	// mostPercent and leastPercent bound the growth in hundredths of what is live: collections
+	// that follow one another at once cost more than memory.
+	mostPercent  = 300
+	leastPercent = 50
+	// firstPercent holds until it is known what is live.
+	firstPercent = 100
+	// percentStep is the least change that is made: each one stops the process for a moment.
+	percentStep = 20
+	// firstLook is when most is known of the upstreams and the other daemons, and memoryLook
+	// the pause between later looks.
+	firstLook  = 3 * spanrill.Second
+	memoryLook = 15 * spanrill.Second
+)
+
+// liveHeap is the metric of what the last collection has found to be live.
+const liveHeap = "/gc/heap/live:bytes"
+
+// growthFor returns by how much the heap may grow, in hundredths of what is live.
+func growthFor(live uint64) int {
+	if live == 0 {
+		return mostPercent
+	}
+	return int(max(leastPercent, min(mostPercent, heapRoom*100/live)))
+}
+
+// tuneCollector sets how much the heap may grow until the context ends, and closes the
+// channel that it returns when it has ended.
+func tuneCollector(ctx context.Context, clock spanrill.Clock) <-chan struct{} {
+	debug.SetGCPercent(firstPercent)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		set := firstPercent
+		for pause := firstLook; ; pause = memoryLook {
+			select {
+			case <-ctx.Done():
+				return
+			case <-clock.After(pause):
+			}
+			sample := []metrics.Sample{{Name: liveHeap}}
+			metrics.Read(sample)
+			if want := growthFor(sample[0].Value.Uint64()); max(want-set, set-want) >= percentStep {
+				debug.SetGCPercent(want)
+				set = want
+			}
+		}
+	}()
+	return done
+}
