Free memory beyond what the heap may grow by is given back to the system

Cause: a daemon of the fleet kept 26 MB of heap dirty after its start, whatever the collector was told then: what the start has needed is not given back by itself for long. Change: at each look (3 s after the start, then every 15 s) memory that holds nothing is given back if it is more than the 8 MB by which the heap may grow.

--- a/cli/spanrilldcmd/memory.go
+++ b/cli/spanrilldcmd/memory.go
@@ -30,8 +30,27 @@
 	memoryLook = 15 * spanrill.Second
 )
 
-// liveHeap is the metric of what the last collection has found to be live.
-const liveHeap = "/gc/heap/live:bytes"
+// Metrics of the runtime.
+const (
+	// liveHeap is what the last collection has found to be live.
+	liveHeap = "/gc/heap/live:bytes"
+	// freeHeap is what holds nothing and was not given back to the system.
+	freeHeap = "/memory/classes/heap/free:bytes"
+)
+
+// readMetric returns a metric of the runtime.
+func readMetric(name string) uint64 {
+	sample := []metrics.Sample{{Name: name}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindUint64 {
+		return 0
+	}
+	return sample[0].Value.Uint64()
+}
+
+// givesBack reports whether free memory is given back to the system: a start takes a
+// multiple of what the daemon needs later on.
+func givesBack(free uint64) bool { return free > heapRoom }
 
 // growthFor returns by how much the heap may grow, in hundredths of what is live.
 func growthFor(live uint64) int {
@@ -55,12 +74,13 @@
 				return
 			case <-clock.After(pause):
 			}
-			sample := []metrics.Sample{{Name: liveHeap}}
-			metrics.Read(sample)
-			if want := growthFor(sample[0].Value.Uint64()); max(want-set, set-want) >= percentStep {
+			if want := growthFor(readMetric(liveHeap)); max(want-set, set-want) >= percentStep {
 				debug.SetGCPercent(want)
 				set = want
 			}
+			if givesBack(readMetric(freeHeap)) {
+				debug.FreeOSMemory()
+			}
 		}
 	}()
 	return done
--- a/cli/spanrilldcmd/memory_test.go
+++ b/cli/spanrilldcmd/memory_test.go
@@ -1,7 +1,7 @@
 package spanrilldcmd
 
 import (
-	"runtime/metrics"
+	"runtime"
 	"testing"
 )
 
@@ -18,8 +18,13 @@
 			t.Errorf("with %d bytes live the heap may grow by %d in 100, want %d", c.live, got, c.want)
 		}
 	}
-	sample := []metrics.Sample{{Name: liveHeap}}
-	if metrics.Read(sample); sample[0].Value.Kind() != metrics.KindUint64 {
-		t.Errorf("the runtime does not tell %s", liveHeap)
+	runtime.GC()
+	for _, name := range []string{liveHeap, freeHeap} {
+		if readMetric(name) == 0 {
+			t.Errorf("the runtime does not tell %s", name)
+		}
+	}
+	if givesBack(heapRoom) || !givesBack(heapRoom+1) {
+		t.Error("as much as the heap may grow by is given back, or more is kept")
 	}
 }
