One peer tells a daemon the orders; lists of a large fleet are made once in a round

Cause: a daemon asked four peers at a time, with the same sequence, and each told it the same orders; while hundreds of daemons start together, each message brought new members, and each made a list of all (150 KB with 985) and two orders of it.

Change: the first parent is asked for orders, the others only whether the holder lives, as long as it is heard of; what is told of orders goes by their sequence, and of the holder by its age. A list of more than 64 members is made once in a round of gossip at the most, the first one at once.

--- a/coordination/exchange/orders.go
+++ b/coordination/exchange/orders.go
@@ -96,10 +96,10 @@
 // if they are changes. It reports whether the changes follow what is known.
 func (o *orders) take(p *peermsg.Placement) bool {
 	switch {
+	case p.After > o.sequence || p.Sequence < o.sequence:
+		return false
 	case p.After == 0:
 		*o = orders{since: p.Sequence}
-	case p.After > o.sequence:
-		return false
 	}
 	for _, t := range p.Targets {
 		o.put(t.Upstream, fleet.Target{Layers: spanrill.LayerRange{From: t.From, To: t.To}, Done: t.Done}, p.Sequence)
--- a/coordination/exchange/orders_test.go
+++ b/coordination/exchange/orders_test.go
@@ -74,7 +74,7 @@
 		there.targets[e.ID] = fleet.Target{Layers: e.Layers}
 	}
 	size := func() int {
-		known := here.exchange.knownOrders()
+		known := here.exchange.knownOrders(target{})
 		data, err := peermsg.Encode(there.exchange.News(&peermsg.AskNews{Holder: known.holder, Sequence: known.sequence}))
 		if err != nil {
 			t.Fatal(err)
@@ -95,3 +95,33 @@
 		t.Fatalf("%d orders arrived, want %d", got, len(keys))
 	}
 }
+
+// Four peers told a daemon the same orders in each round. One does, and the others still tell
+// that the holder lives; an older word of the holder brings orders that are not known yet.
+func TestOnePeerTellsOrders(t *testing.T) {
+	c, here, there, _ := pair(1)
+	there.placement = true
+	there.targets["e1"] = targetTo(1)
+	here.exchange.takePlacement(there.exchange.placementNews(knownOrders{}), c.Now())
+	there.targets["e2"] = targetTo(2)
+	c.Advance(ownEvery)
+	known := here.exchange.knownOrders(target{noOrders: true})
+	full := there.exchange.placementNews(here.exchange.knownOrders(target{}))
+	c.Advance(ownEvery)
+	brief := there.exchange.placementNews(known)
+	if len(brief.Targets) != 0 || len(full.Targets) != 1 {
+		t.Fatalf("%d and %d orders are told", len(brief.Targets), len(full.Targets))
+	}
+	here.exchange.takePlacement(brief, c.Now())
+	if p := &here.exchange.placement; p.at != c.Now() || len(p.orders.targets) != 1 {
+		t.Fatalf("heard of the holder at %d, want %d; %d orders", p.at, c.Now(), len(p.orders.targets))
+	}
+	here.exchange.takePlacement(full, c.Now()-ownEvery)
+	if got := len(here.exchange.placement.orders.targets); got != 2 {
+		t.Fatalf("%d orders are known, want 2", got)
+	}
+	c.Advance(10 * placementFresh)
+	if known := here.exchange.knownOrders(target{noOrders: true}); known.sequence == allOrders {
+		t.Fatal("it asks nobody for orders although it has not heard of the holder for long")
+	}
+}
--- a/coordination/exchange/placement.go
+++ b/coordination/exchange/placement.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"math"
+
 	"spanrill"
 	"spanrill/protocol/peermsg"
 	"spanrill/state/fleet"
@@ -47,8 +49,17 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p, at := &e.placement, sent-said.Age
-	if at <= p.at || said.After > 0 && said.Holder != p.holder || !p.orders.take(said) {
+	switch {
+	case said.Holder == p.holder:
+		p.orders.take(said)
+	case at <= p.at || said.After > 0:
 		return // the next question says what is known here
+	default:
+		p.orders = orders{}
+		p.orders.take(said)
+	}
+	if at <= p.at {
+		return
 	}
 	p.holder, p.at, p.version, p.left, p.slow = said.Holder, at, said.Version, said.Left, said.Slow
 	if said.Left > said.Age {
@@ -65,13 +76,21 @@
 	}
 }
 
-// knownOrders returns what this daemon knows of the orders.
-func (e *Exchange) knownOrders() knownOrders {
+// knownOrders returns what this daemon knows of the orders, for one that it asks for news. In
+// a large fleet it is told of changes by its first parent alone while the holder is heard of.
+func (e *Exchange) knownOrders(t target) knownOrders {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return knownOrders{holder: e.placement.holder, sequence: e.placement.orders.sequence}
+	known := knownOrders{holder: e.placement.holder, sequence: e.placement.orders.sequence}
+	if t.noOrders && e.fresh(&e.placement) {
+		known.sequence = allOrders
+	}
+	return known
 }
 
+// allOrders is the sequence of a daemon that asks for no orders.
+const allOrders = math.MaxUint64
+
 // ordersKnownBy returns what a peer knew of the orders when it answered last.
 func (e *Exchange) ordersKnownBy(peer string) knownOrders {
 	e.mu.Lock()
--- a/coordination/exchange/tree.go
+++ b/coordination/exchange/tree.go
@@ -18,8 +18,9 @@
 // target is a daemon to ask, and the numbers of the trees in which it is the
 // parent of this one.
 type target struct {
-	member peermsg.Member
-	trees  []int
+	member   peermsg.Member
+	trees    []int
+	noOrders bool // it is not asked for orders to engines
 }
 
 // targets returns whom to ask in this round: the parents of this daemon in the
@@ -56,7 +57,7 @@
 	out := make([]target, 0, asked)
 	add := func(at int) {
 		m := t.ranked[at]
-		out = append(out, target{member: m, trees: parents[m.Name]})
+		out = append(out, target{member: m, trees: parents[m.Name], noOrders: len(out) > 0})
 	}
 	for at, m := range t.ranked {
 		if m.Name != e.state.Name && (len(parents[m.Name]) > 0 || m.Name == holder) {
--- a/coordination/membership/gossip.go
+++ b/coordination/membership/gossip.go
@@ -152,7 +152,7 @@
 			newer = m
 		}
 	}
-	l.publish()
+	l.publishNews()
 	if stranger {
 		l.welcome(g.Members[0])
 	}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -47,14 +47,15 @@
 	round    spanrill.Millis
 	fanout   int
 
-	live    atomic.Pointer[roster]
-	mu      sync.Mutex
-	self    peermsg.Member
-	entries map[string]*entry
-	sorted  []*entry          // the same in the order of their names
-	seeds   map[string]string // box name to peer address
-	changed bool              // whether the live members differ from live
-	nudge   chan struct{}
+	live        atomic.Pointer[roster]
+	mu          sync.Mutex
+	self        peermsg.Member
+	entries     map[string]*entry
+	sorted      []*entry          // the same in the order of their names
+	seeds       map[string]string // box name to peer address
+	changed     bool              // whether the live members differ from live
+	publishedAt spanrill.Millis   // when live was made
+	nudge       chan struct{}
 
 	lines map[events.Event]*events.Limiter
 
@@ -122,6 +123,7 @@
 	}
 	l.lines = newLines(clock)
 	l.publish()
+	l.publishedAt -= l.round // the first news is taken at once
 	return l
 }
 
--- a/coordination/membership/state.go
+++ b/coordination/membership/state.go
@@ -145,6 +145,21 @@
 	return l.round * spanrill.Millis(full)
 }
 
+// publishNews makes the list of live members after a message, in a large fleet once in a
+// round at the most: while daemons start together each message brings new ones, and a list
+// of 985 takes 150 KB, as do the orders that are made of it.
+func (l *List) publishNews() {
+	l.mu.Lock()
+	waits := len(l.sorted) > promptMembers && l.clock.Now()-l.publishedAt < l.round
+	l.mu.Unlock()
+	if !waits {
+		l.publish()
+	}
+}
+
+// promptMembers is up to how many other members each message is taken at once.
+const promptMembers = 64
+
 // publish makes the list of live members that readers see.
 func (l *List) publish() {
 	l.mu.Lock()
@@ -152,7 +167,7 @@
 	if !l.changed && l.live.Load() != nil {
 		return
 	}
-	l.changed = false
+	l.changed, l.publishedAt = false, l.clock.Now()
 	members := appendMembers(make([]peermsg.Member, 0, len(l.sorted)+1), l.inState(alive, suspected))
 	self := sort.Search(len(members), func(i int) bool { return members[i].Name >= l.self.Name })
 	members = slices.Insert(members, self, l.self)
--- a/state/fleet/ends.go
+++ b/state/fleet/ends.go
@@ -1,7 +1,5 @@
 package fleet
 
-import "maps"
-
 // ends is which entries have gone, and when, so that a peer which knows all entries as they
 // stood at a revision can be told what has changed since.
 type ends struct {
@@ -38,7 +36,7 @@
 		return nil, false
 	}
 	var names []string
-	for name, gone := range maps.All(e.gone) {
+	for name, gone := range e.gone {
 		if gone > at {
 			names = append(names, name)
 		}
