--- a/cli/spanrilldcmd/memory.go
+++ b/cli/spanrilldcmd/memory.go
@@ -14,8 +14,7 @@
 // about as much for a request in both cases, so that what the heap may grow by is a size, and
 // not a proportion.
 const (
-	// heapRoom is what the heap may grow by between two collections: two thirds of the least
-	// heap that the runtime collects at mostPercent.
+	// heapRoom is what the heap may grow by between two collections.
 	heapRoom = 8 * megabyte
 	// mostPercent and leastPercent bound the growth in hundredths of what is live: collections
 	// that follow one another at once cost more than memory.
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -85,11 +85,8 @@
 	fanout = 8
 	// asked is how many peers are asked in a round in a larger fleet.
 	asked = 4
-	// mostLate is after how many rounds in which the trees have not brought what a daemon
-	// should know the number of peers that it asks rises no more. Where half of all
-	// questions are lost and the store answers three of 84 daemons, the oldest entries by
-	// which requests are sent are 2,685 ms old in the mean of 40 fleets with asked alone;
-	// 2,650 are allowed.
+	// mostLate is after how many late rounds the number of peers that a daemon asks rises no
+	// more.
 	mostLate = 3
 	// keep is how long the figures of a peer that does not answer are counted.
 	// Its requests go on for about as long as a usual answer takes.
--- a/coordination/layoutrun/look.go
+++ b/coordination/layoutrun/look.go
@@ -20,7 +20,6 @@
 const lookAgain = spanrill.Second
 
 // needsNothing reports whether the engines are as they were when they needed no moves.
-// Working that out takes 28 ms with 975 engines and 151 ms with 2,925, at each look.
 func (p *Placer) needsNothing(service string, engines []layout.Engine) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/coordination/membership/owners.go
+++ b/coordination/membership/owners.go
@@ -18,10 +18,8 @@
 }
 
 // Ranked returns all live members in the order in which a duty falls to them: those with
-// more processor first, and among alike ones as they own the key. A parent of hundreds of
-// daemons, or whoever gives orders to thousands of engines, needs more than the smallest
-// machine has. The order is kept until a member comes or goes, so that it costs little to ask
-// for the same key again. The slice must not be changed.
+// more processor first, and among alike ones as they own the key. The order is kept until a
+// member comes or goes. The slice must not be changed.
 func (l *List) Ranked(key string) []peermsg.Member {
 	of := l.live.Load()
 	l.ordersMu.Lock()
--- a/coordination/membership/state.go
+++ b/coordination/membership/state.go
@@ -146,8 +146,7 @@
 }
 
 // publishNews makes the list of live members after a message, in a large fleet once in a
-// round at the most: while daemons start together each message brings new ones, and a list
-// of 985 takes 150 KB, as do the orders that are made of it.
+// round at the most: while daemons start together each message brings new ones.
 func (l *List) publishNews() {
 	l.mu.Lock()
 	waits := len(l.sorted) > promptMembers && l.clock.Now()-l.publishedAt < l.round
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -264,8 +264,7 @@
 }
 
 // untilAge returns how long to wait until knowledge of some age can be old enough to ask,
-// which it is not if news comes meanwhile. A daemon that looked every 50 ms instead was woken
-// 40 times a second for nothing. Ranks change, so that it looks in each round of news.
+// which it is not if news comes meanwhile. Ranks change, so that it looks in each round of news.
 func untilAge(age, asks spanrill.Millis) spanrill.Millis {
 	return min(newsRound, max(proofPoll, asks-age))
 }
--- a/state/fleet/lines.go
+++ b/state/fleet/lines.go
@@ -5,15 +5,13 @@
 	"spanrill/events"
 )
 
-// lines bounds what is logged of upstreams that come and go. Each daemon sees all of them: a
-// start before 2,922 upstreams wrote as many lines on each, which took 40 ms of a core and 13
-// MB of memory (BenchmarkManyFound). A line says how many were left out before it.
+// lines bounds what is logged of upstreams that come and go: each daemon sees all of them, and
+// thousands may come at once. A line says how many were left out before it.
 type lines struct {
 	found, leaving, gone *events.Limiter
 }
 
-// linesASecond is more upstreams than come and go in a second of a day with trouble, before
-// some hundred of them.
+// linesASecond bounds the lines of each event.
 const linesASecond = 100
 
 func newLines(clock spanrill.Clock) lines {
