Log and count rate limits set by upstreams

An upstream in need sends in its answers the number of requests per second that it accepts from all daemons combined. No log line or metric recorded this limit, so three hypotheses about an incident could not be told apart: the header is not read, each daemon applies the limit on its own, or retries exceed it.

Decode the header in platform/notice.go, together with the other notices in the response header, and store the limit by upstream name (state/fleet/limit.go). Event 519 reports that a limit was set or changed, 520 that it was removed, and 521 that a value is invalid. Log lines for sent requests (620) include limit_per_second. No decision uses the limit yet.

An answer to a call that was begun before the limit was last received neither raises nor removes the limit, because the answer may be older than the limit.

--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -54,7 +54,8 @@
 	})
 }
 
-// keptAway adds why an upstream that gets a request is one that should rather not.
+// keptAway adds the reasons to avoid the upstream that gets a request, and the rate limit of
+// the upstream.
 func keptAway(f logrus.Fields, u *fleet.Upstream, now spanrill.Millis) {
 	if rest := u.RestLeft(now); rest > 0 {
 		f["rest_ms"] = rest
@@ -65,6 +66,9 @@
 	if u.SaidLeaving() {
 		f["said_leaving"] = true
 	}
+	if l := u.Limit(); l.Set {
+		f["limit_per_second"] = l.PerSecond
+	}
 }
 
 // logWaits says once for each silence that a request finds no second path, and what
--- a/events/events.go
+++ b/events/events.go
@@ -122,6 +122,9 @@
 	UpstreamRests       = define(515, logrus.InfoLevel, "upstream asks for rest")
 	UpstreamSaysLeaving = define(516, logrus.InfoLevel, "upstream says in an answer that it leaves")
 	RestUnreadable      = define(517, logrus.WarnLevel, "upstream asks for rest in words that are no time")
+	LimitSet            = define(519, logrus.InfoLevel, "upstream sets a rate limit for all daemons combined")
+	LimitRemoved        = define(520, logrus.InfoLevel, "upstream removes its rate limit")
+	LimitUnreadable     = define(521, logrus.WarnLevel, "upstream sends an invalid rate limit")
 	ConnectionsLacking  = define(518, logrus.WarnLevel, "this machine can make no connection for want of descriptors, ports or memory")
 
 	ChainsChanged = define(508, logrus.InfoLevel, "chains of a service changed")
--- a/notice.go
+++ b/notice.go
@@ -7,6 +7,17 @@
 	// Unreadable is the value of a request for rest that is no time, or "". How long the
 	// rest is cannot be told then.
 	Unreadable string
+	// Limit is the request rate limit that the upstream sent, if any.
+	Limit RateLimit
+	// UnreadableLimit is an invalid value of the limit, or "".
+	UnreadableLimit string
+}
+
+// RateLimit is the number of requests per second that an upstream accepts from all daemons
+// combined.
+type RateLimit struct {
+	Set       bool // false if there is no limit
+	PerSecond float64
 }
 
 // Empty reports whether nothing was said.
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -23,6 +23,7 @@
 //	gone.go         entries that go, and upstreams that leave
 //	answered.go     when the store has answered, for entries that may have lapsed
 //	notice.go       what upstreams say of themselves in their answers
+//	limit.go        request rate limits that upstreams send in their answers
 //	lines.go        what is logged of many upstreams at once
 //	active.go       upstreams that this daemon has to do with
 //	upstream.go     one upstream; refusal.go, risk.go and lag.go what is thought of it
--- a/state/fleet/notice.go
+++ b/state/fleet/notice.go
@@ -17,7 +17,8 @@
 // to 1,920 ms whatever the upstream asked for, one that wanted 3 s of rest got 14 requests
 // of daemons that it had asked, in 8 s of one play, and none with this.
 type notices struct {
-	rest    atomic.Pointer[rest] // the last one, or nil
+	rest    atomic.Pointer[rest]  // the last one, or nil
+	limit   atomic.Pointer[limit] // nil if there is no limit
 	leaving atomic.Bool
 	by      spanrill.EngineEntry // of the start that said it, under the table's lock
 }
@@ -68,24 +69,30 @@
 	Rests      uint64 // requests for rest
 	Unreadable uint64 // of these, without a time that can be read
 	Leaving    uint64 // upstreams that have said that they leave
+	Limits     uint64 // limits that were set or changed
+
+	UnreadableLimits uint64 // invalid values of limits
 }
 
 // noticeCounts counts while others read.
 type noticeCounts struct {
-	rests, unreadable, leaving atomic.Uint64
+	rests, unreadable, leaving, limits, unreadableLimits atomic.Uint64
 }
 
 // Notices returns how many notices were heard.
 func (t *Table) Notices() NoticeCounts {
 	c := &t.noticeCounts
-	return NoticeCounts{Rests: c.rests.Load(), Unreadable: c.unreadable.Load(), Leaving: c.leaving.Load()}
+	return NoticeCounts{
+		Rests: c.rests.Load(), Unreadable: c.unreadable.Load(), Leaving: c.leaving.Load(),
+		Limits: c.limits.Load(), UnreadableLimits: c.unreadableLimits.Load(),
+	}
 }
 
 // Notice takes what the upstream at an address has said of itself in an answer to a call
 // that was begun at the time given. An answer whose call is older than the upstream's
 // stay at the address is one of the upstream that was there before.
 func (t *Table) Notice(addr string, n spanrill.Notice, begun spanrill.Millis) {
-	if n.Empty() {
+	if n.Empty() && !t.addrHasLimit(addr) {
 		return
 	}
 	t.mu.Lock()
@@ -96,6 +103,7 @@
 	}
 	t.rememberNotices(u)
 	t.noteRest(u, n)
+	t.noteLimit(u, n, begun)
 	defer u.activate()
 	if n.Leaving && !u.notices.leaving.Swap(true) {
 		t.noticeCounts.leaving.Add(1)
@@ -162,11 +170,12 @@
 }
 
 // startAgain returns what holds of the notices for another start under the same name. Its
-// rest goes on, since it is the server that asked; but another process has not said that
-// it leaves.
+// rest and its limit carry over, because they apply to the server. Leaving does not carry
+// over, because it applies to the previous process.
 func (n *notices) startAgain() *notices {
 	next := &notices{}
 	next.rest.Store(n.rest.Load())
+	next.limit.Store(n.limit.Load())
 	return next
 }
 
