Share upstream rate limits among all daemons

An upstream that sent a limit of 2.5 requests per second in its answers received 32 requests in four seconds from daemons that had received the limit. 20 are allowed.

Cause: daemons chose upstreams by load and time only, and nothing read the limit. A limit on the combined requests of all daemons cannot be enforced by one daemon alone. Fault class: a value that an upstream reports to one daemon but that applies to all of them.

Rejected alternatives, by reckoning and without a run: - A fixed share of the limit for each daemon. With 985 daemons and a limit of 2.5 per second no share is usable, and unused shares are lost. - Shares by demand, distributed with the news. They lag by one round of news and are too coarse below one request per second.

For each upstream with a limit, one daemon holds a token bucket (coordination/ratelimit). It is selected by rendezvous hashing among 16 daemons. A daemon asks it for a permit once the connection to the upstream is established, immediately before the first byte. A denial carries the time of the next attempt, and until then the denied daemon uses other upstreams. If the granting daemon does not answer within 50 ms, the next one is asked.

Each question and each answer carries the sender's latest value of the limit. The news carries the limits when the digests differ, so that a new daemon knows them before its first request.

A request that no upstream can take because of limits is refused at once (upstreams_limited, not run). Its retry time is spaced at this daemon's share of the limits.

In any window of four seconds one bucket grants at most 4.5 times the limit per second plus two. Six times plus five are allowed. The difference covers a change of the granting daemon.

--- a/coordination/chainrouting/considered.go
+++ b/coordination/chainrouting/considered.go
@@ -11,7 +11,7 @@
 
 // NoPathError says why no path could be chosen.
 type NoPathError struct {
-	cause error // ErrNoRoom, ErrNoPath or ErrRests
+	cause error // ErrNoRoom, ErrNoPath, ErrRests or ErrLimited
 	seen  []considered
 }
 
@@ -94,8 +94,8 @@
 			fmt.Fprintf(&b, " hole=%d-%d", f.layers.From, f.layers.To)
 			continue
 		}
-		fmt.Fprintf(&b, " %s=%d-%d:dead=%t,avoided=%t,takes=%t,rest_ms=%d", f.upstream.ID(), f.layers.From, f.layers.To,
-			f.upstream.Dead(), f.upstream.Avoided(c.now), f.upstream.Takes(), f.upstream.RestLeft(c.now))
+		fmt.Fprintf(&b, " %s=%d-%d:dead=%t,avoided=%t,takes=%t,rest_ms=%d,limit_wait_ms=%d", f.upstream.ID(), f.layers.From, f.layers.To,
+			f.upstream.Dead(), f.upstream.Avoided(c.now), f.upstream.Takes(), f.upstream.RestLeft(c.now), f.upstream.LimitWait(c.now))
 	}
 	return b.String()
 }
--- a/coordination/chainrouting/flow.go
+++ b/coordination/chainrouting/flow.go
@@ -64,6 +64,9 @@
 	stages, requests := s.stages(parts), plannedFill*room
 	millis := cost.PromptMillis(s.model, stages, s.model.UsualPrompt) + s.model.UsualAnswer*cost.TokenMillis(s.model, stages, requests)
 	flow := requests * rest / max(1, millis) * perSecond
+	if limit := parts[0].Upstream.Limit(); limit.Set {
+		flow = min(flow, limit.PerSecond)
+	}
 	return option{parts: parts, estimate: estimate, flow: flow, room: requests * rest}
 }
 
--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -40,6 +40,9 @@
 	// ErrRests means that every path that could be used begins at an engine that has
 	// asked this daemon for rest.
 	ErrRests = errors.New("the engines at which paths begin have asked for rest")
+	// ErrLimited means that every path that could be used begins at an engine whose rate limit
+	// is exhausted.
+	ErrLimited = errors.New("the engines at which paths begin have used up their limits")
 )
 
 // Need is what a request needs of a path.
@@ -252,6 +255,8 @@
 		return nil, &NoPathError{cause: ErrNoRoom, seen: seen}
 	case s.rests:
 		return nil, &NoPathError{cause: ErrRests, seen: seen}
+	case s.limited:
+		return nil, &NoPathError{cause: ErrLimited, seen: seen}
 	case s.none != nil:
 		return nil, &NoPathError{cause: s.none, seen: seen}
 	default:
--- a/coordination/chainrouting/router_test.go
+++ b/coordination/chainrouting/router_test.go
@@ -150,6 +150,18 @@
 			w.table.Notice("b1:1", spanrill.Notice{Rest: 1000}, w.clock.Now())
 			w.clock.Advance(1000)
 		}, need("za"), "b1=0-6 b2=6-12 ", nil},
+		{"no path begins at an engine whose rate limit is exhausted", func(w *world) { w.exhaustLimit("a1") }, need("za"), "b1=0-6 b2=6-12 ", nil},
+		{"an engine whose rate limit is exhausted receives requests from another engine", func(w *world) { w.exhaustLimit("a2") }, need("za"), "a1=0-4 a2=4-8 a3=8-12 ", nil},
+		{"the rate limits of all engines at which paths begin are exhausted", func(w *world) {
+			w.exhaustLimit("a1")
+			w.exhaustLimit("b1")
+		}, need("za"), "", ErrLimited},
+		{"one of these engines accepts requests again", func(w *world) {
+			w.exhaustLimit("a1")
+			w.exhaustLimit("b1")
+			w.clock.Advance(limitWait)
+			w.exhaustLimit("a1")
+		}, need("za"), "b1=0-6 b2=6-12 ", nil},
 		{"no path has an engine that has said in an answer that it leaves", func(w *world) {
 			w.table.Notice("a2:1", spanrill.Notice{Leaving: true}, w.clock.Now())
 		}, need("za"), "b1=0-6 b2=6-12 ", nil},
@@ -352,3 +364,13 @@
 		t.Fatalf("moves went to %v", taken)
 	}
 }
+
+// limitWait is how long exhaustLimit defers requests.
+const limitWait spanrill.Millis = 500
+
+// exhaustLimit sets a rate limit for an engine and defers requests to it.
+func (w *world) exhaustLimit(id string) {
+	limit := spanrill.RateLimit{Set: true, PerSecond: 2}
+	w.table.Notice(id+":1", spanrill.Notice{Limit: limit}, w.clock.Now())
+	w.table.View().ByID(id).DeferRequests(w.clock.Now(), limitWait)
+}
--- a/coordination/chainrouting/search.go
+++ b/coordination/chainrouting/search.go
@@ -22,6 +22,7 @@
 	draw    func() float64 // from 0 to 1, to choose among equal engines, or nil for the emptiest
 	lenient bool           // engines that have only failed a request lately are used
 	zone    string         // bridges are taken from this availability zone alone, unless ""
+	limited bool           // an engine was left out at which a path could begin, because its rate limit is exhausted
 	rests   bool           // an engine was left out at which a path could begin, because it rests
 }
 
@@ -33,17 +34,18 @@
 }
 
 // mayRun reports whether an engine may run layers from a place on. A path cannot begin at
-// one that has asked this daemon for rest: the request goes there. Behind the first one it
-// is another engine that sends.
+// one that has asked this daemon for rest or whose rate limit is exhausted, because this daemon
+// sends the request there. Later engines receive it from another engine.
 func (s *search) mayRun(u *fleet.Upstream, from int) bool {
-	if !s.usable(u) {
-		return false
-	}
-	if from == 0 && u.Rests(s.now) {
-		s.rests = true
-		return false
+	if u != nil && from == 0 {
+		err := u.MaySend(s.now)
+		s.rests = s.rests || errors.Is(err, fleet.ErrRests)
+		s.limited = s.limited || errors.Is(err, fleet.ErrLimited)
+		if err != nil {
+			return false
+		}
 	}
-	return true
+	return s.usable(u)
 }
 
 // complete turns a chain into a path: parts that cannot be used and holes are
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -30,6 +30,7 @@
 
 	"spanrill"
 	"spanrill/coordination/lease"
+	"spanrill/coordination/ratelimit"
 	"spanrill/coordination/retry"
 	"spanrill/coordination/suspect"
 	"spanrill/protocol/peermsg"
@@ -221,6 +222,7 @@
 	e.takeFleet(news.Fleet, sent)
 	e.takeAnswered(&news, sent)
 	e.TakeSuspects(news.Suspects)
+	ratelimit.TakeNews(e.state.Fleet, news.Limits, sent)
 	e.mu.Lock()
 	e.heard[cmp.Or(news.Name, m.Name)] = heard{news: news, at: sent}
 	e.mu.Unlock()
@@ -281,6 +283,7 @@
 	n.UpstreamsAt, n.UpstreamsChange, n.UpstreamsAge = e.state.Fleet.Proof()
 	n.StoreAnswered = min(e.state.Fleet.AnsweredFor(), answeredMost)
 	n.Suspects = e.suspectNews(asked.Suspects)
+	n.Limits = ratelimit.News(e.state.Fleet, e.clock, asked.Limits)
 	e.takeBelow(asked)
 	e.takePlacement(asked.Placement, e.clock.Now())
 	n.Fleet = e.fleetNews(asked)
--- a/coordination/exchange/sums.go
+++ b/coordination/exchange/sums.go
@@ -118,7 +118,7 @@
 
 // question is what a daemon is asked; a parent in trees is told something too.
 func (e *Exchange) question(t target) *peermsg.AskNews {
-	q := &peermsg.AskNews{Name: e.state.Name, Suspects: e.state.Suspects.Digest()}
+	q := &peermsg.AskNews{Name: e.state.Name, Suspects: e.state.Suspects.Digest(), Limits: e.state.Fleet.LimitsDigest()}
 	known := e.knownOrders(t)
 	q.Holder, q.Sequence = known.holder, known.sequence
 	if len(t.trees) == 0 {
--- a/coordination/membership/owners.go
+++ b/coordination/membership/owners.go
@@ -13,7 +13,12 @@
 // Owners returns the n live members that own a key, by rendezvous hashing:
 // when a member comes or goes, only its own keys move.
 func (l *List) Owners(key string, n int) []peermsg.Member {
-	ranked := ranked(key, l.Live())
+	return OwnersAmong(key, l.Live(), n)
+}
+
+// OwnersAmong returns the n of the given members that own a key, by rendezvous hashing.
+func OwnersAmong(key string, members []peermsg.Member, n int) []peermsg.Member {
+	ranked := ranked(key, members)
 	return ranked[:min(n, len(ranked))]
 }
 
--- /dev/null
+++ b/coordination/ratelimit/bucket.go
@@ -0,0 +1,89 @@
+package ratelimit
+
+import (
+	"sync"
+
+	"spanrill"
+)
+
+const (
+	// minCapacity is the minimum capacity of a bucket. At higher rates a bucket holds the tokens
+	// of burstSeconds. Within four seconds a bucket grants at most 4.5 times the limit per second
+	// plus two, where six times plus five are allowed.
+	minCapacity  = 2
+	burstSeconds = 0.5
+	// minRate permits one request every four seconds under any limit, so that the removal of
+	// a limit of zero is detected.
+	minRate = 0.25
+	// maxRetryAfter bounds the wait that is returned to a daemon, because the limit may be raised
+	// in the meantime.
+	maxRetryAfter = 5 * spanrill.Second
+	// bucketRetention is how long an unused bucket is retained.
+	bucketRetention = 60 * spanrill.Second
+)
+
+// bucket is a token bucket.
+type bucket struct {
+	tokens    float64
+	updatedAt spanrill.Millis // when tokens was computed
+	nextRetry spanrill.Millis // retry time of the last denial
+}
+
+// take consumes a token. If none is available, it returns how long to wait before the next
+// attempt. Successive denials return successive retry times, so that daemons do not all retry
+// at once.
+func (b *bucket) take(now spanrill.Millis, perSecond float64) (after spanrill.Millis, ok bool) {
+	perMillisecond := max(minRate, perSecond) / float64(spanrill.Second)
+	capacity := max(minCapacity, perMillisecond*burstSeconds*float64(spanrill.Second))
+	b.tokens = min(capacity, b.tokens+perMillisecond*float64(now-b.updatedAt))
+	b.updatedAt = now
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0, true
+	}
+	interval := 1 / perMillisecond
+	earliest := now + spanrill.Millis((1-b.tokens)*interval)
+	b.nextRetry = max(earliest, b.nextRetry+spanrill.Millis(interval))
+	if b.nextRetry > now+maxRetryAfter {
+		b.nextRetry = min(earliest, now+maxRetryAfter)
+	}
+	return max(1, b.nextRetry-now), false
+}
+
+// Buckets holds the buckets of the upstreams for which this daemon grants permits.
+type Buckets struct {
+	clock spanrill.Clock
+
+	mu         sync.Mutex
+	byUpstream map[uint32]*bucket // by key
+}
+
+// NewBuckets returns an empty set of buckets.
+func NewBuckets(clock spanrill.Clock) *Buckets {
+	return &Buckets{clock: clock, byUpstream: map[uint32]*bucket{}}
+}
+
+// Take consumes a token of an upstream. If none is available, it returns how long to wait before
+// the next attempt. A new bucket is empty, because the daemon that held the bucket before may
+// just have granted its tokens.
+func (b *Buckets) Take(upstream uint32, perSecond float64) (after spanrill.Millis, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	entry := b.byUpstream[upstream]
+	if entry == nil {
+		b.prune(now)
+		entry = &bucket{updatedAt: now}
+		b.byUpstream[upstream] = entry
+	}
+	return entry.take(now, perSecond)
+}
+
+// prune deletes expired buckets. The caller holds the lock.
+func (b *Buckets) prune(now spanrill.Millis) {
+	for upstream, entry := range b.byUpstream {
+		if now-entry.updatedAt > bucketRetention {
+			delete(b.byUpstream, upstream)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/ratelimit/limiter.go
@@ -0,0 +1,124 @@
+// Package ratelimit keeps the combined request rate of all daemons within the limit that an
+// upstream sends in its answers.
+//
+// For each upstream with a limit, one daemon holds a token bucket and grants permits. The other
+// daemons ask it for a permit immediately before they send a request to the upstream. A denial
+// carries the time of the next attempt, and until then the denied daemon uses other upstreams. If
+// the granting daemon does not answer, the next one is asked. Each question and each answer
+// carries the sender's latest value of the limit.
+//
+//	limiter.go  permits for requests of this daemon and of other daemons
+//	news.go     exchange of limits between daemons
+//	bucket.go   token buckets
+//
+// # Usage
+//
+//	l := ratelimit.New(table, clock, peers)
+//	err := l.Permit(ctx, u) // nil, or fleet.ErrLimited
+package ratelimit
+
+import (
+	"context"
+	"sync/atomic"
+
+	"spanrill"
+	"spanrill/protocol/peermsg"
+	"spanrill/state/fleet"
+)
+
+// Peers finds and calls the daemons that grant permits.
+type Peers interface {
+	// Granters returns the daemons that grant permits for an upstream, in order of preference.
+	// This daemon is returned without an address.
+	Granters(upstream uint32) []peermsg.Member
+	// AskPermit asks a daemon for a permit.
+	AskPermit(ctx context.Context, addr string, asked *peermsg.AskPermit) (*peermsg.Permit, error)
+}
+
+// Limiter obtains permits for requests of this daemon, and grants permits to other daemons.
+type Limiter struct {
+	table   *fleet.Table
+	clock   spanrill.Clock
+	peers   Peers
+	buckets *Buckets
+
+	granted, denied atomic.Uint64 // permits for requests of this daemon
+}
+
+// New returns a limiter.
+func New(table *fleet.Table, clock spanrill.Clock, peers Peers) *Limiter {
+	return &Limiter{table: table, clock: clock, peers: peers, buckets: NewBuckets(clock)}
+}
+
+const (
+	// askWait is the timeout for asking a daemon for a permit: many times the round trip
+	// between availability zones.
+	askWait spanrill.Millis = 50
+	// noAnswerRetryAfter is how long requests to an upstream are deferred if no daemon answers.
+	noAnswerRetryAfter spanrill.Millis = 100
+)
+
+// Permit returns nil if the limit of an upstream allows a request now, and fleet.ErrLimited
+// otherwise. Each granted permit counts as a request, even if it is not used.
+func (l *Limiter) Permit(ctx context.Context, u *fleet.Upstream) error {
+	if !u.Limit().Set {
+		return nil
+	}
+	permit := l.ask(ctx, u)
+	if permit.Granted {
+		l.granted.Add(1)
+		return nil
+	}
+	l.denied.Add(1)
+	u.DeferRequests(l.clock.Now(), permit.RetryAfter)
+	return fleet.ErrLimited
+}
+
+// Granted returns the number of permits granted to requests of this daemon.
+func (l *Limiter) Granted() uint64 { return l.granted.Load() }
+
+// Denied returns the number of permits denied to requests of this daemon.
+func (l *Limiter) Denied() uint64 { return l.denied.Load() }
+
+// ask asks the granting daemons in order until one answers.
+func (l *Limiter) ask(ctx context.Context, u *fleet.Upstream) *peermsg.Permit {
+	asked := &peermsg.AskPermit{Limit: limitMessage(l.table.LimitOf(u), l.clock.Now())}
+	for _, m := range l.peers.Granters(u.Key()) {
+		if m.PeerAddr == "" {
+			return l.HandleAskPermit(asked)
+		}
+		if permit, err := l.askPeer(ctx, m.PeerAddr, asked); err == nil {
+			return permit
+		}
+	}
+	return &peermsg.Permit{RetryAfter: noAnswerRetryAfter}
+}
+
+func (l *Limiter) askPeer(ctx context.Context, addr string, asked *peermsg.AskPermit) (*peermsg.Permit, error) {
+	ctx, cancel := context.WithTimeout(ctx, askWait.Duration())
+	defer cancel()
+	sent := l.clock.Now()
+	permit, err := l.peers.AskPermit(ctx, addr, asked)
+	if err != nil {
+		return nil, err
+	}
+	if permit.Limit.Upstream == asked.Limit.Upstream {
+		TakeNews(l.table, []peermsg.UpstreamLimit{permit.Limit}, sent)
+	}
+	permit.RetryAfter = min(max(1, permit.RetryAfter), maxRetryAfter)
+	return permit, nil
+}
+
+// HandleAskPermit grants or denies a permit to a daemon.
+func (l *Limiter) HandleAskPermit(asked *peermsg.AskPermit) *peermsg.Permit {
+	TakeNews(l.table, []peermsg.UpstreamLimit{asked.Limit}, l.clock.Now())
+	known := asked.Limit
+	if u := l.table.View().ByKey(asked.Limit.Upstream); u != nil {
+		known = limitMessage(l.table.LimitOf(u), l.clock.Now())
+	}
+	if !known.Set {
+		return &peermsg.Permit{Granted: true, Limit: known}
+	}
+	after, ok := l.buckets.Take(known.Upstream, known.PerSecond)
+	return &peermsg.Permit{Granted: ok, RetryAfter: after, Limit: known}
+}
--- /dev/null
+++ b/coordination/ratelimit/news.go
@@ -0,0 +1,38 @@
+package ratelimit
+
+import (
+	"spanrill"
+	"spanrill/protocol/peermsg"
+	"spanrill/state/fleet"
+)
+
+// News returns all known limits, or nil if the digest of the other daemon shows that it has the
+// same ones.
+func News(table *fleet.Table, clock spanrill.Clock, digest uint64) []peermsg.UpstreamLimit {
+	if digest == table.LimitsDigest() {
+		return nil
+	}
+	var news []peermsg.UpstreamLimit
+	for _, known := range table.Limits() {
+		news = append(news, limitMessage(known, clock.Now()))
+	}
+	return news
+}
+
+// TakeNews stores the limits in a message of another daemon. Their ages are subtracted from the
+// given time.
+func TakeNews(table *fleet.Table, limits []peermsg.UpstreamLimit, at spanrill.Millis) {
+	for _, m := range limits {
+		if m.Age < 0 {
+			continue // a timestamp in the future would override later answers of the upstream
+		}
+		table.TakeLimit(fleet.KnownLimit{Upstream: m.Upstream, Limit: spanrill.RateLimit{Set: m.Set, PerSecond: m.PerSecond}, At: at - m.Age})
+	}
+}
+
+// limitMessage encodes a known limit for other daemons.
+func limitMessage(known fleet.KnownLimit, now spanrill.Millis) peermsg.UpstreamLimit {
+	return peermsg.UpstreamLimit{
+		Upstream: known.Upstream, Set: known.Limit.Set, PerSecond: known.Limit.PerSecond, Age: now - known.At,
+	}
+}
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -215,8 +215,10 @@
 		return g.ended(g.unknown)
 	}
 	g.considered = consideredBy(err)
-	if rest := g.resting(); errors.Is(err, chainrouting.ErrRests) && len(rest) > 0 {
-		return g.upstreamsRest(rest)
+	if errors.Is(err, chainrouting.ErrRests) || errors.Is(err, chainrouting.ErrLimited) {
+		if refusal := g.limitOrRestRefusal(); refusal != nil {
+			return refusal
+		}
 	}
 	if errors.Is(err, chainrouting.ErrNoRoom) {
 		after, gap := g.relay.turns.take(g.relay.Clock.Now())
--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -67,6 +67,9 @@
 // mayRetry reports whether another attempt is allowed. What did not run may
 // always be sent elsewhere; what may have run only if it is safe.
 func (q *request) mayRetry(a *attempt) bool {
+	if withheld(a.err) {
+		return true
+	}
 	if !a.reached {
 		return len(q.relay.Fleet.View().Of(q.service.Name)) > 1
 	}
@@ -99,8 +102,10 @@
 // noneLeft is the refusal of a request for which there is no upstream, or no further one.
 func (q *request) noneLeft(last *attempt) *spanrill.Refusal {
 	failed := last.err != nil && last.outcome != spanrill.OutcomeNotRun
-	if rest := q.resting(); len(rest) > 0 && q.ctx.Err() == nil && !failed {
-		return last.orRefusal(q.upstreamsRest(rest))
+	if q.ctx.Err() == nil && !failed {
+		if refusal := q.limitOrRestRefusal(); refusal != nil {
+			return last.orRefusal(refusal)
+		}
 	}
 	return last.refusal(q, "no upstream of the service takes requests")
 }
@@ -110,7 +115,11 @@
 func (q *request) notRun(a *attempt) *spanrill.Refusal {
 	refusal := a.refusal(q, "the upstream did not run the request")
 	if refusal.RetryAfter() > 0 && q.pickPlain(nil) == nil {
-		return refusal.WithRetryAfter(max(refusal.RetryAfter(), restRetry(q.resting(), q.relay.Clock.Now())))
+		after := restRetry(q.resting(), q.relay.Clock.Now())
+		if limited := q.blockedBy(fleet.ErrLimited); len(limited) > 0 {
+			after = q.upstreamsLimited(limited).RetryAfter()
+		}
+		return refusal.WithRetryAfter(max(refusal.RetryAfter(), after))
 	}
 	return refusal
 }
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -23,6 +23,7 @@
 //	streams.go       all generations that run, to tell them of a dead engine
 //	gone.go          callers that leave
 //	rests.go         upstreams that have asked for rest
+//	limits.go        upstreams whose rate limit is exhausted
 //	ends.go          upstreams that end under requests
 //	log.go           one line for each decision
 //
@@ -67,10 +68,14 @@
 	Suspects *suspect.Ledger
 	// OnSuspected tells other daemons at once of a request that is kept back from now on.
 	OnSuspected func(suspect.Content)
-	Clock       spanrill.Clock
-	Log         logrus.FieldLogger
-	Meters      *meter.Meters
-	Random      *rng.Source
+	// Permit returns nil if the rate limit of an upstream allows a request now.
+	Permit func(context.Context, *fleet.Upstream) error
+	// Daemons returns the number of live daemons, including this one.
+	Daemons func() int
+	Clock   spanrill.Clock
+	Log     logrus.FieldLogger
+	Meters  *meter.Meters
+	Random  *rng.Source
 	// Hopeless reports whether a daemon that does not know yet what the store holds will
 	// not know it soon.
 	Hopeless func() bool
@@ -90,6 +95,7 @@
 	streams  *streams
 	ends     *ends
 	turns    *turns
+	limited  *limitTurns
 	start    *start
 	sizes    *eventSizes
 	inFlight atomic.Int64
@@ -109,7 +115,7 @@
 // New returns a relay.
 func New(parts Parts, bounds Bounds) *Relay {
 	return &Relay{
-		Parts: parts, bounds: bounds, running: newCallers(parts.Clock, parts.Meters), streams: newStreams(), ends: &ends{}, turns: &turns{}, sizes: newEventSizes(),
+		Parts: parts, bounds: bounds, running: newCallers(parts.Clock, parts.Meters), streams: newStreams(), ends: &ends{}, turns: &turns{}, limited: &limitTurns{}, sizes: newEventSizes(),
 		start: newStart(parts.Clock, parts.Hopeless, parts.Config.Ready(), parts.Fleet.Seen()),
 		good:  events.NewLimiter(parts.Clock, goodLines), bad: events.NewLimiter(parts.Clock, badLines),
 	}
--- a/coordination/relay/rests.go
+++ b/coordination/relay/rests.go
@@ -11,15 +11,21 @@
 )
 
 // withheld reports whether a call was ended before its first byte because its upstream has
-// asked for rest or leaves. That says nothing against the upstream.
+// asked for rest, leaves, or has exhausted its rate limit. That says nothing against the
+// upstream.
 func withheld(err error) bool {
-	return errors.Is(err, fleet.ErrRests) || errors.Is(err, fleet.ErrLeaves)
+	return errors.Is(err, fleet.ErrRests) || errors.Is(err, fleet.ErrLeaves) || errors.Is(err, fleet.ErrLimited)
 }
 
 // sendingTo has a call ask once more, when its connection stands, whether the upstream may
 // be sent a request.
 func (r *Relay) sendingTo(ctx context.Context, u *fleet.Upstream) context.Context {
-	return httpcall.Before(ctx, func() error { return u.MaySend(r.Clock.Now()) })
+	return httpcall.Before(ctx, func() error {
+		if err := u.MaySend(r.Clock.Now()); err != nil {
+			return err
+		}
+		return r.Permit(ctx, u)
+	})
 }
 
 // restRetry returns when a caller should come back whose upstreams all rest: when the first
@@ -43,17 +49,20 @@
 // rest come at twice their usual rate, beside those that come at the usual one.
 const restSpread = 2
 
-// resting returns the upstreams of the request's service that would take it but for their
-// rest: for a request that runs on a path, those at which paths begin.
-func (q *request) resting() []*fleet.Upstream {
+// resting returns the upstreams that would take the request but for their rest.
+func (q *request) resting() []*fleet.Upstream { return q.blockedBy(fleet.ErrRests) }
+
+// blockedBy returns the upstreams of the request's service that would take it but for the given
+// MaySend error: for a request that runs on a path, those at which paths begin.
+func (q *request) blockedBy(cause error) []*fleet.Upstream {
 	now := q.relay.Clock.Now()
-	var rest []*fleet.Upstream
+	var blocked []*fleet.Upstream
 	for _, u := range q.relay.Fleet.View().Of(q.service.Name) {
-		if u.TakesAt(now) && u.Rests(now) && (!q.route.Chained || u.Layers().From == 0) {
-			rest = append(rest, u)
+		if errors.Is(u.MaySend(now), cause) && (!q.route.Chained || u.Layers().From == 0) {
+			blocked = append(blocked, u)
 		}
 	}
-	return rest
+	return blocked
 }
 
 // upstreamsRest refuses a request at once whose upstreams all rest: no engine has run it.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"spanrill/coordination/layoutrun"
 	"spanrill/coordination/lease"
 	"spanrill/coordination/probe"
+	"spanrill/coordination/ratelimit"
 	"spanrill/coordination/relay"
 	"spanrill/coordination/retry"
 	"spanrill/coordination/suspect"
@@ -90,6 +91,7 @@
 	budgets   *retry.Budgets
 	suspects  *suspect.Ledger
 	keeper    *suspect.Keeper
+	limiter   *ratelimit.Limiter
 	exchange  *exchange.Exchange
 	lease     *lease.Lease
 	placer    *layoutrun.Placer
@@ -213,6 +215,7 @@
 	if g.peers, err = newPeers(g); err != nil {
 		return fmt.Errorf("build peers: %w", err)
 	}
+	g.limiter = ratelimit.New(g.fleet, g.clock, g.peers)
 	g.lease = lease.New(g.adapter.Store, g.clock, "placement", g.peers.name, lease.WithTime(leaseTime),
 		lease.WithLogger(g.log), lease.WithContends(g.contends), lease.WithYields(g.yields))
 	g.keeper = suspect.NewKeeper(g.suspects, g.adapter.Store, g.clock, g.log, func() bool { _, ok := g.lease.Held(); return ok })
@@ -226,6 +229,7 @@
 	g.relay = relay.New(relay.Parts{
 		Config: g.config, Fleet: g.fleet, Router: g.router, Prober: g.prober,
 		Engines: engines, Codec: g.adapter.Codec, HTTP: g.http, Budgets: g.budgets, Suspects: g.suspects, OnSuspected: g.peers.tellSuspect,
+		Permit: g.limiter.Permit, Daemons: func() int { return int(g.daemons.Load()) },
 		Clock: g.clock, Log: g.log, Meters: g.meters, Random: g.random, Hopeless: g.hopeless,
 	}, relay.Bounds{Zone: g.settings.Zone, Freshness: g.freshness()})
 	g.callersWait = g.relay.CallersWaitSince
@@ -237,6 +241,8 @@
 	g.meters.Gauge("spanrill_upstream_limits", func() float64 { return float64(g.fleet.Notices().Limits) })
 	g.meters.Gauge("spanrill_upstream_limits_unreadable", func() float64 { return float64(g.fleet.Notices().UnreadableLimits) })
 	g.meters.Gauge("spanrill_upstreams_limited", func() float64 { return float64(g.fleet.LimitedUpstreams()) })
+	g.meters.Gauge("spanrill_limit_permits_granted", func() float64 { return float64(g.limiter.Granted()) })
+	g.meters.Gauge("spanrill_limit_permits_denied", func() float64 { return float64(g.limiter.Denied()) })
 	g.meters.Gauge("spanrill_entries_unreadable", func() float64 { now, _ := g.fleet.Unreadable(); return float64(now) })
 	g.meters.Gauge("spanrill_entries_unreadable_seen", func() float64 { _, all := g.fleet.Unreadable(); return float64(all) })
 	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -149,6 +149,12 @@
 			p.gateway.exchange.TakeSuspects(m.Marks)
 		}
 		return nil, err
+	case peermsg.KindPermit:
+		var m peermsg.AskPermit
+		if err = peermsg.Decode(payload, &m); err != nil {
+			return nil, err
+		}
+		return p.gateway.limiter.HandleAskPermit(&m), nil
 	case peermsg.KindEntries:
 		var m peermsg.AskEntries
 		if err = peermsg.Decode(payload, &m); err != nil {
@@ -173,6 +179,38 @@
 	}
 }
 
+const (
+	// maxGranters is the number of daemons that share the upstreams for which permits are
+	// granted. Those with the most processor are used.
+	maxGranters = 16
+	// maxGrantersAsked is the maximum number of daemons that are asked for one permit.
+	maxGrantersAsked = 2
+	// granterRankKey is the key by which daemons are ranked for granting permits.
+	granterRankKey = "limits"
+)
+
+// Granters returns the daemons that grant permits for an upstream, in order of preference. This
+// daemon is returned without an address.
+func (p *peers) Granters(upstream uint32) []peermsg.Member {
+	ranked := p.list.Ranked(granterRankKey)
+	owners := membership.OwnersAmong(fmt.Sprint(upstream), ranked[:min(maxGranters, len(ranked))], maxGrantersAsked)
+	for i := range owners {
+		if owners[i].Name == p.name {
+			owners[i].PeerAddr = ""
+		}
+	}
+	return owners
+}
+
+// AskPermit asks a daemon for a permit.
+func (p *peers) AskPermit(ctx context.Context, addr string, asked *peermsg.AskPermit) (*peermsg.Permit, error) {
+	var permit peermsg.Permit
+	if err := p.Ask(ctx, addr, uint8(peermsg.KindPermit), asked, &permit); err != nil {
+		return nil, fmt.Errorf("ask for permit: %w", err)
+	}
+	return &permit, nil
+}
+
 // leave tells the others that this daemon is stopping.
 func (p *peers) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveWait)
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -36,6 +36,7 @@
 	KindEntries     peernet.Kind = 11 // AskEntries, reply Entries
 	KindLoan        peernet.Kind = 12 // AskLoan, reply Loan
 	KindSuspects    peernet.Kind = 13 // SuspectNews, no reply
+	KindPermit      peernet.Kind = 14 // AskPermit, reply Permit
 )
 
 // Member is what daemons tell one another about one of them.
@@ -218,6 +219,8 @@
 	Sequence uint64
 
 	Brief []int // trees of whose sums the upstreams are not asked for
+
+	Limits uint64 // digest of the rate limits that the sender knows
 }
 
 // FleetSum is the sum over all daemons that reached the root of a tree. In a fleet with many
@@ -268,6 +271,31 @@
 	StoreAnswered spanrill.Millis
 
 	Suspects []SuspectMark
+
+	Limits []UpstreamLimit // all known rate limits, if the digests differ
+}
+
+// UpstreamLimit is the rate limit of an upstream for all daemons combined.
+type UpstreamLimit struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Upstream  uint32   // hash of the upstream id
+	Set       bool     // false if there is no limit, or it was removed
+	PerSecond float64
+	Age       spanrill.Millis // since the answer of the upstream, when the message was made
+}
+
+// AskPermit asks for a permit to send one request to an upstream with a rate limit.
+type AskPermit struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Limit    UpstreamLimit
+}
+
+// Permit answers an AskPermit.
+type Permit struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Granted    bool
+	RetryAfter spanrill.Millis // wait before the next attempt, if denied
+	Limit      UpstreamLimit   // latest limit that the granting daemon knows
 }
 
 // SuspectNews tells of a request that is kept back from now on, without being asked.
--- a/refusal.go
+++ b/refusal.go
@@ -46,6 +46,7 @@
 	ReasonNoRoom           // every chain is full
 	ReasonSuspected        // upstreams ended under the request, it is kept back for a while
 	ReasonUpstreamsRest    // every upstream that could take it has asked for rest
+	ReasonUpstreamsLimited // every upstream that could take it has exhausted its rate limit
 	ReasonEndsUpstreams    // too many upstreams ended under the request
 	ReasonInternal         // a fault of this daemon
 	reasonCount
@@ -100,6 +101,7 @@
 	ReasonNoRoom:           {"no_room", 503, kindUnavailable},
 	ReasonSuspected:        {"suspected", 503, kindUnavailable},
 	ReasonUpstreamsRest:    {"upstreams_rest", 503, kindUnavailable},
+	ReasonUpstreamsLimited: {"upstreams_limited", 503, kindUnavailable},
 	ReasonEndsUpstreams:    {"ends_upstreams", 503, kindUnavailable},
 	ReasonInternal:         {"internal_error", 500, kindServer},
 }
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -81,6 +81,9 @@
 	noticed      map[string]*notices // by name
 	noticeCounts noticeCounts
 
+	limited      map[string]bool // names of upstreams whose rate limit is known or was removed recently
+	limitsDigest atomic.Uint64
+
 	answered   answered
 	outageTime spanrill.Millis // how long the store has answered nobody when entries may have lapsed
 }
@@ -109,7 +112,7 @@
 	t := &Table{
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
 		all: map[string]*Upstream{}, byAddr: map[string]*Upstream{}, held: map[string]held{}, bad: map[string]bool{}, ends: newEnds(), left: map[string]departed{}, seen: make(chan struct{}),
-		past: map[string]*past{}, claims: map[string]*claim{}, noticed: map[string]*notices{}, onRestart: func(string) {},
+		past: map[string]*past{}, claims: map[string]*claim{}, noticed: map[string]*notices{}, limited: map[string]bool{}, onRestart: func(string) {},
 		active: &active{set: map[*Upstream]struct{}{}},
 		hold:   defaultDrain - holdMargin, outageTime: defaultDrain - outageMargin,
 	}
--- a/state/fleet/limit.go
+++ b/state/fleet/limit.go
@@ -1,69 +1,193 @@
 package fleet
 
 import (
+	"math"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
 	"spanrill/events"
 )
 
-// limit is the number of requests per second that an upstream accepts from all daemons
-// combined.
+// limitState holds the rate limit of an upstream and the effect of denied permits.
+type limitState struct {
+	last          atomic.Pointer[limit] // nil if no limit was ever received
+	deferredUntil atomic.Int64          // no requests are sent before this time
+}
+
+// limit is the last received rate limit of an upstream, or the fact that it has none.
 type limit struct {
-	perSecond  float64
-	receivedAt spanrill.Millis // arrival of the last answer that updated or confirmed it
+	spanrill.RateLimit
+	receivedAt spanrill.Millis // when the answer with the limit arrived; without a limit, when the call was begun
 }
 
-// noteLimit updates the limit of an upstream from an answer. An answer to a call that was begun
-// before the limit was last received may be older than the limit, so it neither raises nor
-// removes it. The caller holds the lock.
+// removedLimitRetention is how long the removal of a limit is sent to other daemons, so that those
+// with the old limit receive it.
+const removedLimitRetention = 30 * spanrill.Second
+
+// ErrLimited means that the rate limit of the upstream allows no further request now.
+var ErrLimited = errors.New("the upstream's limit is used up")
+
+// noteLimit updates the limit from an answer. An answer to a call that was begun before the limit
+// was last received may be older than the limit, so it neither raises nor removes the limit. The
+// caller holds the lock.
 func (t *Table) noteLimit(u *Upstream, n spanrill.Notice, begun spanrill.Millis) {
 	if n.UnreadableLimit != "" {
 		t.noticeCounts.unreadableLimits.Add(1)
 		events.LimitUnreadable.Log(t.log, logrus.Fields{"upstream": u.ID(), "value": n.UnreadableLimit})
 	}
-	old := u.notices.limit.Load()
+	old := u.notices.limits.last.Load()
 	switch {
 	case n.Limit.Set:
-		if old != nil && n.Limit.PerSecond > old.perSecond && begun < old.receivedAt {
+		if old != nil && (!old.Set || n.Limit.PerSecond > old.PerSecond) && begun < old.receivedAt {
 			return
 		}
-		u.notices.limit.Store(&limit{perSecond: n.Limit.PerSecond, receivedAt: t.clock.Now()})
-		if old == nil || old.perSecond != n.Limit.PerSecond {
-			t.noticeCounts.limits.Add(1)
-			events.LimitSet.Log(t.log, logrus.Fields{"upstream": u.ID(), "per_second": n.Limit.PerSecond})
-		}
-	case old != nil && n.UnreadableLimit == "" && begun >= old.receivedAt:
-		u.notices.limit.Store(nil)
-		events.LimitRemoved.Log(t.log, logrus.Fields{"upstream": u.ID(), "per_second": old.perSecond})
+		t.setLimit(u, &limit{RateLimit: n.Limit, receivedAt: t.clock.Now()}, "answer")
+	case old != nil && old.Set && n.UnreadableLimit == "" && begun >= old.receivedAt:
+		t.setLimit(u, &limit{receivedAt: begun}, "answer")
+	}
+}
+
+// setLimit replaces the limit of an upstream. The caller holds the lock.
+func (t *Table) setLimit(u *Upstream, next *limit, from string) {
+	l := &u.notices.limits
+	old := l.last.Swap(next)
+	if old == nil {
+		old = &limit{}
+	}
+	if old.RateLimit == next.RateLimit && t.limited[u.Name()] {
+		return
+	}
+	t.limited[u.Name()] = true
+	t.limitsDigest.Store(t.computeLimitsDigest())
+	if old.RateLimit == next.RateLimit {
+		return
+	}
+	if !next.Set || next.PerSecond > old.PerSecond {
+		l.deferredUntil.Store(0)
+	}
+	if !next.Set {
+		events.LimitRemoved.Log(t.log, logrus.Fields{"upstream": u.ID(), "per_second": old.PerSecond, "from": from})
+		return
 	}
+	t.noticeCounts.limits.Add(1)
+	events.LimitSet.Log(t.log, logrus.Fields{"upstream": u.ID(), "per_second": next.PerSecond, "from": from})
 }
 
-// addrHasLimit reports whether the upstream at an address has a limit. If so, an empty notice
-// must be processed as well, since it removes the limit.
+// addrHasLimit reports whether the upstream at an address has a limit. An answer without one then
+// removes it.
 func (t *Table) addrHasLimit(addr string) bool {
 	u := t.View().ByAddr(addr)
 	return u != nil && u.Limit().Set
 }
 
-// Limit returns the rate limit of the upstream. It is not set if the upstream has none.
-func (u *Upstream) Limit() spanrill.RateLimit {
-	l := u.notices.limit.Load()
+// KnownLimit is the limit of an upstream as exchanged between daemons.
+type KnownLimit struct {
+	Upstream uint32 // key
+	Limit    spanrill.RateLimit
+	At       spanrill.Millis // when the upstream sent it, or earlier
+}
+
+// LimitOf returns the known limit of an upstream.
+func (t *Table) LimitOf(u *Upstream) KnownLimit {
+	l := u.notices.limits.last.Load()
 	if l == nil {
-		return spanrill.RateLimit{}
+		return KnownLimit{Upstream: u.Key()}
+	}
+	return KnownLimit{Upstream: u.Key(), Limit: l.RateLimit, At: l.receivedAt}
+}
+
+// TakeLimit stores a limit received from another daemon if it is newer than the known one.
+func (t *Table) TakeLimit(known KnownLimit) {
+	rate := known.Limit.PerSecond
+	if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.View().ByKey(known.Upstream)
+	if u == nil || u.Removed() {
+		return
+	}
+	old := u.notices.limits.last.Load()
+	switch {
+	case old == nil && !known.Limit.Set, old != nil && known.At <= old.receivedAt:
+		return
 	}
-	return spanrill.RateLimit{Set: true, PerSecond: l.perSecond}
+	t.rememberNotices(u)
+	t.setLimit(u, &limit{RateLimit: known.Limit, receivedAt: known.At}, "daemon")
+}
+
+// Limits returns the known limits, and those removed within removedLimitRetention.
+func (t *Table) Limits() (all []KnownLimit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name := range t.limited {
+		u := t.all[name]
+		if u == nil || !u.Limit().Set && t.clock.Now()-t.LimitOf(u).At > removedLimitRetention {
+			delete(t.limited, name)
+			continue
+		}
+		all = append(all, t.LimitOf(u))
+	}
+	t.limitsDigest.Store(t.computeLimitsDigest())
+	return all
+}
+
+// LimitsDigest returns a digest of the known limits, equal on daemons that know the same ones.
+func (t *Table) LimitsDigest() uint64 { return t.limitsDigest.Load() }
+
+// computeLimitsDigest computes the digest of the known limits. The caller holds the lock.
+func (t *Table) computeLimitsDigest() (digest uint64) {
+	for name := range t.limited {
+		if u := t.all[name]; u != nil && u.Limit().Set {
+			digest ^= xxhash.Sum64String(name) * (math.Float64bits(u.Limit().PerSecond) | 1)
+		}
+	}
+	return digest
 }
 
 // LimitedUpstreams returns the number of upstreams that have a rate limit.
-func (t *Table) LimitedUpstreams() int {
+func (t *Table) LimitedUpstreams() (n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for _, u := range t.all {
-		if u.Limit().Set {
+	for name := range t.limited {
+		if u := t.all[name]; u != nil && u.Limit().Set {
 			n++
 		}
 	}
 	return n
 }
+
+// Limit returns the rate limit of the upstream for all daemons combined.
+func (u *Upstream) Limit() spanrill.RateLimit {
+	l := u.notices.limits.last.Load()
+	if l == nil {
+		return spanrill.RateLimit{}
+	}
+	return l.RateLimit
+}
+
+// DeferRequests keeps requests from the upstream for a time after a permit was denied. If several
+// deferrals overlap, the earliest end applies.
+func (u *Upstream) DeferRequests(now, wait spanrill.Millis) {
+	l, until := &u.notices.limits, int64(now+wait)
+	for {
+		old := l.deferredUntil.Load()
+		if old > int64(now) && old <= until || l.deferredUntil.CompareAndSwap(old, until) {
+			return
+		}
+	}
+}
+
+// LimitWait returns how much longer requests to the upstream are deferred because of its rate
+// limit, or 0.
+func (u *Upstream) LimitWait(now spanrill.Millis) spanrill.Millis {
+	if !u.Limit().Set {
+		return 0
+	}
+	return max(0, spanrill.Millis(u.notices.limits.deferredUntil.Load())-now)
+}
--- a/state/fleet/notice.go
+++ b/state/fleet/notice.go
@@ -17,8 +17,8 @@
 // to 1,920 ms whatever the upstream asked for, one that wanted 3 s of rest got 14 requests
 // of daemons that it had asked, in 8 s of one play, and none with this.
 type notices struct {
-	rest    atomic.Pointer[rest]  // the last one, or nil
-	limit   atomic.Pointer[limit] // nil if there is no limit
+	rest    atomic.Pointer[rest] // the last one, or nil
+	limits  limitState
 	leaving atomic.Bool
 	by      spanrill.EngineEntry // of the start that said it, under the table's lock
 }
@@ -69,9 +69,9 @@
 	Rests      uint64 // requests for rest
 	Unreadable uint64 // of these, without a time that can be read
 	Leaving    uint64 // upstreams that have said that they leave
-	Limits     uint64 // limits that were set or changed
+	Limits     uint64 // rate limits that were set or changed
 
-	UnreadableLimits uint64 // invalid values of limits
+	UnreadableLimits uint64 // invalid values of rate limits
 }
 
 // noticeCounts counts while others read.
@@ -175,7 +175,7 @@
 func (n *notices) startAgain() *notices {
 	next := &notices{}
 	next.rest.Store(n.rest.Load())
-	next.limit.Store(n.limit.Load())
+	next.limits.last.Store(n.limits.last.Load())
 	return next
 }
 
@@ -196,6 +196,8 @@
 		return ErrLeaves
 	case u.Rests(now):
 		return ErrRests
+	case u.LimitWait(now) > 0:
+		return ErrLimited
 	}
 	return nil
 }
