soak: add upstream rate limits as a fault

No fault in the soak set a limit on an upstream's request rate. The limit rule was checked only by tests with fixed limits, without concurrent restarts, frozen daemons or lost links.

Add a kind of fault in which an upstream sets a limit, lowers or raises it, and removes it. It has four forms: 2.5; 5 then 1; 0.5 then 4; 0 (requests per second). Each limit is in effect for 11 s, unless another fault of the same upstream replaces it earlier.

The kind is drawn from a separate random source, every 3 s on average, so that each seed still yields the same steps for the other kinds.

The check counts the requests that an upstream received in each window of four seconds from daemons that had received the limit at least half a second earlier. A daemon is not counted if it was disturbed, or the upstream was cut off, during the window or within three seconds before it.

--- a/soak/bounds.go
+++ b/soak/bounds.go
@@ -12,6 +12,7 @@
 	ruleRests  = "no more than two requests within a rest"
 	ruleLeaves = "no request at an upstream that has said that it leaves"
 	ruleBudget = "retries within the budget of all daemons"
+	ruleLimits = "requests within the limit of an upstream"
 )
 
 const (
@@ -26,6 +27,11 @@
 	budgetRatio  = 0.2
 	budgetSlack  = 200
 	budgetWindow = 10 * time.Second
+	// limitSettle is the time from the first answer with a limit until the limit is enforced.
+	// Daemons that were disturbed during a window or this long before it are not counted.
+	limitSettle = 3 * time.Second
+	// limitWindow is the window of platformtest.LimitCheck.
+	limitWindow = 4 * time.Second
 )
 
 // traffic is what callers sent and upstreams got.
@@ -179,3 +185,27 @@
 	}
 	return most
 }
+
+// limits returns, for each upstream, the first window in which it received more requests than
+// its limit allows.
+func (t *traffic) limits() (found []breach) {
+	daemons := map[string]*process{}
+	check := platformtest.LimitCheck{
+		Settle: limitSettle,
+		DaemonOf: func(request string) (string, bool) {
+			s, ok := t.requests[request]
+			if ok {
+				daemons[s.daemon.name] = s.daemon
+				return s.daemon.name, true
+			}
+			return "", false
+		},
+		Exempt: func(daemon, upstream string, from, to time.Time) bool {
+			return t.excused(daemons[daemon], upstream, from.Add(-limitSettle), to)
+		},
+	}
+	for _, v := range check.Find(t.arrivals) {
+		found = append(found, breach{t.requests[v.Last.ID], fmt.Sprintf("%s had set a limit of %v a second, and got %d requests in %v; allowed %d", v.Upstream, v.Limit, v.Got, limitWindow, v.Allowed)})
+	}
+	return found
+}
--- a/soak/bounds_test.go
+++ b/soak/bounds_test.go
@@ -135,3 +135,34 @@
 		})
 	}
 }
+
+// Guards against a limit check that misses violations or reports permitted requests.
+func TestLimits(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		gap     float64 // seconds between two requests
+		until   float64 // second at which requests end
+		excuse  bool
+		removed float64 // second from which answers carry no limit, 0 for never
+		want    int
+	}{
+		{"as many as allowed", 0.21, 12, false, 0, 0},
+		{"more than allowed", 0.15, 12, false, 0, 1},
+		{"more than allowed, before the limit is enforced", 0.15, 2.9, false, 0, 0},
+		{"more than allowed, from a restarted daemon", 0.15, 12, true, 0, 0},
+		{"more than allowed, after the limit is removed", 0.15, 12, false, 2, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDay()
+			d.excused = func(*process, string, time.Time, time.Time) bool { return c.excuse }
+			for at := 0.0; at < c.until; at += c.gap {
+				if a := d.arrive(d.send(at), "u", at); c.removed == 0 || at < c.removed {
+					a.Limit = "2.5"
+				}
+			}
+			if found := d.limits(); len(found) != c.want {
+				t.Errorf("%d breaches, want %d: %+v", len(found), c.want, found)
+			}
+		})
+	}
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -99,7 +99,7 @@
 		}
 	}
 	t := r.traffic()
-	for rule, found := range map[string][]breach{ruleRests: t.rests(), ruleLeaves: t.leaves(), ruleBudget: t.budget()} {
+	for rule, found := range map[string][]breach{ruleRests: t.rests(), ruleLeaves: t.leaves(), ruleBudget: t.budget(), ruleLimits: t.limits()} {
 		for _, b := range found {
 			add(b.by, rule, b.what)
 		}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -12,7 +12,7 @@
 //	process.go   one daemon
 //	callers.go   callers, and what they saw
 //	check.go     what must hold
-//	bounds.go    what must hold over many requests: rests, leaving, the retry budget
+//	bounds.go    what must hold over many requests: rests, leaving, limits, the retry budget
 //	run.go       one run, and its report
 //
 // # Usage
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -39,6 +39,8 @@
 		return r.upstreamGoes
 	case UpstreamFull, UpstreamFails, UpstreamBreaks, UpstreamMute:
 		return r.upstreamFault
+	case UpstreamLimits:
+		return r.upstreamLimitFault
 	case ConfigChanges, KeyWithdrawn:
 		return r.operate
 	}
@@ -213,6 +215,26 @@
 	return nil
 }
 
+// limitSequences lists the limits that an upstream sets in succession, indexed by Step.Way.
+var limitSequences = [ways][]string{{"2.5"}, {"5", "1"}, {"0.5", "4"}, {"0"}}
+
+// limitTime is how long each limit is in effect: the time until it is enforced plus two check
+// windows.
+const limitTime = limitSettle + 2*limitWindow
+
+// upstreamLimitFault makes an upstream set a sequence of limits and then remove the limit.
+// Another fault of the same upstream that begins or ends in the meantime also removes or replaces
+// the limit, because SetFaults replaces all faults.
+func (r *run) upstreamLimitFault(ctx context.Context, s Step) error {
+	_, u := r.world.at(s.Target)
+	for _, limit := range limitSequences[s.Way] {
+		u.engine.SetFaults(platformtest.EngineFaults{Limit: limit})
+		wait(ctx, limitTime)
+	}
+	u.engine.SetFaults(platformtest.EngineFaults{})
+	return nil
+}
+
 // withdrawal is a key that was taken away, and when the store had it.
 type withdrawal struct {
 	key string
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -31,15 +31,13 @@
 	UpstreamFails  Kind = "upstream fails"       // answers 500
 	UpstreamBreaks Kind = "upstream breaks off"  // in the middle of streams
 	UpstreamMute   Kind = "upstream mute"        // to questions, and works on
+	UpstreamLimits Kind = "upstream sets limit"  // on its request rate, changes and removes it
 	ConfigChanges  Kind = "configuration changes"
 	KeyWithdrawn   Kind = "key withdrawn" // and another one given out
 )
 
 // weights is how often each kind comes, compared with the others.
-var weights = []struct {
-	kind   Kind
-	weight int
-}{
+var weights = []weightedKind{
 	{DaemonKilled, 3},
 	{DaemonStopped, 3},
 	{DaemonFrozen, 3},
@@ -63,6 +61,17 @@
 	{KeyWithdrawn, 1},
 }
 
+// independentWeights lists the kinds that are drawn from a separate random source, so that they do
+// not change the steps that a seed yields for the kinds in weights.
+var independentWeights = []weightedKind{
+	{UpstreamLimits, 1},
+}
+
+type weightedKind struct {
+	kind   Kind
+	weight int
+}
+
 // Step is one fault of a plan.
 type Step struct {
 	At     time.Duration `json:"at"`     // since callers began
@@ -76,6 +85,10 @@
 	// stepGap is the mean pause between two faults: with the mean length of a fault a little
 	// over two are under way at a time.
 	stepGap = 900 * time.Millisecond
+	// independentGap is the mean pause between two faults of independentWeights.
+	independentGap = 3 * time.Second
+	// independentSeedOffset is added to the seed of the random source for independentWeights.
+	independentSeedOffset = 1 << 32
 	// shortestFault and longestFault bound how long one lasts: from less than a round of news
 	// to longer than a key may be used without a proof.
 	shortestFault = 200 * time.Millisecond
@@ -90,14 +103,20 @@
 // Plan returns the faults of a run in their order. It follows from the seed and the length
 // alone.
 func Plan(seed uint64, length time.Duration) []Step {
-	r := rng.New(seed)
-	var steps []Step
+	steps := append(drawSteps(rng.New(seed), weights, stepGap, length), drawSteps(rng.New(seed+independentSeedOffset), independentWeights, independentGap, length)...)
+	sort.SliceStable(steps, func(i, k int) bool { return steps[i].At < steps[k].At })
+	return steps
+}
+
+// drawSteps draws the steps for the given kinds, with the mean pause gap between them. Repeated
+// steps may be out of order.
+func drawSteps(r *rng.Source, kinds []weightedKind, gap, length time.Duration) (steps []Step) {
 	for at := time.Duration(0); ; {
-		at += time.Duration(2 * r.Float64() * float64(stepGap))
+		at += time.Duration(2 * r.Float64() * float64(gap))
 		if at >= length {
-			break
+			return steps
 		}
-		s := Step{At: at, Kind: draw(r), Target: r.IntN(1 << 16), Way: r.IntN(ways)}
+		s := Step{At: at, Kind: draw(r, kinds), Target: r.IntN(1 << 16), Way: r.IntN(ways)}
 		s.For = shortestFault + time.Duration(r.Float64()*r.Float64()*float64(longestFault-shortestFault))
 		steps = append(steps, s)
 		if r.Float64() < seriesShare {
@@ -109,21 +128,19 @@
 			}
 		}
 	}
-	sort.SliceStable(steps, func(i, k int) bool { return steps[i].At < steps[k].At })
-	return steps
 }
 
-func draw(r *rng.Source) Kind {
+func draw(r *rng.Source, kinds []weightedKind) Kind {
 	sum := 0
-	for _, w := range weights {
+	for _, w := range kinds {
 		sum += w.weight
 	}
 	n := r.IntN(sum)
-	for _, w := range weights {
+	for _, w := range kinds {
 		if n < w.weight {
 			return w.kind
 		}
 		n -= w.weight
 	}
-	return weights[0].kind
+	return kinds[0].kind
 }
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -23,20 +24,21 @@
 			}
 		}
 	}
-	for _, w := range weights {
+	all := append(slices.Clone(weights), independentWeights...)
+	for _, w := range all {
 		if kinds[w.kind] == 0 {
 			t.Errorf("no plan has %q", w.kind)
 		}
 	}
-	if len(kinds) != len(weights) {
-		t.Errorf("%d kinds in plans, want %d", len(kinds), len(weights))
+	if len(kinds) != len(all) {
+		t.Errorf("%d kinds in plans, want %d", len(kinds), len(all))
 	}
 }
 
 // Every kind of a plan is one that can be brought about.
 func TestFaultsOfAllKinds(t *testing.T) {
 	r := &run{}
-	for _, w := range weights {
+	for _, w := range append(slices.Clone(weights), independentWeights...) {
 		if r.faultOf(Step{Kind: w.kind}) == nil {
 			t.Errorf("%q cannot be brought about", w.kind)
 		}
