Log when the platform store has been restored from an older copy

The platform's store may be restored from an older copy. Each restore increases Store-Era, a header of every store response, by one. Neither a restore nor a list ignored because it appeared older than the state held by a daemon was logged, so three hypotheses about an incident could not be told apart: revisions are compared across copies, the store is only partially restored, or peers pass on outdated state.

Event 303 reports that the era has increased, with the revisions held by the daemon. Event 304 reports an ignored list, with both revisions. The gauge spanrill_store_era exports the era. No decision uses the era yet.

--- a/events/events.go
+++ b/events/events.go
@@ -79,6 +79,8 @@
 	PlatformLost  = define(300, logrus.WarnLevel, "platform does not answer")
 	PlatformFound = define(301, logrus.InfoLevel, "platform answers again")
 	HistoryGone   = define(302, logrus.WarnLevel, "platform has forgotten the changes asked for, listing again")
+	StoreRestored = define(303, logrus.WarnLevel, "platform store restored from an older copy")
+	ListOutdated  = define(304, logrus.WarnLevel, "ignored a collection list older than the known revision")
 )
 
 // Membership and peers, 400 to 449.
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -14,6 +14,9 @@
 // Listed takes the configuration if it is there.
 func (s configSink) Listed(items []spanrill.Item, _ uint64, sent spanrill.Millis) {
 	for _, item := range items {
+		if known := s.g.config.Revision(); item.Name == s.g.adapter.ConfigName && item.Revision < known {
+			events.ListOutdated.Log(s.g.log, logrus.Fields{"collection": "configuration", "revision": item.Revision, "known": known, "era": s.g.adapter.Era()})
+		}
 		s.take(item, sent)
 	}
 }
@@ -91,3 +94,16 @@
 }
 
 func (g *Gateway) isFresh() bool { return g.config.Age() <= g.freshness() }
+
+// noteEra logs when the store has been restored from an older copy. The first era
+// received is only recorded.
+func (g *Gateway) noteEra() {
+	era, previous := g.adapter.Era(), g.storeEra
+	if era == previous {
+		return
+	}
+	g.storeEra = era
+	if previous > 0 {
+		events.StoreRestored.Log(g.log, logrus.Fields{"era": era, "before": previous, "config_revision": g.config.Revision(), "upstreams_revision": g.fleet.At()})
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,8 +64,9 @@
 	Codec        spanrill.HeaderCodec
 	DecodeConfig func(value []byte) (*spanrill.RouteConfig, error)
 	DecodeEntry  func(spanrill.Item) (spanrill.EngineEntry, error)
-	ConfigName   string // name of the configuration in its collection
-	ReadyPath    string // asked by the platform's balancer
+	ConfigName   string        // name of the configuration in its collection
+	ReadyPath    string        // asked by the platform's balancer
+	Era          func() uint64 // latest era of the store, or 0 if unknown
 }
 
 // Connect builds an adapter that uses the client for all of its calls, and
@@ -111,6 +112,7 @@
 	draining    atomic.Bool
 	wasFresh    atomic.Bool
 	oddOf       *routes.Table // whose odd values were logged; of the upkeep
+	storeEra    uint64        // last era seen by noteEra
 	daemons     atomic.Int64  // that are known to live, this one included
 	accepted    atomic.Bool   // connections were taken when this was looked at last
 	heldAt      atomic.Int64  // when this daemon last held the lease of placement
@@ -245,6 +247,7 @@
 	g.meters.Gauge("spanrill_limit_permits_denied", func() float64 { return float64(g.limiter.Denied()) })
 	g.meters.Gauge("spanrill_entries_unreadable", func() float64 { now, _ := g.fleet.Unreadable(); return float64(now) })
 	g.meters.Gauge("spanrill_entries_unreadable_seen", func() float64 { _, all := g.fleet.Unreadable(); return float64(all) })
+	g.meters.Gauge("spanrill_store_era", func() float64 { return float64(g.adapter.Era()) })
 	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
 	g.meters.Gauge("spanrill_config_proof_age_seconds", func() float64 { return float64(g.config.Age()) / float64(spanrill.Second) })
 	g.callers = callerhttp.New(g.relay.Serve, g.limits)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -95,6 +95,7 @@
 		g.names.Ask(ctx, g.fleet)
 		g.noteFreshness()
 		g.noteOdd()
+		g.noteEra()
 		g.noteAccepting()
 		g.noteDropped()
 		daemons := len(g.peers.list.Live())
--- a/state/fleet/knowledge.go
+++ b/state/fleet/knowledge.go
@@ -4,7 +4,10 @@
 	"maps"
 	"slices"
 
+	"github.com/sirupsen/logrus"
+
 	"spanrill"
+	"spanrill/events"
 )
 
 // Listed takes the whole collection.
@@ -17,7 +20,9 @@
 			k.Unreadable = append(k.Unreadable, item.Name)
 		}
 	}
-	t.Merge(k, sent)
+	if known := t.At(); !t.Merge(k, sent) {
+		events.ListOutdated.Log(t.log, logrus.Fields{"collection": "upstreams", "revision": at, "known": known})
+	}
 }
 
 // Knowledge is all entries as they stood at a revision of the store, or what has changed of
