Order store revisions by era before counter

Symptoms: after the store was restored from an older copy, all daemons refused keyed requests for 4 to 5 s (configuration_stale), served configurations 20 and 24 more than 2 s after 26 and 33 had been acknowledged, and sent a request to an upstream 2,307 ms after it had announced that it leaves (2,000 ms allowed). Each daemon read the store 170 to 190 times a second (normally 6 reads a second for all daemons together).

Cause: daemons ordered data from the store and from peers by revision alone. A restored store continues from the revision of its copy and assigns later revisions again. Lists were considered outdated and ignored; the following watch continued from the old revision and got 410 again. Once the store's counter had passed that revision, the watch missed the changes written below it. Class: a counter is assumed to be monotonic although its owner can be restored.

Ruled out: a partial recovery of the store; the operator's writes were acknowledged within 35 ms throughout. Rejected without a run: discarding all knowledge when the era increases. This would revert states announced by upstreams and the operator, and no requests would be served until the lists are read.

Change: - platform.Store puts the era above the counter, so that revisions and versions never decrease, including in messages between daemons. A watch from an earlier era lists again, and a conditional write with a version of an earlier era is a conflict. - A configuration is proved only by reads of its own era and is never replaced by an older version. - An entry from an older copy (fewer writes or an earlier start) is ignored, and fewer writes do not count as a restart. A leaving upstream stays leaving. A removed entry that reappears is used only when it is written again or is still listed after 6 s (event 522). - When the store has lost the holder of the placement lease, the lease is taken only after its time has passed. A holder continues, and terms never decrease. - Stored marks of requests that end upstreams are written again.

Why it works: the existing comparisons of revisions are correct again once revisions increase with each era. What revisions cannot order (an entry of the copy against the state known before) is ordered by the upstream's own counts.

--- a/collection.go
+++ b/collection.go
@@ -7,7 +7,8 @@
 )
 
 // ErrHistoryGone means that a watch asked for changes that the store has
-// forgotten. The collection has to be listed again.
+// forgotten, or continued from a revision of an earlier era. The collection has
+// to be listed again.
 var ErrHistoryGone = errors.New("history of the store is gone")
 
 // Item is one object of a collection.
@@ -24,7 +25,7 @@
 }
 
 // Collection is all objects of one kind in the platform's store. A store has
-// one counter of revisions, which rises with each change.
+// one counter of revisions, which rises with each change; see RevisionOf.
 type Collection interface {
 	// List returns all objects, and the revision at which they stood so.
 	List(ctx context.Context) (items []Item, at uint64, err error)
--- a/coordination/exchange/fetch.go
+++ b/coordination/exchange/fetch.go
@@ -17,14 +17,14 @@
 // are asked at the same time have the same one, so that one fetch waits for the
 // other: large messages side by side would fill a slow link.
 func (e *Exchange) catchUpConfig(ctx context.Context, m peermsg.Member, revision uint64) error {
-	if revision <= e.state.Config.Revision() {
+	if e.state.Config.Seen(revision) {
 		return nil
 	}
 	if err := e.lock(ctx); err != nil {
 		return err
 	}
 	defer e.unlock()
-	if revision <= e.state.Config.Revision() {
+	if e.state.Config.Seen(revision) {
 		return nil
 	}
 	return e.fetch(ctx, m)
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -51,6 +51,7 @@
 	time     spanrill.Millis
 	contends func() bool
 	yields   func() bool
+	era      func() uint64
 
 	mu      sync.Mutex
 	term    uint64          // the term held, or 0
@@ -62,6 +63,7 @@
 	writes  uint64
 	heard   spanrill.Version // what the holder has said of its lease
 	lapses  spanrill.Millis  // when that lease lapses at the latest
+	restore restoreState
 }
 
 // Option changes a default of New.
@@ -88,6 +90,12 @@
 	return func(l *Lease) { l.yields = yields }
 }
 
+// WithEra sets the source of the store's era, which increases each time the store is restored
+// from an older copy.
+func WithEra(era func() uint64) Option {
+	return func(l *Lease) { l.era = era }
+}
+
 const (
 	defaultTime = 15 * spanrill.Second
 	// renewals is how often a lease is renewed within its time.
@@ -104,7 +112,7 @@
 	l := &Lease{
 		store: store, clock: clock, log: logrus.StandardLogger(), duty: duty, holder: holder,
 		time: defaultTime, contends: func() bool { return true },
-		yields: func() bool { return false },
+		yields: func() bool { return false }, era: func() uint64 { return 0 },
 	}
 	for _, o := range opts {
 		o(l)
@@ -233,6 +241,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
+	l.noteRestore(r, v, now)
 	if v != l.seen {
 		l.seen, l.seenAt = v, now
 	}
@@ -240,6 +249,9 @@
 	if l.term != 0 && l.term == r.Term && r.Holder == l.holder {
 		return true
 	}
+	if l.restore.noticedAt > 0 && now-l.restore.noticedAt <= l.time+l.time/margin {
+		return l.term != 0 && now < l.until // another daemon may hold a lease that the store has lost
+	}
 	if v == "" || r.Holder == "" {
 		return true
 	}
@@ -274,7 +286,7 @@
 	n := record{Holder: l.holder, Term: r.Term, Time: l.time, Beat: r.Beat + 1}
 	n.Write = fmt.Sprintf("%s/%d/%d", l.holder, l.clock.Unix(), l.writes)
 	if l.term == 0 || l.term != r.Term || r.Holder != l.holder {
-		n.Term++
+		n.Term = l.nextTerm(r.Term)
 	}
 	return n
 }
@@ -304,6 +316,7 @@
 		events.LeaseTaken.Log(l.log, logrus.Fields{"duty": l.duty, "term": r.Term})
 	}
 	l.term, l.until = r.Term, sent+r.Time
+	l.restore.highestTerm = max(l.restore.highestTerm, r.Term)
 	l.seen, l.seenAt, l.current = v, sent, r
 }
 
--- a/coordination/suspect/keeper.go
+++ b/coordination/suspect/keeper.go
@@ -22,11 +22,22 @@
 	clock  spanrill.Clock
 	log    logrus.FieldLogger
 	duty   func() bool // whether it is this daemon that does it
+	era    func() uint64
 
 	loaded  bool
 	version spanrill.Version
 	written uint64          // digest of what the store holds
 	pauseTo spanrill.Millis // no call before, behind one that has failed
+	loadEra uint64          // era of the store when the marks were loaded
+}
+
+// KeeperOption changes a default of NewKeeper.
+type KeeperOption func(*Keeper)
+
+// WithEra sets the source of the store's era, which increases each time the store is restored
+// from an older copy. The keeper then loads the marks again and writes what the store lacks.
+func WithEra(era func() uint64) KeeperOption {
+	return func(k *Keeper) { k.era = era }
 }
 
 const (
@@ -51,8 +62,12 @@
 }
 
 // NewKeeper returns a keeper that works as long as duty returns true.
-func NewKeeper(ledger *Ledger, store spanrill.ObjectStore, clock spanrill.Clock, log logrus.FieldLogger, duty func() bool) *Keeper {
-	return &Keeper{ledger: ledger, store: store, clock: clock, log: log, duty: duty}
+func NewKeeper(ledger *Ledger, store spanrill.ObjectStore, clock spanrill.Clock, log logrus.FieldLogger, duty func() bool, opts ...KeeperOption) *Keeper {
+	k := &Keeper{ledger: ledger, store: store, clock: clock, log: log, duty: duty, era: func() uint64 { return 0 }}
+	for _, o := range opts {
+		o(k)
+	}
+	return k
 }
 
 // Run keeps until the context ends.
@@ -76,6 +91,7 @@
 	if k.clock.Now() < k.pauseTo {
 		return
 	}
+	k.loaded = k.loaded && k.era() == k.loadEra
 	if err := k.keep(ctx); err != nil {
 		k.pauseTo = k.clock.Now() + keepPause
 		events.SuspectsNotKept.Log(k.log, logrus.Fields{"error": err})
@@ -87,6 +103,7 @@
 		if err := k.load(ctx); err != nil {
 			return err
 		}
+		k.loadEra = k.era()
 	}
 	digest := k.ledger.Digest()
 	if digest == k.written {
--- a/coordination/suspect/keeper_test.go
+++ b/coordination/suspect/keeper_test.go
@@ -121,3 +121,24 @@
 		t.Error("nothing is kept behind bytes that cannot be read")
 	}
 }
+
+// Guards against the loss of marks when the store is restored from an older copy.
+func TestMarksKeptAfterRestore(t *testing.T) {
+	c, store, era := clock.NewManual(), &cell{}, uint64(1)
+	first := New(c)
+	keeper := NewKeeper(first, store, c, quiet(), func() bool { return true }, WithEra(func() uint64 { return era }))
+	keeper.Look(context.Background())
+	older := store.object
+	prove(first, 7, c.Now())
+	keeper.Look(context.Background())
+	store.object, era = older, 2
+	for range 3 {
+		c.Advance(keepPause)
+		keeper.Look(context.Background())
+	}
+	next := New(c)
+	NewKeeper(next, store, c, quiet(), func() bool { return true }).Look(context.Background())
+	if !next.Begin(7).Judge().Proved() {
+		t.Error("the restored store lacks a mark that was written before the restore")
+	}
+}
--- a/events/events.go
+++ b/events/events.go
@@ -129,6 +129,8 @@
 	LimitUnreadable     = define(521, logrus.WarnLevel, "upstream sends an invalid rate limit")
 	ConnectionsLacking  = define(518, logrus.WarnLevel, "this machine can make no connection for want of descriptors, ports or memory")
 
+	EntryQuarantined = define(522, logrus.InfoLevel, "removed upstream entry reappeared after the store was restored, quarantined")
+
 	ChainsChanged = define(508, logrus.InfoLevel, "chains of a service changed")
 )
 
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -15,22 +15,24 @@
 func (s configSink) Listed(items []spanrill.Item, _ uint64, sent spanrill.Millis) {
 	for _, item := range items {
 		if known := s.g.config.Revision(); item.Name == s.g.adapter.ConfigName && item.Revision < known {
-			events.ListOutdated.Log(s.g.log, logrus.Fields{"collection": "configuration", "revision": item.Revision, "known": known, "era": s.g.adapter.Era()})
+			events.ListOutdated.Log(s.g.log, logrus.Fields{"collection": "configuration", "revision": item.Revision, "known": known})
 		}
 		s.take(item, sent)
 	}
 }
 
 // Changed takes a new configuration. No change proves that the one held is the
-// newest.
-func (s configSink) Changed(changes []spanrill.Change, _ uint64, sent spanrill.Millis) {
+// newest, if both were read in the same era: a restored store may lack it.
+func (s configSink) Changed(changes []spanrill.Change, at uint64, sent spanrill.Millis) {
 	for _, c := range changes {
 		if !c.Gone {
 			s.take(c.Item, sent)
 		}
 	}
 	current := s.g.config
-	current.Prove(current.Revision(), sent)
+	if spanrill.EraOf(at) == spanrill.EraOf(current.Revision()) {
+		current.Prove(current.Revision(), sent)
+	}
 }
 
 func (s configSink) take(item spanrill.Item, sent spanrill.Millis) {
@@ -104,6 +106,6 @@
 	}
 	g.storeEra = era
 	if previous > 0 {
-		events.StoreRestored.Log(g.log, logrus.Fields{"era": era, "before": previous, "config_revision": g.config.Revision(), "upstreams_revision": g.fleet.At()})
+		events.StoreRestored.Log(g.log, logrus.Fields{"era": era - 1, "before": previous - 1, "config_revision": g.config.Revision(), "upstreams_revision": g.fleet.At()})
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,7 @@
 	DecodeEntry  func(spanrill.Item) (spanrill.EngineEntry, error)
 	ConfigName   string        // name of the configuration in its collection
 	ReadyPath    string        // asked by the platform's balancer
-	Era          func() uint64 // latest era of the store, or 0 if unknown
+	Era          func() uint64 // one more than the latest era of the store, or 0 if unknown
 }
 
 // Connect builds an adapter that uses the client for all of its calls, and
@@ -219,8 +219,9 @@
 	}
 	g.limiter = ratelimit.New(g.fleet, g.clock, g.peers)
 	g.lease = lease.New(g.adapter.Store, g.clock, "placement", g.peers.name, lease.WithTime(leaseTime),
-		lease.WithLogger(g.log), lease.WithContends(g.contends), lease.WithYields(g.yields))
-	g.keeper = suspect.NewKeeper(g.suspects, g.adapter.Store, g.clock, g.log, func() bool { _, ok := g.lease.Held(); return ok })
+		lease.WithLogger(g.log), lease.WithContends(g.contends), lease.WithYields(g.yields), lease.WithEra(g.adapter.Era))
+	g.keeper = suspect.NewKeeper(g.suspects, g.adapter.Store, g.clock, g.log, func() bool { _, ok := g.lease.Held(); return ok },
+		suspect.WithEra(g.adapter.Era))
 	g.exchange = exchange.New(g.peers, exchange.State{
 		Name: g.peers.name, Zone: g.settings.Zone, Seeds: g.seeds(), Config: g.config, Fleet: g.fleet, Decode: g.adapter.DecodeConfig,
 		Placement: g.holdsLease, Leaving: g.draining.Load, StoreSilent: g.storeSilent, Late: g.entriesLate, Targets: g.targets, Budgets: g.budgets, Lease: g.lease,
@@ -247,7 +248,7 @@
 	g.meters.Gauge("spanrill_limit_permits_denied", func() float64 { return float64(g.limiter.Denied()) })
 	g.meters.Gauge("spanrill_entries_unreadable", func() float64 { now, _ := g.fleet.Unreadable(); return float64(now) })
 	g.meters.Gauge("spanrill_entries_unreadable_seen", func() float64 { _, all := g.fleet.Unreadable(); return float64(all) })
-	g.meters.Gauge("spanrill_store_era", func() float64 { return float64(g.adapter.Era()) })
+	g.meters.Gauge("spanrill_store_era", func() float64 { return float64(max(1, g.adapter.Era())) - 1 })
 	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
 	g.meters.Gauge("spanrill_config_proof_age_seconds", func() float64 { return float64(g.config.Age()) / float64(spanrill.Second) })
 	g.callers = callerhttp.New(g.relay.Serve, g.limits)
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -21,6 +21,7 @@
 //	unreadable.go   entries that name no upstream
 //	ends.go         which entries have gone, for peers that ask for changes
 //	gone.go         entries that go, and upstreams that leave
+//	restored.go     entries after the store was restored from an older copy
 //	answered.go     when the store has answered, for entries that may have lapsed
 //	notice.go       what upstreams say of themselves in their answers
 //	limit.go        request rate limits that upstreams send in their answers
@@ -84,6 +85,8 @@
 	limited      map[string]bool // names of upstreams whose rate limit is known or was removed recently
 	limitsDigest atomic.Uint64
 
+	restored restoreState
+
 	answered   answered
 	outageTime spanrill.Millis // how long the store has answered nobody when entries may have lapsed
 }
@@ -112,7 +115,7 @@
 	t := &Table{
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
 		all: map[string]*Upstream{}, byAddr: map[string]*Upstream{}, held: map[string]held{}, bad: map[string]bool{}, ends: newEnds(), left: map[string]departed{}, seen: make(chan struct{}),
-		past: map[string]*past{}, claims: map[string]*claim{}, noticed: map[string]*notices{}, limited: map[string]bool{}, onRestart: func(string) {},
+		past: map[string]*past{}, claims: map[string]*claim{}, noticed: map[string]*notices{}, limited: map[string]bool{}, restored: newRestoreState(), onRestart: func(string) {},
 		active: &active{set: map[*Upstream]struct{}{}},
 		hold:   defaultDrain - holdMargin, outageTime: defaultDrain - outageMargin,
 	}
@@ -145,13 +148,13 @@
 	t.release(entry.ID)
 	u := t.all[entry.ID]
 	if u == nil {
-		if !t.claimed(entry) {
+		if !t.quarantine(entry) && !t.claimed(entry) {
 			t.enter(entry)
 		}
 		return
 	}
 	old := u.Entry()
-	if old.Revision > entry.Revision {
+	if old.Revision > entry.Revision || fromOlderCopy(old, &entry) {
 		return
 	}
 	if entry.Addr != old.Addr && t.claimed(entry) {
--- a/state/fleet/gone.go
+++ b/state/fleet/gone.go
@@ -37,6 +37,7 @@
 func (t *Table) gone(id string, there, sent spanrill.Millis) {
 	delete(t.bad, id)
 	delete(t.claims, id)
+	delete(t.restored.quarantined, id)
 	if t.all[id] == nil {
 		return
 	}
@@ -87,6 +88,7 @@
 	}
 	t.left[u.ID()] = departed{upstream: u, at: t.clock.Now()}
 	delete(t.all, id)
+	t.noteRemoval(id)
 	t.vacate(u)
 	delete(t.held, id)
 	t.lines.gone.Log(events.UpstreamGone, t.log, func() logrus.Fields {
@@ -106,7 +108,7 @@
 			changed = true
 		}
 	}
-	if t.admitFree() || changed {
+	if t.releaseQuarantined() || t.admitFree() || changed {
 		t.publish()
 	}
 }
--- a/state/fleet/incarnation.go
+++ b/state/fleet/incarnation.go
@@ -29,6 +29,9 @@
 // startedAgain reports whether a newer entry is of another incarnation than an older one.
 // The count rises without a new revision, so that of one revision two counts are seen.
 func startedAgain(old, newer *spanrill.EngineEntry) bool {
+	if fromOlderCopy(old, newer) {
+		return false
+	}
 	if old.Born > 0 && newer.Born > 0 {
 		return old.Born != newer.Born
 	}
--- a/state/fleet/knowledge.go
+++ b/state/fleet/knowledge.go
@@ -52,6 +52,7 @@
 		t.mergeChanges(k, sent)
 		return true
 	}
+	t.noteRestore(k.At)
 	there, before := make(map[string]bool, len(k.Entries)), t.proved
 	t.prove(sent)
 	for _, entry := range k.Entries {
@@ -70,6 +71,7 @@
 	if k.At > t.at {
 		t.ends.restart(k.At) // what came and went meanwhile is not known
 	}
+	maps.DeleteFunc(t.restored.quarantined, func(id string, _ spanrill.EngineEntry) bool { return !there[id] })
 	maps.DeleteFunc(t.claims, func(id string, _ *claim) bool { return !there[id] })
 	maps.DeleteFunc(t.bad, func(id string, _ bool) bool { return !there[id] })
 	t.admitFree()
--- a/state/routes/current.go
+++ b/state/routes/current.go
@@ -18,6 +18,7 @@
 	mu       sync.Mutex
 	table    atomic.Pointer[Table]
 	revision atomic.Uint64
+	ignored  atomic.Uint64 // highest revision that Take has ignored
 	raw      atomic.Pointer[[]byte]
 	provedAt atomic.Int64
 	ready    chan struct{}
@@ -34,6 +35,11 @@
 // Revision returns the store's revision of the newest version, or 0.
 func (c *Current) Revision() uint64 { return c.revision.Load() }
 
+// Seen reports whether Take has already put in force or ignored this or a later revision.
+func (c *Current) Seen(revision uint64) bool {
+	return revision <= max(c.revision.Load(), c.ignored.Load())
+}
+
 // Raw returns the newest version as it lies in the store, for peers.
 func (c *Current) Raw() []byte {
 	if raw := c.raw.Load(); raw != nil {
@@ -52,6 +58,7 @@
 	defer c.mu.Unlock()
 	old := c.table.Load()
 	if old != nil && (revision <= c.revision.Load() || t.Version() < old.Version()) {
+		c.ignored.Store(max(c.ignored.Load(), revision))
 		return false
 	}
 	c.table.Store(t)
