soak: add a fault that restores the store from an older copy

Cause: no soak fault reverted writes that the store had acknowledged, so restores were exercised only by tests that inject no other faults at the same time. The soak also did not check that a configuration takes effect in time.

Change: add a fault kind that restores the store from a copy. The copy is as old as the step is long and lacks 20 configuration changes. The restore follows 0.3 s of store downtime. The operator and the upstreams then write their objects again. After 3.6 s, entries of upstreams that have ended are removed and a key is replaced. Depending on the way of the step, the configuration also changes right after the restore, or the store is restored twice.

Add a check for a daemon that was undisturbed for 3 s and a store that was undisturbed for 5 s: no key that has been in the store for 2 s is unknown to the daemon, and no request is refused because the configuration is not proved fresh.

--- a/soak/check.go
+++ b/soak/check.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
+	"spanrill"
 	"spanrill/platform/platformtest"
 )
 
@@ -28,6 +30,7 @@
 	ruleAnswered = "every request has an end"
 	ruleLives    = "daemons end only when told"
 	ruleRecovers = "service after the last fault"
+	ruleInForce  = "a configuration in force in time"
 )
 
 // runsOf tells how often upstreams ran a request.
@@ -93,6 +96,11 @@
 		}
 		add(s, rule, what)
 	}
+	for _, s := range r.records.list() {
+		if r.isStaleRefusal(s) {
+			add(s, ruleInForce, fmt.Sprintf("key %s was refused with status %d, %v after it was written to the store", s.key, s.reply.Status, s.sent.Sub(r.world.keyWriteTime(s.key)).Round(time.Millisecond)))
+		}
+	}
 	for _, s := range r.barred.list() {
 		if n := r.world.fleet.Runs(s.id); n > 0 {
 			add(s, ruleRevoked, fmt.Sprintf("key %s was withdrawn over %v before, and it ran", s.key, revoke))
@@ -128,3 +136,36 @@
 	}
 	return t
 }
+
+const (
+	// applyDeadline is the time within which a configuration must be in force. It applies only
+	// to a daemon that was undisturbed for undisturbedTime and a store that was undisturbed for
+	// the sum of both.
+	applyDeadline   = 2 * time.Second
+	undisturbedTime = 3 * time.Second
+)
+
+// isStaleRefusal reports whether a request was refused because the daemon did not know a key that
+// must be in force, or had no proof that its configuration is current, although neither the daemon
+// nor the store was disturbed. Guards against daemons that do not apply a configuration in time.
+func (r *run) isStaleRefusal(s seen) bool {
+	refused := s.reply.Status == http.StatusUnauthorized || strings.Contains(s.reply.Body, spanrill.ReasonConfigStale.Code())
+	if s.reply.Signed || !refused || s.sent.Sub(r.world.keyWriteTime(s.key)) < applyDeadline || r.world.wasWithdrawn(s.key, s.sent.Add(s.reply.Elapsed)) {
+		return false
+	}
+	return !r.wasDisturbed(s.daemon, s.sent.Add(-undisturbedTime), s.sent) && !r.wasStoreDisturbed(s.sent.Add(-undisturbedTime-applyDeadline), s.sent)
+}
+
+// keyWriteTime returns the time at which a key was first written to the store.
+func (w *world) keyWriteTime(key string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.keyTimes[key]
+}
+
+// wasWithdrawn reports whether a key was withdrawn before the given time.
+func (w *world) wasWithdrawn(key string, by time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.withdrawn, func(wd withdrawal) bool { return wd.key == key && wd.at.Before(by) })
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -39,6 +39,8 @@
 		return r.upstreamGoes
 	case UpstreamFull, UpstreamFails, UpstreamBreaks, UpstreamMute:
 		return r.upstreamFault
+	case StoreRestored:
+		return r.restoreStore
 	case UpstreamLimits:
 		return r.upstreamLimitFault
 	case ConfigChanges, KeyWithdrawn:
@@ -105,6 +107,7 @@
 
 func (r *run) storeFault(ctx context.Context, s Step) error {
 	w := r.world
+	r.disturbStore(s.For)
 	switch s.Kind {
 	case StoreForgets:
 		w.store.Forget()
@@ -128,6 +131,46 @@
 	return nil
 }
 
+const (
+	// storeDowntime is how long the store is down before it is restored, and the pause between
+	// two restores.
+	storeDowntime = 300 * time.Millisecond
+	// lostRevisions is the number of configuration changes that the store loses in a restore.
+	lostRevisions = 20
+	// heartbeatTimeout is the time after which the platform removes the entry of an upstream that
+	// no longer writes it.
+	heartbeatTimeout = 3600 * time.Millisecond
+)
+
+// restoreStore restores the store from a copy that is as old as the step is long and lacks
+// lostRevisions configuration changes. The operator and the upstreams write their objects again.
+// Depending on Step.Way, the configuration also changes right after the restore, or the store is
+// restored twice. After heartbeatTimeout, entries of upstreams that have ended are removed and a
+// key is replaced.
+func (r *run) restoreStore(ctx context.Context, s Step) error {
+	w := r.world
+	storeCopy := w.store.Copy()
+	for range lostRevisions {
+		wait(ctx, s.For/lostRevisions)
+		w.toggleTimeout()
+	}
+	r.disturbStore(storeDowntime)
+	w.store.SetFaults(platformtest.StoreFaults{Down: true})
+	wait(ctx, storeDowntime)
+	w.restore(storeCopy)
+	w.store.SetFaults(platformtest.StoreFaults{})
+	switch s.Way {
+	case 1:
+		w.toggleTimeout()
+	case 2:
+		wait(ctx, storeDowntime)
+		w.restore(storeCopy)
+	}
+	wait(ctx, heartbeatTimeout)
+	w.removeStaleEntries()
+	return r.operate(ctx, Step{Kind: KeyWithdrawn})
+}
+
 func (r *run) linkFault(ctx context.Context, s Step) error {
 	var link *faultproxy.Proxy
 	if s.Kind == UpstreamLinks {
@@ -136,6 +179,7 @@
 		link = u.link
 	} else {
 		link = r.world.links[s.Target%len(r.world.links)]
+		r.disturbStore(s.For)
 	}
 	link.Set(linkFaults(s))
 	if s.Kind == StoreLinkCut || s.Way == 1 {
@@ -256,7 +300,6 @@
 		w.withdrawn = append(w.withdrawn, withdrawal{key: key, at: time.Now()})
 		return nil
 	}
-	w.timeout = usualTimeout + shortTimeout - w.timeout
-	w.configure()
+	w.toggleTimeoutLocked()
 	return nil
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -21,6 +21,7 @@
 	StoreSilent    Kind = "store silent"         // answers nothing
 	StoreForgets   Kind = "store forgets"        // its history
 	StoreLoses     Kind = "store loses answers"  // of writes that it has done
+	StoreRestored  Kind = "store restored"       // from an older copy
 	StoreLinkCut   Kind = "link to store cut"    // of one daemon
 	StoreLinkMute  Kind = "link to store mute"   // open connections carry nothing more
 	UpstreamLinks  Kind = "link to upstream bad" // slow, cut or mute
@@ -65,6 +66,7 @@
 // not change the steps that a seed yields for the kinds in weights.
 var independentWeights = []weightedKind{
 	{UpstreamLimits, 1},
+	{StoreRestored, 1},
 }
 
 type weightedKind struct {
--- a/soak/run.go
+++ b/soak/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,8 +66,12 @@
 	mu        sync.Mutex
 	disturbed map[*process][]time.Time
 	cutOff    map[string][]time.Time // by upstream
+	outages   []interval             // of the store and of links to it
 }
 
+// interval is the period during which a fault may be in effect.
+type interval struct{ from, to time.Time }
+
 // disturb notes that a daemon may not answer for a while from now on.
 func (r *run) disturb(p *process) {
 	r.mu.Lock()
@@ -81,6 +86,20 @@
 	r.cutOff[u.engine.ID] = append(r.cutOff[u.engine.ID], time.Now())
 }
 
+// disturbStore records that the store may not answer for the given time from now on.
+func (r *run) disturbStore(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outages = append(r.outages, interval{time.Now(), time.Now().Add(d)})
+}
+
+// wasStoreDisturbed reports whether the store was disturbed between two times.
+func (r *run) wasStoreDisturbed(from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.outages, func(o interval) bool { return o.from.Before(to) && o.to.After(from) })
+}
+
 // wasDisturbed reports whether a daemon was disturbed between two times.
 func (r *run) wasDisturbed(p *process, from, to time.Time) bool {
 	r.mu.Lock()
--- a/soak/world.go
+++ b/soak/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"spanrill/platform/platformtest"
 	"spanrill/standin/faultproxy"
@@ -43,6 +44,7 @@
 	keys      []string
 	withdrawn []withdrawal
 	keyCount  int
+	keyTimes  map[string]time.Time // of the first write to the store
 }
 
 const (
@@ -51,7 +53,7 @@
 )
 
 func newWorld(shape Shape) (*world, error) {
-	w := &world{shape: shape, store: platformtest.NewStore(), timeout: usualTimeout}
+	w := &world{shape: shape, store: platformtest.NewStore(), timeout: usualTimeout, keyTimes: map[string]time.Time{}}
 	var err error
 	if w.addr, err = w.store.Listen(); err != nil {
 		return nil, fmt.Errorf("start store: %w", err)
@@ -104,6 +106,47 @@
 func (w *world) configure() {
 	w.version++
 	w.store.Set("config", "main", platformtest.Configuration(w.version, layers, w.keys, w.timeout))
+	for _, key := range w.keys {
+		if w.keyTimes[key].IsZero() {
+			w.keyTimes[key] = time.Now()
+		}
+	}
+}
+
+// toggleTimeout writes a configuration with the other of the two route timeouts.
+func (w *world) toggleTimeout() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.toggleTimeoutLocked()
+}
+
+// toggleTimeoutLocked is toggleTimeout for a caller that holds the lock.
+func (w *world) toggleTimeoutLocked() {
+	w.timeout = usualTimeout + shortTimeout - w.timeout
+	w.configure()
+}
+
+// restore restores the store from an older copy and then writes the current configuration and
+// upstream entries again.
+func (w *world) restore(storeCopy platformtest.Copy) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.store.Restore(storeCopy, "config", "servers")
+}
+
+// removeStaleEntries removes the entries of upstreams that have ended, which a restore brings back.
+func (w *world) removeStaleEntries() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	alive := map[string]bool{}
+	for _, u := range w.upstreams {
+		alive[u.engine.ID] = !u.engine.Dead()
+	}
+	for _, name := range w.store.Names("servers") {
+		if !alive[name] {
+			w.store.Remove("servers", name)
+		}
+	}
 }
 
 // addKey gives out one more key. The caller holds the lock, or is alone.
