Preserve claims when a slot is restored from an older copy

Symptom, in a test and not reported by callers: a call with an idempotency key that had already run is run again after the platform restored an older copy of the slot that holds its claim.

Cause: on a version conflict, a keeper reloads the slot and discards its own copy. It was found by reading the code. In addition, the outcome of a call whose claim was missing was dropped.

Rejected alternatives: - Comparing versions: the platform does not restore the version along with the value. - Always adding back every known record: another daemon may have removed a record whose call did not run, and its key would then be blocked for ten minutes.

Fix: a keeper retains the slot that it last wrote. A loaded slot that lacks an outcome recorded there is an older copy, since the record of an ended call is removed only on expiry. In that case, all known records are added back and written. The outcome of a call that ran is now recorded even if its claim is missing.

Tests: two of the three cases of TestKeysAreGrantedOnceAfterARestore failed before the change (a second attempt was granted after the call had ended, and while it was running); all three pass now. The tests of coordination/claim passed three times in a row.

Not covered: - A repeat that arrives after the older copy was read and before the call ends, if no other call of the slot has ended since. - All daemons being down while the slot is restored.

--- a/coordination/claim/claim_test.go
+++ b/coordination/claim/claim_test.go
@@ -173,3 +173,45 @@
 		t.Fatalf("%d records are left", s.Len())
 	}
 }
+
+// Guards against granting a key twice after the platform restores an older copy of the slot.
+func TestKeysAreGrantedOnceAfterARestore(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		running    bool // the call ends after the restore
+		lostWrites int
+	}{{"claim and outcome lost", false, 2}, {"outcome lost", false, 1}, {"claim lost while the call runs", true, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			p, store := startPlatform(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			k := NewKeeper(ctx, store, clock.NewSystem(), WithGap(5))
+			t.Cleanup(func() { cancel(); _ = k.Wait() })
+			claim := func(key, attempt string) bool {
+				granted, _, err := k.Claim(ctx, 0, record.Record{Key: key, Attempt: attempt, At: clock.NewSystem().Unix()})
+				if err != nil {
+					t.Fatal(err)
+				}
+				return granted
+			}
+			claim("earlier", "1")
+			ended := record.Record{Key: "call", Attempt: "1", At: clock.NewSystem().Unix(), Ended: true, Outcome: spanrill.OutcomeRan, Status: 200}
+			if !claim("call", "1") {
+				t.Fatal("the first attempt was not granted")
+			}
+			if !c.running {
+				k.Settle(0, ended)
+				claim("written with the end", "1")
+			}
+			if err := p.Restore(record.ObjectKey(0), c.lostWrites); err != nil {
+				t.Fatal(err)
+			}
+			claim("after the restore", "1")
+			if c.running {
+				k.Settle(0, ended)
+			}
+			if claim("call", "2") {
+				t.Error("a second attempt was granted")
+			}
+		})
+	}
+}
--- a/coordination/claim/slot.go
+++ b/coordination/claim/slot.go
@@ -20,6 +20,9 @@
 	written spanrill.Millis // when the slot was written last
 	failed  spanrill.Millis // until when claims fail at once
 	settled []request       // settlements that still have to be written
+
+	lastWritten *record.Slot // as last written or found up to date, kept across reloads, or nil
+	recovered   bool         // slot holds recovered records that are not written yet
 }
 
 // put queues a request and reports whether there was room.
@@ -134,7 +137,7 @@
 }
 
 func (s *slotKeeper) done(next *record.Slot, claims []request, changed bool) {
-	s.slot, s.settled = next, nil
+	s.slot, s.lastWritten, s.settled, s.recovered = next, next, nil, false
 	if changed {
 		s.written = s.keeper.clock.Now()
 	}
@@ -160,6 +163,7 @@
 	if err != nil {
 		return err
 	}
+	s.recovered = s.lastWritten != nil && slot.Recover(s.lastWritten, s.keeper.clock.Unix())
 	s.slot, s.version = slot, obj.Version
 	return nil
 }
@@ -167,11 +171,17 @@
 // next returns the slot as it is to be. A key that is taken stays with the
 // attempt that was first.
 func (s *slotKeeper) next(claims []request) (next *record.Slot, changed bool) {
-	next = s.slot.Clone()
+	next, changed = s.slot.Clone(), s.recovered
 	next.Expire(s.keeper.clock.Unix())
 	for _, r := range s.settled {
 		old, ok := next.Find(r.record.Key)
-		if !ok || old.Attempt != r.record.Attempt || old.Ended {
+		if !ok && r.record.Outcome != spanrill.OutcomeNotRun {
+			// The claim may be missing because an older copy of the slot was
+			// restored. Record the outcome anyway to block a repeat.
+			old = r.record
+			old.Ended = false
+		}
+		if old.Attempt != r.record.Attempt || old.Ended {
 			continue
 		}
 		changed = true
--- a/state/record/record.go
+++ b/state/record/record.go
@@ -142,3 +142,35 @@
 	}
 	return c
 }
+
+// Recover detects that s is an older copy of the slot than lastWritten. If so, it restores the
+// unexpired records and outcomes that s lacks and returns true. Otherwise it leaves s unchanged.
+//
+// Only a missing outcome of an ended call identifies an older copy, since the record of such a
+// call is removed only on expiry. The record of a call that has not ended may be missing because
+// another daemon removed it.
+func (s *Slot) Recover(lastWritten *Slot, now spanrill.Millis) bool {
+	if !s.isOlderThan(lastWritten, now) {
+		return false
+	}
+	for key, r := range lastWritten.records {
+		existing, ok := s.records[key]
+		if now-r.At <= Lifetime && (!ok || existing.Attempt == r.Attempt && !existing.Ended) {
+			s.records[key] = r
+		}
+	}
+	return true
+}
+
+// isOlderThan reports whether s lacks an unexpired outcome that is recorded in lastWritten.
+func (s *Slot) isOlderThan(lastWritten *Slot, now spanrill.Millis) bool {
+	for key, r := range lastWritten.records {
+		if !r.Ended || now-r.At > Lifetime {
+			continue
+		}
+		if existing, ok := s.records[key]; !ok || existing.Attempt == r.Attempt && !existing.Ended {
+			return true
+		}
+	}
+	return false
+}
