ratelimit: limit a standby to a fraction of the rate

Effect: an upstream could receive up to twice its limit while the daemon that grants permits was slow and answered only some questions in time. Found by reasoning about slow daemons and shown by a simulation; not reported by a user.

Cause: a daemon whose question was not answered within 50 ms asked the next daemon, which granted the whole limit from its own bucket while the first one also went on granting the whole limit. Class: two holders of one exclusive right, because a slow holder was taken for a failed one.

Alternatives rejected: waiting for the membership to remove the first daemon (up to 4 s in which the upstream receives nothing); asking the first daemon again, or with a longer timeout (delays each request).

Change: a question states whether it is sent to a standby.

Not covered: a first daemon so slow that it also misses the standby's last question for news, and still answers in time some questions for permits.

--- a/coordination/exchange/tree.go
+++ b/coordination/exchange/tree.go
@@ -187,6 +187,14 @@
 	delete(e.mute, name)
 }
 
+// Mute reports whether a peer did not answer the last question of this daemon. A peer that was
+// never asked is not mute.
+func (e *Exchange) Mute(name string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mute[name]
+}
+
 // near returns those that this daemon asks in every round: its parents, by name,
 // with the trees, and at a root the holder of the lease. The caller holds the lock.
 func (e *Exchange) near(t *topology) (parents map[string][]int, holder string) {
--- a/coordination/ratelimit/limiter.go
+++ b/coordination/ratelimit/limiter.go
@@ -4,8 +4,9 @@
 // For each upstream with a limit, one daemon holds a token bucket and grants permits. The other
 // daemons ask it for a permit immediately before they send a request to the upstream. A denial
 // carries the time of the next attempt, and until then the denied daemon uses other upstreams. If
-// the granting daemon does not answer, the next one is asked. Each question and each answer
-// carries the sender's latest value of the limit.
+// the granting daemon does not answer, the next one is asked as a standby. The standby grants
+// a fraction of the limit, or all of it if the granting daemon did not answer the standby either.
+// Each question and each answer carries the sender's latest value of the limit.
 //
 //	limiter.go  permits for requests of this daemon and of other daemons
 //	news.go     exchange of limits between daemons
@@ -31,6 +32,8 @@
 	// Granters returns the daemons that grant permits for an upstream, in order of preference.
 	// This daemon is returned without an address.
 	Granters(upstream uint32) []peermsg.Member
+	// Mute reports whether a daemon did not answer when this daemon last asked it for news.
+	Mute(daemon string) bool
 	// AskPermit asks a daemon for a permit.
 	AskPermit(ctx context.Context, addr string, asked *peermsg.AskPermit) (*peermsg.Permit, error)
 }
@@ -83,7 +86,8 @@
 // ask asks the granting daemons in order until one answers.
 func (l *Limiter) ask(ctx context.Context, u *fleet.Upstream) *peermsg.Permit {
 	asked := &peermsg.AskPermit{Limit: limitMessage(l.table.LimitOf(u), l.clock.Now())}
-	for _, m := range l.peers.Granters(u.Key()) {
+	for i, m := range l.peers.Granters(u.Key()) {
+		asked.Standby = i > 0
 		if m.PeerAddr == "" {
 			return l.HandleAskPermit(asked)
 		}
@@ -119,6 +123,13 @@
 	if !known.Set {
 		return &peermsg.Permit{Granted: true, Limit: known}
 	}
-	after, ok := l.buckets.Take(known.Upstream, known.PerSecond)
+	after, ok := l.buckets.Take(known.Upstream, known.PerSecond, asked.Standby && l.isStandby(known.Upstream))
 	return &peermsg.Permit{Granted: ok, RetryAfter: after, Limit: known}
 }
+
+// isStandby reports whether another daemon is preferred for granting permits for an upstream and
+// is not mute.
+func (l *Limiter) isStandby(upstream uint32) bool {
+	granters := l.peers.Granters(upstream)
+	return len(granters) > 0 && granters[0].PeerAddr != "" && !l.peers.Mute(granters[0].Name)
+}
--- a/coordination/ratelimit/limiter_test.go
+++ b/coordination/ratelimit/limiter_test.go
@@ -32,12 +32,13 @@
 }
 
 type member struct {
-	network  *network
-	name     string
-	table    *fleet.Table
-	limiter  *Limiter
-	down     bool
-	granters []int // indices of the granting daemons, in order of preference
+	network    *network
+	name       string
+	table      *fleet.Table
+	limiter    *Limiter
+	down       bool
+	unanswered float64 // fraction of questions that time out
+	granters   []int   // indices of the granting daemons, in order of preference
 }
 
 const upstreamID = "u"
@@ -80,11 +81,17 @@
 	return granters
 }
 
+func (m *member) Mute(daemon string) bool {
+	var i int
+	_, err := fmt.Sscan(daemon, &i)
+	return err == nil && m.network.daemons[i].down
+}
+
 var errNoAnswer = errors.New("no answer")
 
 func (m *member) AskPermit(_ context.Context, addr string, asked *peermsg.AskPermit) (*peermsg.Permit, error) {
 	var i int
-	if _, err := fmt.Sscan(addr, &i); err != nil || m.network.daemons[i].down {
+	if _, err := fmt.Sscan(addr, &i); err != nil || m.network.daemons[i].down || m.network.random.Float64() < m.network.daemons[i].unanswered {
 		return nil, errNoAnswer
 	}
 	return m.network.daemons[i].limiter.HandleAskPermit(asked), nil
@@ -174,6 +181,23 @@
 	}
 }
 
+// Guards against exceeding the limit when two daemons grant permits, because the preferred one
+// answers only some questions in time.
+func TestRateWithASlowGranter(t *testing.T) {
+	for _, c := range []struct {
+		limit, unanswered float64
+	}{{0, 0.5}, {0.5, 0.5}, {2.5, 0.5}, {20, 0.2}, {20, 0.5}, {20, 0.8}, {200, 0.5}} {
+		t.Run(fmt.Sprintf("%v a second, %v not answered", c.limit, c.unanswered), func(t *testing.T) {
+			n := newNetwork(7, c.limit, 1)
+			n.daemons[0].unanswered = c.unanswered
+			sent := n.simulate(20*spanrill.Second, 100)
+			if got := maxInWindow(sent); got > allowedInWindow(c.limit) {
+				t.Errorf("%d requests in a window, allowed %d", got, allowedInWindow(c.limit))
+			}
+		})
+	}
+}
+
 // Guards against keeping a removed limit on a daemon that has had no answer from the upstream
 // since the removal.
 func TestPermitCarriesLimitRemoval(t *testing.T) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -202,6 +202,9 @@
 	return owners
 }
 
+// Mute reports whether a daemon did not answer when this daemon last asked it for news.
+func (p *peers) Mute(daemon string) bool { return p.gateway.exchange.Mute(daemon) }
+
 // AskPermit asks a daemon for a permit.
 func (p *peers) AskPermit(ctx context.Context, addr string, asked *peermsg.AskPermit) (*peermsg.Permit, error) {
 	var permit peermsg.Permit
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -288,6 +288,7 @@
 type AskPermit struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Limit    UpstreamLimit
+	Standby  bool // a preferred daemon did not answer the sender
 }
 
 // Permit answers an AskPermit.
