--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -34,6 +34,7 @@
 	CPUShare      float64  `json:"cpu_share"`   // share of a core that the process gets, 0 if unknown
 	Cores         float64  `json:"cores"`       // speed of that core, 1 for a reference core
 	Bounds        Bounds   `json:"bounds"`
+	Overload      Overload `json:"overload"`
 	Log           Log      `json:"log"`
 }
 
@@ -47,6 +48,27 @@
 	RetryWindow spanrill.Millis `json:"retry_window_ms"` // period over which retries are counted
 }
 
+// Overload selects what the daemons do when requests compete for the engines of a service. All
+// daemons of a fleet must have the same values.
+type Overload struct {
+	DivideRoom  DivideRoom `json:"divide_room"`  // which services have their room divided among the daemons
+	Queue       bool       `json:"queue"`        // whether requests of these services wait in order of urgency
+	PlanReturns bool       `json:"plan_returns"` // whether their refused callers return at planned times
+}
+
+// DivideRoom selects the services whose room is divided among the daemons.
+type DivideRoom string
+
+const (
+	// DivideByClass selects services whose chained routes and client accounts have more than one
+	// priority.
+	DivideByClass DivideRoom = "by_class"
+	// DivideAlways selects all services with chains.
+	DivideAlways DivideRoom = "always"
+	// DivideNever selects none.
+	DivideNever DivideRoom = "never"
+)
+
 // DefaultDrain is the shortest time that deployments of the users give an upstream to leave.
 const DefaultDrain = 2 * spanrill.Second
 
@@ -58,7 +80,8 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		Peers: []string{}, Cores: 1, Log: Log{Level: "info"},
-		Bounds: Bounds{Drain: DefaultDrain, RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * spanrill.Second},
+		Overload: Overload{DivideRoom: DivideByClass, Queue: true, PlanReturns: true},
+		Bounds:   Bounds{Drain: DefaultDrain, RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * spanrill.Second},
 	}
 }
 
