coordination/granting: the daemon that gives the room of a service

Nothing divided the room among them or ordered their waiting requests.

Change: Granter answers the requests and reports of all daemons for the services whose granting daemon, or standby, this one is. Its decisions are in Room, which is pure: it combines ledger, line and returns, and takes the time as an argument. Claims are kept by daemon and id. They end by reports, by their absence from a complete list of what is held (300 ms old or more), or when their daemon has not reported for 2.5 s. Grants ahead of need are given while the chains are under 0.7 full and nobody waits, and are taken back after 1.25 s. A standby gives 0.3 of the free room; a daemon that begins to grant, or was stopped for over a second, rises from 0.3 to all within 500 ms.

A request that is next in the line but gets no room is set aside, so that those behind it are tried; at most four at once, kept by class. The first version kept them in the order of setting aside: TestUrgentBeforeAside then saw a request of class 3 start before one of class 0.

Grants ahead of need first used a fill that was up to 50 ms old. In the first form of TestNoGrantsAhead one daemon asked nine times at one instant, and the grants that it got ahead filled the chain, so that its ninth request waited. The fill is now read before each; the test loads the chain by nine daemons, since its case is about daemons that ask later.

Not done: numbered events, since their numbers come with the joining.

--- /dev/null
+++ b/coordination/granting/granterservice.go
@@ -0,0 +1,110 @@
+package granting
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+)
+
+// refreshInterval is the minimum time between two readings of the chains of a service.
+const refreshInterval spanrill.Millis = 100
+
+// role is the part that this daemon has in granting the room of a service.
+type role uint8
+
+const (
+	roleNone      role = iota // other daemons grant
+	roleStandby               // another daemon is preferred, and may still grant
+	rolePreferred             // this daemon is the first in order that may be alive
+)
+
+var roleNames = [...]string{"none", "standby", "preferred"}
+
+// String returns the role's name in log lines.
+func (r role) String() string { return roleNames[r] }
+
+// roleOf returns this daemon's role by its own list of daemons, whatever the sender of a request
+// believes: where lists differ, one of two daemons stays within the part of a standby.
+func (g *Granter) roleOf(service string) role {
+	granters := g.peers.Granters(service)
+	switch {
+	case len(granters) > 0 && granters[0].PeerAddr == "":
+		return rolePreferred
+	case len(granters) < 2 || granters[1].PeerAddr != "":
+		return roleNone
+	case g.peers.Unresponsive(granters[0].Name):
+		return rolePreferred
+	}
+	return roleStandby
+}
+
+// served is a service for which this daemon is asked for room.
+type served struct {
+	name        string
+	room        *Room
+	role        role
+	known       bool // the chains are known
+	read        bool // the chains and sums were read
+	readAt      spanrill.Millis
+	toldAsOf    spanrill.Millis
+	toldSet     bool
+	requestedAt spanrill.Millis
+}
+
+// grants reports whether requests may be decided here.
+func (s *served) grants(now spanrill.Millis, g *Granter) bool {
+	s.refresh(now, g)
+	return s.known && s.role != roleNone
+}
+
+// refresh reads the role, the chains and the sums if they may have changed.
+func (s *served) refresh(now spanrill.Millis, g *Granter) {
+	if s.read && now-s.readAt < refreshInterval {
+		return
+	}
+	s.read, s.readAt = true, now
+	s.setRole(now, g)
+	if uses, asOf := g.source.Told(s.name); !s.toldSet || asOf != s.toldAsOf {
+		s.toldSet, s.toldAsOf = true, asOf
+		s.room.SetTold(now, asOf, uses)
+	}
+	chains, ok := g.source.Chains(s.name)
+	s.known = ok
+	if ok {
+		s.room.SetChains(now, chains)
+	}
+}
+
+// setRole reads the role. A daemon that becomes preferred knows nothing of what others have given
+// but the sums.
+func (s *served) setRole(now spanrill.Millis, g *Granter) {
+	current := g.roleOf(s.name)
+	if current == s.role {
+		return
+	}
+	g.log.WithFields(logrus.Fields{"service": s.name, "role": current, "before": s.role}).
+		Info("role in granting the room of a service changed")
+	s.role = current
+	s.room.SetStandby(now, current != rolePreferred)
+}
+
+// tick does the periodic work.
+func (s *served) tick(now spanrill.Millis, g *Granter) []Notice {
+	s.refresh(now, g)
+	lapsed := s.room.Counts().Lapsed
+	notices := s.room.Tick(now)
+	if n := s.room.Counts().Lapsed - lapsed; n > 0 {
+		g.log.WithFields(logrus.Fields{"service": s.name, "claims": n}).
+			Warn("room of requests whose daemons stopped reporting taken back")
+	}
+	return notices
+}
+
+// discardLog returns a logger without output.
+func discardLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
--- /dev/null
+++ b/coordination/granting/servicelapse.go
@@ -0,0 +1,74 @@
+package granting
+
+import (
+	"slices"
+
+	"spanrill"
+)
+
+const (
+	// advanceInterval is the time between two checks of what has lapsed.
+	advanceInterval spanrill.Millis = 50
+	// reportTimeout is how long a daemon must not have reported for its claims to lapse. It sends a
+	// report at least every second, and two may get lost.
+	reportTimeout spanrill.Millis = 2500
+	// frozenTime is the time between two checks from which on this daemon is taken to have been
+	// stopped. Another daemon may have given room in the meantime.
+	frozenTime = spanrill.Second
+)
+
+// Tick lets claims lapse and starts waiting requests. Call it every 50 ms.
+func (r *Room) Tick(now spanrill.Millis) []Notice {
+	now = r.advance(now)
+	r.startWaiting(now)
+	return r.takeNotices()
+}
+
+// advance makes the changes that are due at a time, and returns the latest time seen. All
+// calls begin with it, so that nothing is decided by a state that has lapsed.
+func (r *Room) advance(now spanrill.Millis) spanrill.Millis {
+	r.now = max(r.now, now)
+	now = r.now
+	elapsed := now - r.advancedAt
+	if r.begun && elapsed < advanceInterval {
+		return now
+	}
+	if !r.begun || elapsed > frozenTime {
+		r.allowance.since = now
+	}
+	r.begun, r.advancedAt = true, now
+	r.dropLate(now)
+	r.lapseAhead(now)
+	r.lapseSilent(now)
+	r.applyAllowance(now)
+	r.line.SetRate(r.ledger.EndRate(now))
+	return now
+}
+
+// lapseSilent ends the claims of daemons that have stopped reporting, and forgets these daemons.
+func (r *Room) lapseSilent(now spanrill.Millis) {
+	var silent []string
+	for name, a := range r.askers {
+		if now-a.heardAt > reportTimeout {
+			silent = append(silent, name)
+		}
+	}
+	slices.Sort(silent)
+	for _, name := range silent {
+		r.lapseAll(now, r.askers[name])
+		delete(r.askers, name)
+	}
+}
+
+// lapseAll ends all claims of a daemon. Its waiting requests are told so: the daemon is
+// alive if this one was stopped.
+func (r *Room) lapseAll(now spanrill.Millis, a *asker) {
+	for _, c := range a.sortedClaims(func(*claim) bool { return true }) {
+		r.counts.Lapsed++
+		if c.state == claimWaiting {
+			r.refuseWaiting(now, c)
+			continue
+		}
+		r.end(now, c)
+	}
+}
--- /dev/null
+++ b/coordination/granting/servicereport.go
@@ -0,0 +1,63 @@
+package granting
+
+import (
+	"spanrill"
+	"spanrill/protocol/peermsg"
+)
+
+// heldGrace is how old a claim must be to end because its daemon does not name it: reports that
+// were made before the daemon knew of it may still be under way.
+const heldGrace spanrill.Millis = 300
+
+// Report applies what a daemon tells of its requests and of the engines.
+func (r *Room) Report(now spanrill.Millis, report *peermsg.RoomReport) []Notice {
+	now = r.advance(now)
+	r.recordLoads(now, report.Loads)
+	r.recordRefusals(now, report.Refused)
+	if a := r.askers[report.Daemon]; a != nil {
+		a.heardAt = now
+		r.applyReport(now, a, report)
+	}
+	if r.freed {
+		r.startWaiting(now)
+	}
+	return r.takeNotices()
+}
+
+// applyReport applies what a daemon tells of its requests. A grant may have been used and ended
+// within one report.
+func (r *Room) applyReport(now spanrill.Millis, a *asker, report *peermsg.RoomReport) {
+	for _, u := range report.Used {
+		r.use(now, a, u)
+	}
+	for _, id := range report.Ended {
+		if c := a.claims[id]; c != nil {
+			r.end(now, c)
+		}
+	}
+	if report.Complete {
+		r.endUnnamed(now, a, report.Held)
+	}
+}
+
+// endUnnamed ends the claims that a daemon no longer names. The report of their end was lost.
+func (r *Room) endUnnamed(now spanrill.Millis, a *asker, held []uint64) {
+	named := make(map[uint64]bool, len(held))
+	for _, id := range held {
+		named[id] = true
+	}
+	for _, c := range a.sortedClaims(func(c *claim) bool { return !named[c.id] && now-c.since > heldGrace }) {
+		r.end(now, c)
+		r.counts.Lapsed++
+	}
+}
+
+// recordLoads passes on what first engines have told. Figures that are out of range are ignored.
+func (r *Room) recordLoads(now spanrill.Millis, loads []peermsg.RoomEngine) {
+	for _, l := range loads {
+		if l.Age < 0 || l.Age > maxLoadAge || l.Requests < 0 || l.Requests > maxEngineRequests {
+			continue
+		}
+		r.ledger.RecordEngineLoad(now, now-l.Age, l.Engine, l.Requests)
+	}
+}
--- /dev/null
+++ b/coordination/granting/servicerequest.go
@@ -0,0 +1,126 @@
+package granting
+
+import (
+	"spanrill"
+	"spanrill/protocol/peermsg"
+)
+
+// Request decides on a request of a daemon. The notices are for other requests.
+func (r *Room) Request(now spanrill.Millis, req *peermsg.RoomRequest) (*peermsg.RoomReply, []Notice) {
+	now = r.advance(now)
+	return r.request(now, req), r.takeNotices()
+}
+
+func (r *Room) request(now spanrill.Millis, req *peermsg.RoomRequest) *peermsg.RoomReply {
+	if !validDaemon(req.Daemon) {
+		return &peermsg.RoomReply{State: peermsg.RoomUnknown}
+	}
+	a := r.asker(now, req.Daemon, req.Addr)
+	if a == nil {
+		return &peermsg.RoomReply{State: peermsg.RoomUnknown}
+	}
+	if c := a.claims[req.ID]; c != nil {
+		if c.repeats(req) {
+			c.since = now
+			return r.reply(now, c)
+		}
+		r.end(now, c)
+	}
+	r.recordRefusals(now, req.RefusedBy)
+	c := r.newClaim(now, a, req)
+	a.starts.record(now)
+	r.sizes.record(c.need)
+	if !r.admit(now, c) {
+		return r.refuse(now, c)
+	}
+	reply := r.reply(now, c)
+	if c.state == claimHolding {
+		reply.Ahead = r.grantAhead(now, c)
+	}
+	return reply
+}
+
+// newClaim returns a claim for a request that is neither waiting nor holds room yet.
+func (r *Room) newClaim(now spanrill.Millis, a *asker, req *peermsg.RoomRequest) *claim {
+	need := needOf(req)
+	c := &claim{
+		handle: r.nextHandle(), id: req.ID, asker: a, need: need, content: req.Content, since: now,
+		callerEnd: now + min(max(0, req.Remaining), maxRemaining),
+		refusedBy: atMost(req.RefusedBy, maxRefusedBy),
+	}
+	c.entry = spanrill.LineEntry{
+		ID: c.handle, Class: need.Class, Account: accountOf(req.Account),
+		LatestStart: now + max(0, need.Patient-r.ledger.FirstEvent(now, need)),
+		Returned:    r.returns.Redeem(now, req.Content),
+	}
+	if c.entry.Returned {
+		r.counts.ReturnsKept++
+	}
+	return c
+}
+
+// admit starts a request or lets it wait. It reports false if the request is to be refused.
+func (r *Room) admit(now spanrill.Millis, c *claim) bool {
+	if len(r.claims) >= maxClaims || !r.canEver(now, c.need) {
+		return false
+	}
+	alone := r.Waiting() == 0
+	if alone && r.start(now, c) {
+		r.keep(c, claimHolding)
+		return true
+	}
+	if !r.enterLine(now, c) {
+		return false
+	}
+	if next, ok := r.line.Next(now); !alone && ok && next.ID == c.handle {
+		c.replying = true
+		r.startWaiting(now)
+		c.replying = false
+	}
+	if c.state == claimWaiting && c.entry.LatestStart <= now {
+		r.end(now, c)
+		return false
+	}
+	if c.waited = c.state == claimWaiting; c.waited {
+		r.counts.Waited[c.need.Class]++
+	}
+	return true
+}
+
+// canEver reports whether a request could get room if the chains were empty. While the allowance
+// rises, the ledger cannot tell.
+func (r *Room) canEver(now spanrill.Millis, need spanrill.RoomNeed) bool {
+	rises := !r.allowance.standby && r.allowance.at(now) < 1
+	return rises || r.ledger.CanEver(need)
+}
+
+// reply describes the state of a claim.
+func (r *Room) reply(now spanrill.Millis, c *claim) *peermsg.RoomReply {
+	if c.state == claimWaiting {
+		return &peermsg.RoomReply{State: peermsg.RoomWaiting, Wait: max(0, r.line.Wait(now, c.entry))}
+	}
+	return &peermsg.RoomReply{State: peermsg.RoomGranted, First: c.first}
+}
+
+// refuse returns the refusal of a request that did not wait.
+func (r *Room) refuse(now spanrill.Millis, c *claim) *peermsg.RoomReply {
+	r.line.RecordRefused(now, c.entry)
+	r.counts.Refused[c.need.Class]++
+	return &peermsg.RoomReply{State: peermsg.RoomRefused, RetryAfter: r.retryAfter(now, c)}
+}
+
+// retryAfter plans the return of a caller.
+func (r *Room) retryAfter(now spanrill.Millis, c *claim) spanrill.Millis {
+	refused := spanrill.RefusedRequest{
+		Class: c.need.Class, Content: c.content, Remaining: max(0, c.callerEnd-now), Returned: c.entry.Returned,
+	}
+	return max(1, r.returns.Plan(now, refused, r.ledger.EndRate(now), r.Waiting()))
+}
+
+// recordRefusals records engines that have refused requests for lack of room.
+func (r *Room) recordRefusals(now spanrill.Millis, engines []uint32) {
+	for _, engine := range atMost(engines, maxRefusedBy) {
+		r.ledger.RecordRefusal(now, engine)
+		r.counts.RefusedByEngines++
+	}
+}
