granting: Join the granting daemon and its client

Change: WithGranterLogger, maxReportedLoadAge, testMeanSize; the files of the decisions for one service are room*.go; no underscores in file names.

--- a/coordination/granting/client.go
+++ b/coordination/granting/client.go
@@ -17,15 +17,15 @@
 // spanrill.RoomGate.
 //
 //	client.go           entering, and what callers are told otherwise
-//	client_ask.go       questions to the granting daemons
-//	client_contact.go   which of them are asked
-//	client_wait.go      requests that wait for a notice
-//	client_ahead.go     grants given ahead of need
-//	client_grant.go     grants and their release
-//	client_share.go     starts without a granting daemon
-//	client_retry.go     refusals and retry times
-//	client_chains.go    chains and engines that refuse
-//	client_counts.go    counts for operators
+//	clientask.go        questions to the granting daemons
+//	clientcontact.go    which of them are asked
+//	clientwait.go       requests that wait for a notice
+//	clientahead.go      grants given ahead of need
+//	clientgrant.go      grants and their release
+//	clientshare.go      starts without a granting daemon
+//	clientretry.go      refusals and retry times
+//	clientchains.go     chains and engines that refuse
+//	clientcounts.go     counts for operators
 //	report*.go          reports to the granting daemons
 type Client struct {
 	name        string
--- a/coordination/granting/granter.go
+++ b/coordination/granting/granter.go
@@ -44,8 +44,8 @@
 // GranterOption changes a default of NewGranter.
 type GranterOption func(*Granter)
 
-// WithLogger sets the logger. Without it nothing is logged.
-func WithLogger(log logrus.FieldLogger) GranterOption { return func(g *Granter) { g.log = log } }
+// WithGranterLogger sets the logger. Without it nothing is logged.
+func WithGranterLogger(log logrus.FieldLogger) GranterOption { return func(g *Granter) { g.log = log } }
 
 // WithAhead sets whether grants are given ahead of need. They are without this option.
 func WithAhead(ahead bool) GranterOption { return func(g *Granter) { g.ahead = ahead } }
--- a/coordination/granting/granting.go
+++ b/coordination/granting/granting.go
@@ -8,9 +8,11 @@
 // all room.
 //
 //	granting.go  interfaces to the other daemons and to the engines
-//	granter.go   the granting daemon
-//	client.go    the daemon that asks
-//	share.go     the share of a daemon that reaches no granting daemon
+//	room*.go     decisions of the granting daemon for one service
+//	granter*.go  the granting daemon
+//	client*.go   the daemon that asks
+//	report*.go   what it tells the granting daemon afterwards
+//	share*.go    the share of a daemon that reaches no granting daemon
 //
 // # Usage
 //
--- a/coordination/granting/serviceborder.go
+++ b/coordination/granting/roomborder.go
@@ -8,15 +8,15 @@
 // Limits for what other daemons send. Values beyond them are errors, and are replaced by the nearest
 // valid value or ignored.
 const (
-	maxTokens         = 10_000_000 // of a prompt or an answer
-	maxNeedWait       = 10 * spanrill.Minute
-	maxRemaining      = 60 * spanrill.Minute
-	maxPause          = spanrill.Minute
-	maxAvoid          = 1024 // engines that a request avoids
-	maxRefusedBy      = 64   // engines that one message names as having refused
-	maxLoadAge        = 10 * spanrill.Second
-	maxEngineRequests = 1_000_000
-	maxNameLength     = 256 // bytes of a daemon's or an account's name
+	maxTokens          = 10_000_000 // of a prompt or an answer
+	maxNeedWait        = 10 * spanrill.Minute
+	maxRemaining       = 60 * spanrill.Minute
+	maxPause           = spanrill.Minute
+	maxAvoid           = 1024 // engines that a request avoids
+	maxRefusedBy       = 64   // engines that one message names as having refused
+	maxReportedLoadAge = 10 * spanrill.Second
+	maxEngineRequests  = 1_000_000
+	maxNameLength      = 256 // bytes of a daemon's or an account's name
 )
 
 // validDaemon reports whether a daemon's name may be kept.
--- a/coordination/granting/share_test.go
+++ b/coordination/granting/share_test.go
@@ -9,10 +9,10 @@
 	"spanrill/rng"
 )
 
-const meanSize = 1000
+const testMeanSize = 1000
 
 func totalRoom(chains []spanrill.RoomChain) (total float64) {
-	for _, r := range chainRooms(chains, meanSize) {
+	for _, r := range chainRooms(chains, testMeanSize) {
 		total += r.room
 	}
 	return total
@@ -55,7 +55,7 @@
 
 // Chains are drawn in proportion to their room, without engines to avoid.
 func TestDrawChain(t *testing.T) {
-	rooms := chainRooms([]spanrill.RoomChain{testChain(1, 70_000), testChain(2, 140_000), testChain(3, 70_000)}, meanSize)
+	rooms := chainRooms([]spanrill.RoomChain{testChain(1, 70_000), testChain(2, 140_000), testChain(3, 70_000)}, testMeanSize)
 	random, drawn := rng.New(1), map[uint32]int{}
 	for range 3000 {
 		first, _ := drawChain(rooms, map[uint32]bool{103: true}, random.Float64())
@@ -71,13 +71,13 @@
 
 // The whole share is for urgent requests. Where shares are under one request, some daemons have one.
 func TestShareLimit(t *testing.T) {
-	rooms := chainRooms([]spanrill.RoomChain{testChain(1, 70_000)}, meanSize)
-	s := share{rooms: rooms, meanSize: meanSize, daemons: 7}
+	rooms := chainRooms([]spanrill.RoomChain{testChain(1, 70_000)}, testMeanSize)
+	s := share{rooms: rooms, meanSize: testMeanSize, daemons: 7}
 	expect(t, "urgent", s.limit(urgentClass), 10)
 	expect(t, "other", s.limit(1), 9)
 	random, limits := rng.New(1), 0.0
 	for range 700 {
-		s = share{rooms: rooms, meanSize: meanSize, daemons: 700, rounding: random.Float64()}
+		s = share{rooms: rooms, meanSize: testMeanSize, daemons: 700, rounding: random.Float64()}
 		limits += s.limit(urgentClass)
 	}
 	if limits < 50 || limits > 90 {
