Ledger of the room on the chains of a service

No daemon knows what the others have started since the last figures, and a refusal stays with the daemon that got it.

Change: coordination/room implements spanrill.RoomLedger, without a clock, a lock or a goroutine; nothing uses it yet. Room is counted at each engine of a chain. What others hold is told load less the ledger's own load as of the same time, from a history of 3.2 s, and what first engines tell beyond that. An engine that refused is closed for a moment and then filled little by little. A chain is chosen by time to read behind the prompts that wait, time between tokens, objectives, zone and fullness.

--- /dev/null
+++ b/coordination/room/engine.go
@@ -0,0 +1,61 @@
+package room
+
+import "spanrill"
+
+// load is what requests hold at an engine. Calls are the requests of which it is the first engine.
+type load struct {
+	tokens float64
+	calls  float64
+}
+
+// engine is the account of one engine. The fields that are read for each choice come first, so that
+// they share a cache line.
+type engine struct {
+	capacity float64 // tokens
+	used     float64 // tokens that are accounted to it: the sum of own, told and extra
+	readEnds float64 // time until which it reads the prompts given to it, in milliseconds
+	pause    pause   // after it refused a request
+	id       uint32
+
+	own      load                     // of requests to which the ledger gave room
+	told     load                     // of other requests, as daemons told
+	extra    load                     // of other requests, beyond told, as engines told
+	requests int                      // to which the ledger gave room, first engine or not
+	given    [spanrill.ClassCount]int // those of which it is the first engine, by class
+	history  history                  // of own
+	beyond   variation                // of the tokens of other requests
+	reported report                   // what the engine itself told
+	current  bool                     // belongs to a chain
+	leftAt   spanrill.Millis          // when it last did
+}
+
+// sum computes used again.
+func (e *engine) sum() { e.used = e.own.tokens + e.told.tokens + max(0, e.extra.tokens) }
+
+// calls returns the requests that are accounted to it as their first engine.
+func (e *engine) calls() float64 { return e.own.calls + e.foreignCalls() }
+
+// foreignCalls returns how many of these the ledger did not start.
+func (e *engine) foreignCalls() float64 { return e.told.calls + e.extra.calls }
+
+// begin accounts a request that starts: its tokens, and the time that its prompt takes to read.
+func (e *engine) begin(now spanrill.Millis, tokens, readMillis float64) {
+	e.own.tokens += tokens
+	e.requests++
+	e.readEnds = max(e.readEnds, float64(now)) + readMillis
+	e.pause.recordStart(now)
+	e.history.record(now, e.own)
+	e.sum()
+}
+
+// end takes back what a request held, and the time to read what was not read of its prompt.
+func (e *engine) end(now spanrill.Millis, tokens, unreadMillis float64) {
+	e.requests--
+	e.own.tokens = max(0, e.own.tokens-tokens)
+	if e.requests == 0 {
+		e.own.tokens = 0 // drops rounding errors
+	}
+	e.readEnds = max(float64(now), e.readEnds-unreadMillis)
+	e.history.record(now, e.own)
+	e.sum()
+}
