Count the classes of a service; ignore implausible priorities and targets

Cause: the room of a service is to be divided where its requests have more than one priority, which nobody counted. A priority out of 0 to 9 was clamped when it was sent to engines and would have been no class; a negative target made expected times negative, and a priority of another type made the whole configuration invalid.

Change: routes.Table.Classes counts the priorities that chained routes and client accounts give to the requests of a service, once for each configuration. An implausible priority or target is listed in IgnoredValues (event 210) and left out: a route then has priority 5 or no target, an account the priority of its route. Valid values are sent as before.

--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -23,6 +23,7 @@
 	byHost   map[string][]*spanrill.Route // longest prefix first
 	services map[string]*spanrill.ServiceInfo
 	accounts map[string]*spanrill.Account // by key
+	classes  map[string]int               // number of classes, by service
 }
 
 // New returns the table of a configuration.
@@ -47,6 +48,7 @@
 			t.accounts[key] = &c.Accounts[i]
 		}
 	}
+	t.classes = countClasses(c)
 	return t
 }
 
