--- a/coordination/chainrouting/best.go
+++ b/coordination/chainrouting/best.go
@@ -10,6 +10,9 @@
 // figures of other daemons are stale and the flows serve the demand, it chooses at random in
 // proportion to the flows, and otherwise the path with the lowest estimated time.
 func (r *Router) choosePath(service string, options []option, need Need, staleness float64) []Part {
+	if need.Granted {
+		return fastest(options)
+	}
 	if i, ok := r.decideByFlow(service, options, staleness); ok {
 		return options[i].parts
 	}
@@ -27,6 +30,18 @@
 	return best
 }
 
+// fastest returns the path with the lowest estimated time, full or not, or nil if there is none.
+func fastest(options []option) []Part {
+	var best []Part
+	leastEstimate := math.Inf(1)
+	for _, o := range options {
+		if o.estimate < leastEstimate {
+			best, leastEstimate = o.parts, o.estimate
+		}
+	}
+	return best
+}
+
 // decideByFlow returns the index of the option that a request takes if it is chosen by flow or, on
 // a daemon that has just started, by room. It returns false if the estimates have to decide.
 func (r *Router) decideByFlow(service string, options []option, staleness float64) (index int, ok bool) {
--- a/coordination/chainrouting/router.go
+++ b/coordination/chainrouting/router.go
@@ -43,28 +43,7 @@
 	ErrLimited = errors.New("the engines at which paths begin have used up their limits")
 )
 
-// Need describes the request for which a path is chosen.
-type Need struct {
-	Prompt int             // tokens
-	Answer int             // expected tokens
-	Zone   string          // availability zone of this daemon
-	Avoid  map[string]bool // ids of engines that must not be used
-	Urgent bool            // may use all of the memory
-	First  map[string]bool // ids of engines that may be first, or nil for any
-	Spread bool            // many daemons choose at the same moment, so the choice is randomized
-}
-
-// tokens is how many tokens are reserved: the prompt, and the part of the answer that a running
-// request holds on average.
-func (n Need) tokens() float64 {
-	return float64(n.Prompt) + reservedAnswerShare*float64(n.Answer)
-}
-
 const (
-	// reservedAnswerShare is the fraction of its answer that a request holds on average over its run
-	// time. With 0.75, 0.88 of the memory was accounted as used where engines reported 0.55 to
-	// 0.67.
-	reservedAnswerShare = 0.5
 	// maxFill and maxFillUrgent are the fractions of an engine's memory that are used. The load
 	// figures of other daemons are a quarter of a second old. A twentieth to a tenth of a chain's
 	// requests start in that time, and half of these are this daemon's own or go to another chain.
--- a/coordination/chainrouting/search.go
+++ b/coordination/chainrouting/search.go
@@ -31,6 +31,9 @@
 	if u == nil || !u.AcceptsRequestsAt(s.now) || u.Dead() || s.need.Avoid[u.ID()] {
 		return false
 	}
+	if s.need.Granted && u.AvoidedForRefusal(s.now) && !u.RefusesPersistently(s.now) {
+		return true // it was briefly full, and the grant tells that it no longer is
+	}
 	return !u.Avoided(s.now) || s.lenient && !u.AvoidedForRefusal(s.now)
 }
 
@@ -49,8 +52,27 @@
 	return s.usable(u)
 }
 
+// whole returns the path of a chain without holes whose engines can all be used.
+func (s *search) whole(c *chain.Chain) (parts []Part, ok bool) {
+	if !c.Complete() {
+		return nil, false
+	}
+	parts = make([]Part, 0, len(c.Parts()))
+	for _, p := range c.Parts() {
+		u := s.view.ByID(p.ID)
+		if !s.canRun(u, p.Layers.From) {
+			return nil, false
+		}
+		parts = append(parts, Part{Upstream: u, Layers: p.Layers})
+	}
+	return parts, true
+}
+
 // complete turns a chain into a path by bridging holes and parts that cannot be used.
 func (s *search) complete(c *chain.Chain) (parts []Part, bridged, ok bool) {
+	if parts, ok = s.whole(c); ok {
+		return parts, false, len(parts) <= maxParts
+	}
 	used := map[string]bool{}
 	kept := make([]Part, 0, len(c.Parts()))
 	for _, p := range c.Parts() {
@@ -116,7 +138,7 @@
 				continue
 			}
 			to := min(l.To, hole.To)
-			if s.freeTokens(u) < s.need.tokens()*float64(to-next)/float64(l.Len()) {
+			if !s.need.Granted && s.freeTokens(u) < s.need.tokens()*float64(to-next)/float64(l.Len()) {
 				skippedFull = true
 				continue
 			}
