Exchange tells as of when its sums are complete

Cause: a ledger that counts what was started since the last figures of the other daemons must know how old these are.

Change: Exchange.SumsAsOf. In a small fleet it is when the daemon that was asked the longest ago was asked, among those that still answer: else each lost daemon would make all figures look 2 s old. In a large one it is when the root of the tree in use added them up. It is 0 while there are none.

--- a/coordination/exchange/apply.go
+++ b/coordination/exchange/apply.go
@@ -20,6 +20,7 @@
 		}
 	}
 	others, known := e.peerSum(now)
+	e.sumsAsOf.Store(int64(e.sumsTime(now)))
 	e.state.Budgets.StartRound(others.retries, retry.Fleet{
 		Known: known, Daemons: max(known, 1+int(e.otherCount.Load())), Rounds: e.AggregationRounds(), Complete: e.FleetSizeKnown(),
 	})
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -119,6 +119,7 @@
 	cachedTopology *topology    // rebuilt when the members change
 	otherCount     atomic.Int64 // live daemons, without this one, in the last round
 	lastAddedAt    atomic.Int64 // when a daemon last joined
+	sumsAsOf       atomic.Int64 // result of SumsAsOf
 	startedAt      spanrill.Millis
 	startRounds    int // rounds before this daemon had a configuration and entries
 	// fleetSizeWasKnown is the result of FleetSizeKnown in the last round.
