Events 640 to 645: division of room

Cause: operators must see when room is divided, who grants it, and when that fails.

Result: TestCatalogueIsDocumented passes.

--- a/events/events.go
+++ b/events/events.go
@@ -163,6 +163,12 @@
 	SuspectsLoaded       = define(637, logrus.InfoLevel, "read from the store the records of requests suspected of crashing upstreams")
 	SuspectsStoreFailed  = define(638, logrus.WarnLevel, "cannot read or write the stored records of requests suspected of crashing upstreams")
 	RequestTrialSent     = define(639, logrus.InfoLevel, "request suspected of crashing upstreams sent to one upstream as a trial")
+	RoomDivisionChanged  = define(640, logrus.InfoLevel, "room of a service is divided among the daemons from now on, or no longer")
+	RoomGranterChanged   = define(641, logrus.InfoLevel, "this daemon grants the room of a service from now on, or no longer")
+	RoomGranterSilent    = define(642, logrus.WarnLevel, "daemon that grants the room of a service does not answer")
+	RoomOwnShare         = define(643, logrus.WarnLevel, "no daemon grants room, starting requests within this daemon's own share")
+	RoomGranterReached   = define(644, logrus.InfoLevel, "daemon that grants the room of a service answers again")
+	RoomGrantUnusable    = define(645, logrus.InfoLevel, "this daemon cannot use the chain that a request was granted")
 	LogsDropped          = define(630, logrus.WarnLevel, "log lines dropped, output too slow")
 )
 
