Requests of divided services ask for room before they start

Cause: each daemon started requests by figures of others that were 1 to 1.5 s old.

Change: where Dependencies.Room divides a service, findPath enters before each attempt until the first event, and uses the chain that was granted. A grant whose chain cannot be used here is given back, and room is asked for once more without that engine. After a second one the daemon chooses by its own figures: the fleet has room, so a refusal would lose the request for a difference of views. The grant is held until the path is released; a move keeps it, and continuations do not ask, as their callers wait already. A new request for room names the engines that refused the last attempt. A request that has been sent to as many engines as its route allows asks for those only. Refusals by engines and for lack of a path have the retry times of the gate. The load that first engines tell in answers is passed on. Without a gate nothing changes.

--- a/coordination/relay/attempts.go
+++ b/coordination/relay/attempts.go
@@ -96,6 +96,7 @@
 	g.relay.Meters.UpstreamRefusals.Inc()
 	g.avoid[atFault.ID()] = true
 	atFault.RecordRefusal(now, g.relay.Router.HasRoom(g.service.Model, atFault))
+	g.recordRoomRefusal(first, atFault)
 	if failure.misdirected {
 		atFault.Avoid(now + misdirectedAvoidTime)
 	}
@@ -199,5 +200,5 @@
 		return spanrill.NewRefusal(spanrill.ReasonUpstreamFailed, "%v", failure.cause).
 			WithOutcome(spanrill.OutcomeUnknown)
 	}
-	return spanrill.NewRefusal(spanrill.ReasonUpstreamRefused, "%v", failure.cause).WithRetryAfter(fullRetryAfter)
+	return spanrill.NewRefusal(spanrill.ReasonUpstreamRefused, "%v", failure.cause).WithRetryAfter(g.plannedReturn(fullRetryAfter))
 }
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -36,6 +36,7 @@
 	sentTo           map[string]*fleet.Upstream        // first engines that count toward the limit on engines, by id
 	ranOn            map[string]bool                   // first engines that have run the request or may have, by id
 	mayHaveRun       bool                              // an attempt has run or may have
+	room             roomHold
 
 	pending                  *continuation   // continuation in progress, or nil
 	nextContinuationAt       spanrill.Millis // no other continuation starts before this time
@@ -90,8 +91,9 @@
 	g.logEnded(g.http.Response.StatusCode(), logrus.Fields{"upstream": g.firstEngine.ID()})
 }
 
-// release closes the answer of the running attempt and releases its path.
+// release closes the answer of the running attempt, releases its path, and gives back its room.
 func (g *generation) release() {
+	defer g.room.release() // after the attempt has ended at the engines
 	if g.answer != nil {
 		g.answer.Close()
 		g.answer = nil
@@ -196,14 +198,28 @@
 	missingLayersRetryAfter spanrill.Millis = 700
 )
 
-// findPath chooses a path for a request that no engine has answered yet, or returns a refusal. It
-// does not wait until a chain has room, because other requests may take the room first. A refused
-// caller gets a retry time of its own instead.
+// findPath chooses a path for a request that no engine has answered yet, or returns a refusal. If
+// the daemons divide the room of the service, it asks for room first.
 func (g *generation) findPath() *spanrill.Refusal {
+	if g.dividesRoom() {
+		return g.findGrantedPath()
+	}
+	return g.chooseOwnPath()
+}
+
+// chooseOwnPath chooses a path by what this daemon knows of the load, or returns a refusal. It does
+// not wait until a chain has room, because other requests may take the room first. A refused caller
+// gets a retry time of its own instead.
+func (g *generation) chooseOwnPath() *spanrill.Refusal {
 	path, err := g.relay.Router.Pick(g.service.Name, g.service.Model, g.pathNeed(false))
 	if err != nil {
 		return g.noPathRefusal(err)
 	}
+	return g.usePath(path)
+}
+
+// usePath makes a path that of the next attempt. It returns a refusal if the path is invalid.
+func (g *generation) usePath(path *chainrouting.Path) *spanrill.Refusal {
 	if !path.Covers(g.service.Model.Layers) {
 		path.Release()
 		return spanrill.NewRefusal(spanrill.ReasonInternal, "path %s does not run every layer once", path)
@@ -224,11 +240,15 @@
 			return refusal
 		}
 	}
-	if errors.Is(err, chainrouting.ErrNoRoom) {
+	full := errors.Is(err, chainrouting.ErrNoRoom)
+	switch {
+	case full && g.dividesRoom():
+		return spanrill.NewRefusal(spanrill.ReasonChainsFull, "%v", err).WithRetryAfter(g.plannedReturn(fullRetryAfter))
+	case full:
 		wait, gap := g.relay.roomRetries.take(g.relay.Clock.Now())
 		return spanrill.NewRefusal(spanrill.ReasonChainsFull, "%v, requests end every %d ms", err, gap).WithRetryAfter(wait)
 	}
-	return spanrill.NewRefusal(spanrill.ReasonNoChain, "%v", err).WithRetryAfter(missingLayersRetryAfter)
+	return spanrill.NewRefusal(spanrill.ReasonNoChain, "%v", err).WithRetryAfter(max(missingLayersRetryAfter, g.plannedReturn(missingLayersRetryAfter)))
 }
 
 // send makes one attempt and stores the answer in g.answer. The error is a *sendError. While the
@@ -282,6 +302,7 @@
 		answer.Close()
 		return nil, &sendError{outcome: spanrill.OutcomeUnknown, retryReason: meter.RetryBadToken, cause: err}
 	}
+	r.recordEngineLoad(g.service.Name, path.First(), head.Load)
 	if head.NotRun {
 		answer.Close()
 		return nil, g.newRefusalError(path.First(), head, answer.Status())
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -17,6 +17,8 @@
 //	plainchoice.go    choice of an upstream of such a service
 //	chained.go        generations on a path of engines, up to the first event
 //	attempts.go       failed attempts, and whether they are repeated
+//	room.go           room that the daemons divide among their requests
+//	engineload.go     load that engines tell in their answers
 //	stream.go         the events of a stream
 //	eventsize.go      tokens per event
 //	framing.go        splits bytes into whole events
@@ -80,6 +82,9 @@
 	Log     logrus.FieldLogger
 	Meters  *meter.Meters
 	Random  *rng.Source
+	// Room gives requests room on the chains of the services whose room the daemons divide. It is
+	// nil if they divide none.
+	Room spanrill.RoomGate
 	// StoreSilentAtStart reports whether the store does not answer a starting daemon. A daemon that
 	// lacks the configuration or the upstreams then will not get them soon.
 	StoreSilentAtStart func() bool
@@ -102,6 +107,7 @@
 	limitRetries   *limitRetryTimes
 	startup        *startupHold
 	eventTokens    *eventTokenEstimator
+	roomCounts     roomCounts
 	inFlight       atomic.Int64
 	closing        atomic.Bool // answers close their connections
 	refusing       atomic.Bool // new requests are refused
