Gateway: source, peers, messages, metrics and page of divided room

Cause: the parts that divide room need what the gateway knows and reaches.

Change: roomSource and roomPeers are granting.Source and granting.Peers. A daemon that is stopping is no granter to itself from the start of its drain; others drop it when it announces that it leaves. Messages about room go to the granter and the client; a daemon without them answers that it grants nothing. Gauges spanrill_room_*. Gauges moved to metrics.go.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,8 @@
 //	config.go    the configuration of routes
 //	peers.go     messages of other daemons
 //	ready.go     callers' connections, readiness and metrics
+//	metrics.go   gauges
+//	room*.go     division of the room on the chains of a service
 //	stop.go      the planned stop
 //
 // # Usage
@@ -92,6 +94,7 @@
 	suspects         *suspect.Ledger
 	suspectKeeper    *suspect.Keeper
 	limiter          *ratelimit.Limiter
+	room             *room // nil if this daemon divides no room
 	exchange         *exchange.Exchange
 	lease            *lease.Lease
 	placer           *layoutrun.Placer
@@ -229,28 +232,16 @@
 	}, g.clock, g.log, g.random)
 	g.placer = layoutrun.New(g.mayPlace, engines, g.fleet, g.services, g.clock, g.log, layoutrun.WithPropagationTime(g.exchange.BroadcastTime))
 	g.router = chainrouting.New(g.fleet, g.clock, g.log, g.random)
+	g.room = newRoom(g)
 	g.relay = relay.New(relay.Dependencies{
 		Config: g.config, Fleet: g.fleet, Router: g.router, Prober: g.prober,
 		Engines: engines, Codec: g.adapter.Codec, HTTP: g.http, Budgets: g.budgets, Suspects: g.suspects, OnSuspected: g.peers.broadcastSuspect,
 		Permit: g.limiter.Permit, Daemons: func() int { return int(g.liveDaemons.Load()) },
 		Clock: g.clock, Log: g.log, Meters: g.meters, Random: g.random, StoreSilentAtStart: g.storeSilentAtStart,
+		Room: g.room.gate(),
 	}, relay.Options{Zone: g.settings.Zone, MaxConfigAge: g.maxConfigAge()})
 	g.callersWaitingSince = g.relay.CallersWaitingSince
-	g.meters.Gauge("spanrill_log_lines_dropped", func() float64 { return float64(g.droppedLines()) })
-	g.meters.Gauge("spanrill_upstream_restarts", func() float64 { return float64(g.fleet.Restarts()) })
-	g.meters.Gauge("spanrill_upstream_rests", func() float64 { return float64(g.fleet.NoticeCounts().Rests) })
-	g.meters.Gauge("spanrill_upstream_rests_unreadable", func() float64 { return float64(g.fleet.NoticeCounts().UnreadableRests) })
-	g.meters.Gauge("spanrill_upstreams_said_leaving", func() float64 { return float64(g.fleet.NoticeCounts().Leaving) })
-	g.meters.Gauge("spanrill_upstream_limits", func() float64 { return float64(g.fleet.NoticeCounts().Limits) })
-	g.meters.Gauge("spanrill_upstream_limits_unreadable", func() float64 { return float64(g.fleet.NoticeCounts().UnreadableLimits) })
-	g.meters.Gauge("spanrill_upstreams_limited", func() float64 { return float64(g.fleet.LimitedUpstreams()) })
-	g.meters.Gauge("spanrill_limit_permits_granted", func() float64 { return float64(g.limiter.Granted()) })
-	g.meters.Gauge("spanrill_limit_permits_denied", func() float64 { return float64(g.limiter.Denied()) })
-	g.meters.Gauge("spanrill_entries_unreadable", func() float64 { now, _ := g.fleet.Unreadable(); return float64(now) })
-	g.meters.Gauge("spanrill_entries_unreadable_seen", func() float64 { _, all := g.fleet.Unreadable(); return float64(all) })
-	g.meters.Gauge("spanrill_store_era", func() float64 { return float64(max(1, g.adapter.Era())) - 1 })
-	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
-	g.meters.Gauge("spanrill_config_proof_age_seconds", func() float64 { return float64(g.config.Age()) / float64(spanrill.Second) })
+	g.registerGauges()
 	g.callers = callerhttp.New(g.relay.Serve, g.callerLimits)
 	g.buildFollowers(g.adapter.Config, g.adapter.Upstreams)
 	return nil
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,25 @@
+package gateway
+
+import "spanrill"
+
+// registerGauges registers the gauges that are read from the components.
+func (g *Gateway) registerGauges() {
+	g.meters.Gauge("spanrill_log_lines_dropped", func() float64 { return float64(g.droppedLines()) })
+	g.meters.Gauge("spanrill_upstream_restarts", func() float64 { return float64(g.fleet.Restarts()) })
+	g.meters.Gauge("spanrill_upstream_rests", func() float64 { return float64(g.fleet.NoticeCounts().Rests) })
+	g.meters.Gauge("spanrill_upstream_rests_unreadable", func() float64 { return float64(g.fleet.NoticeCounts().UnreadableRests) })
+	g.meters.Gauge("spanrill_upstreams_said_leaving", func() float64 { return float64(g.fleet.NoticeCounts().Leaving) })
+	g.meters.Gauge("spanrill_upstream_limits", func() float64 { return float64(g.fleet.NoticeCounts().Limits) })
+	g.meters.Gauge("spanrill_upstream_limits_unreadable", func() float64 { return float64(g.fleet.NoticeCounts().UnreadableLimits) })
+	g.meters.Gauge("spanrill_upstreams_limited", func() float64 { return float64(g.fleet.LimitedUpstreams()) })
+	g.meters.Gauge("spanrill_limit_permits_granted", func() float64 { return float64(g.limiter.Granted()) })
+	g.meters.Gauge("spanrill_limit_permits_denied", func() float64 { return float64(g.limiter.Denied()) })
+	g.meters.Gauge("spanrill_entries_unreadable", func() float64 { now, _ := g.fleet.Unreadable(); return float64(now) })
+	g.meters.Gauge("spanrill_entries_unreadable_seen", func() float64 { _, all := g.fleet.Unreadable(); return float64(all) })
+	g.meters.Gauge("spanrill_store_era", func() float64 { return float64(max(1, g.adapter.Era())) - 1 })
+	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
+	g.meters.Gauge("spanrill_config_proof_age_seconds", func() float64 { return float64(g.config.Age()) / float64(spanrill.Second) })
+	if g.room != nil {
+		g.registerRoomGauges()
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -159,6 +159,8 @@
 			return nil, err
 		}
 		return p.gateway.exchange.HandleEntriesRequest(&m), nil
+	case peermsg.KindRoom, peermsg.KindRoomNotice, peermsg.KindRoomReport, peermsg.KindRoomStatus:
+		return p.gateway.room.dispatch(kind, payload)
 	}
 	return nil, fmt.Errorf("unknown kind %d", kind)
 }
--- /dev/null
+++ b/gateway/room_test.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/valyala/fasthttp"
+
+	"spanrill"
+	"spanrill/clock"
+	"spanrill/coordination/membership"
+	"spanrill/events"
+	"spanrill/protocol/peermsg"
+	"spanrill/settings"
+	"spanrill/state/fleet"
+	"spanrill/state/routes"
+	"spanrill/transport/peernet"
+)
+
+// fakeGranter grants the room of all services.
+type fakeGranter struct {
+	roomGranter
+	reports []peermsg.RoomReport
+}
+
+func (f *fakeGranter) HandleRequest(req *peermsg.RoomRequest) *peermsg.RoomReply {
+	return &peermsg.RoomReply{State: peermsg.RoomGranted, First: uint32(req.ID)}
+}
+
+func (f *fakeGranter) HandleReport(report *peermsg.RoomReport) {
+	f.reports = append(f.reports, *report)
+}
+
+func (f *fakeGranter) HandleStatus(*peermsg.RoomStatusRequest) *peermsg.RoomStatus {
+	return &peermsg.RoomStatus{
+		Granting: true, Returns: 4, Waiting: [spanrill.ClassCount]int{2: 7},
+		Chains: []spanrill.RoomState{{First: fleet.KeyOf("e"), Zone: "z", Fill: 0.5, Fullest: 1, Told: 3}},
+	}
+}
+
+// fakeClient records the notices that it gets.
+type fakeClient struct {
+	roomClient
+	notices []peermsg.RoomNotice
+}
+
+func (f *fakeClient) HandleNotice(notice *peermsg.RoomNotice) { f.notices = append(f.notices, *notice) }
+
+// newRoomGateway returns a daemon named a that knows other daemons and divides room with fakes.
+func newRoomGateway(t *testing.T, others ...string) (*Gateway, *test.Hook) {
+	t.Helper()
+	log, hook := test.NewNullLogger()
+	log.SetOutput(io.Discard)
+	c := clock.NewManual()
+	g := &Gateway{settings: settings.DefaultGateway(), clock: c, log: logrus.NewEntry(log), config: routes.NewCurrent(c)}
+	g.fleet = fleet.New(c, nil, fleet.WithLogger(log))
+	g.fleet.Merge(fleet.Update{Entries: []spanrill.EngineEntry{{ID: "e", Addr: "e:1", Service: "s"}}, Revision: 1}, 0)
+	send := func(string, *peermsg.Gossip) error { return nil }
+	g.peers = &peers{gateway: g, name: "a", list: membership.New(peermsg.Member{Name: "a", PeerAddr: "a:1"}, c, send, membership.WithLogger(log))}
+	members := &peermsg.Gossip{}
+	for _, name := range others {
+		members.Members = append(members.Members, peermsg.Member{Name: name, PeerAddr: name + ":1", Incarnation: 1, Heartbeat: 1})
+	}
+	g.peers.list.Merge(members)
+	g.room = &room{gateway: g, granter: &fakeGranter{}, client: &fakeClient{}, peers: roomPeers{g.peers}, divided: map[string]bool{}}
+	return g, hook
+}
+
+// setPriorities sets a configuration with one chained route of service s for each priority.
+func (g *Gateway) setPriorities(revision uint64, priorities ...int) {
+	c := &spanrill.RouteConfig{Version: int64(revision), Services: []spanrill.ServiceInfo{{Name: "s", Model: &spanrill.EngineModel{}}, {Name: "plain"}}}
+	for _, p := range priorities {
+		c.Routes = append(c.Routes, spanrill.Route{Chained: true, Priority: p, Shares: []spanrill.WeightedService{{Service: "s", Weight: 1}, {Service: "plain", Weight: 1}}})
+	}
+	g.config.Update(routes.New(c), nil, revision)
+}
+
+func TestDivides(t *testing.T) {
+	for _, c := range []struct {
+		setting    settings.DivideRoom
+		priorities []int
+		want       bool
+	}{
+		{settings.DivideByClass, []int{3, 3}, false},
+		{settings.DivideByClass, []int{3, 4}, true},
+		{settings.DivideAlways, []int{3}, true},
+		{settings.DivideNever, []int{3, 4}, false},
+		{"", []int{3, 4}, false},
+	} {
+		g, _ := newRoomGateway(t)
+		g.settings.Overload.DivideRoom = c.setting
+		if g.divides("s") {
+			t.Error("divides without a configuration")
+		}
+		g.setPriorities(1, c.priorities...)
+		if got := g.divides("s"); got != c.want {
+			t.Errorf("setting %q, priorities %v: divides %t, want %t", c.setting, c.priorities, got, c.want)
+		}
+		if g.divides("plain") || g.divides("unknown") {
+			t.Errorf("setting %q: divides a service without chains", c.setting)
+		}
+	}
+}
+
+// The division of a service is logged once for each change.
+func TestDivisionIsLogged(t *testing.T) {
+	g, hook := newRoomGateway(t)
+	for _, step := range []struct {
+		priorities []int
+		want       int // events
+	}{{[]int{1}, 0}, {[]int{1, 2}, 1}, {[]int{1, 3}, 1}, {[]int{1}, 2}} {
+		g.setPriorities(g.config.Revision()+1, step.priorities...)
+		g.room.logDivision()
+		g.room.logDivision()
+		logged := 0
+		for _, e := range hook.AllEntries() {
+			if e.Data["event"] == events.RoomDivisionChanged.Number() {
+				logged++
+			}
+		}
+		if logged != step.want {
+			t.Errorf("priorities %v: logged %d times, want %d", step.priorities, logged, step.want)
+		}
+	}
+}
+
+// A daemon that is stopping does not grant room any more.
+func TestStoppingDaemonGrantsNothing(t *testing.T) {
+	g, _ := newRoomGateway(t, "b", "c")
+	own := ""
+	for _, service := range []string{"s", "t", "u", "v", "w"} {
+		granters := g.room.peers.Granters(service)
+		if len(granters) != maxGrantersAsked {
+			t.Fatalf("%d daemons grant room, want %d", len(granters), maxGrantersAsked)
+		}
+		for _, m := range granters {
+			if (m.PeerAddr == "") != (m.Name == "a") {
+				t.Errorf("%s has the address %q", m.Name, m.PeerAddr)
+			}
+		}
+		if granters[0].Name == "a" {
+			own = service
+		}
+	}
+	if own == "" {
+		t.Fatal("this daemon is preferred for none of the services")
+	}
+	g.draining.Store(true)
+	granters := g.room.peers.Granters(own)
+	if len(granters) != 2 || granters[0].Name == "a" || granters[1].Name == "a" {
+		t.Fatalf("granted by %v, want b and c", granters)
+	}
+}
+
+// Messages about room reach the parts that divide it. Without them, requests are answered that this
+// daemon grants nothing, and the rest is ignored.
+func TestRoomMessages(t *testing.T) {
+	g, _ := newRoomGateway(t)
+	granter, client := g.room.granter.(*fakeGranter), g.room.client.(*fakeClient)
+	call := func(kind peernet.Kind, message any) any {
+		t.Helper()
+		payload, err := peermsg.Encode(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply, err := g.peers.dispatch(kind, payload)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply
+	}
+	for _, divides := range []bool{true, false} {
+		if !divides {
+			g.room = nil
+		}
+		reply, status := call(peermsg.KindRoom, &peermsg.RoomRequest{ID: 9}).(*peermsg.RoomReply), call(peermsg.KindRoomStatus, &peermsg.RoomStatusRequest{}).(*peermsg.RoomStatus)
+		if granted := reply.State == peermsg.RoomGranted; granted != divides || !granted && reply.State != peermsg.RoomUnknown {
+			t.Errorf("divides %t: reply %+v", divides, reply)
+		}
+		if status.Granting != divides {
+			t.Errorf("divides %t: status %+v", divides, status)
+		}
+		notice, report := call(peermsg.KindRoomNotice, &peermsg.RoomNotice{ID: 9}), call(peermsg.KindRoomReport, &peermsg.RoomReport{Ended: []uint64{9}})
+		if notice != nil || report != nil || len(granter.reports) != 1 || len(client.notices) != 1 {
+			t.Errorf("divides %t: %d reports and %d notices arrived, want one each and no replies", divides, len(granter.reports), len(client.notices))
+		}
+	}
+	if _, err := g.peers.dispatch(peermsg.KindRoom, []byte("x")); err == nil {
+		t.Error("a broken message is accepted")
+	}
+}
+
+// The page about room tells who grants it and what that daemon says.
+func TestRoomPage(t *testing.T) {
+	g, _ := newRoomGateway(t)
+	g.setPriorities(1, 0, 1)
+	page := func() RoomPage {
+		t.Helper()
+		var c fasthttp.RequestCtx
+		g.serveRoomPage(context.Background(), &c)
+		var p RoomPage
+		if err := json.Unmarshal(c.Response.Body(), &p); err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	p := page()
+	if p.Daemon != "a" || len(p.Services) != 1 {
+		t.Fatalf("page %+v, want service s of daemon a", p)
+	}
+	s := p.Services[0]
+	if s.Service != "s" || s.Classes != 2 || s.GrantedBy != "a" || s.Returns != 4 || s.Waiting[2] != 7 || len(s.Chains) != 1 {
+		t.Fatalf("state %+v, want what the granting daemon tells", s)
+	}
+	if c := s.Chains[0]; c.First != "e" || c.Fullest != "00000001" || c.Fill != 0.5 || c.Others != 3 {
+		t.Errorf("chain %+v, want the known engine by its id and the other by its key", c)
+	}
+	g.room = nil
+	if p := page(); len(p.Services) != 0 {
+		t.Errorf("page %+v of a daemon that divides nothing, want no service", p)
+	}
+}
--- /dev/null
+++ b/gateway/roomsource.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+
+	"spanrill"
+	"spanrill/coordination/membership"
+	"spanrill/protocol/peermsg"
+	"spanrill/transport/peernet"
+)
+
+// roomSource tells those who divide room what this daemon knows about the engines of a service. It is
+// a granting.Source.
+type roomSource struct{ g *Gateway }
+
+// Divides reports whether the room of a service is divided.
+func (s roomSource) Divides(service string) bool { return s.g.divides(service) }
+
+// Chains returns the chains on which requests can start. It returns false until this daemon has a
+// configuration and entries of upstreams, and knows the size of the fleet.
+func (s roomSource) Chains(service string) (chains []spanrill.RoomChain, ok bool) {
+	t := s.g.config.Table()
+	if t == nil || !s.g.knowsUpstreams() || !s.g.exchange.FleetSizeKnown() {
+		return nil, false
+	}
+	info := t.Service(service)
+	if info == nil || info.Model == nil {
+		return nil, false
+	}
+	return s.g.router.RoomChains(service, info.Model), true
+}
+
+// knowsUpstreams reports whether this daemon has the entries of upstreams.
+func (g *Gateway) knowsUpstreams() bool {
+	select {
+	case <-g.fleet.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// Told returns what the requests of all daemons hold at the engines of a service, by the engines'
+// keys, and the time as of which this daemon knows it. Of its own requests it knows it as of now.
+func (s roomSource) Told(service string) (uses map[uint32]spanrill.RoomUse, asOf spanrill.Millis) {
+	asOf = s.g.exchange.SumsAsOf()
+	uses = map[uint32]spanrill.RoomUse{}
+	for _, u := range s.g.fleet.View().ByService(service) {
+		if use := (spanrill.RoomUse{Tokens: u.Tokens(), Calls: u.Calls()}); use != (spanrill.RoomUse{}) {
+			uses[u.Key()] = use
+		}
+	}
+	return uses, asOf
+}
+
+// roomPeers finds and calls the daemons that divide room. It is a granting.Peers.
+type roomPeers struct{ *peers }
+
+// Granters returns the daemons that grant the room of a service, in order of preference. This daemon
+// is returned without an address, and not at all once it is stopping.
+func (p roomPeers) Granters(service string) []peermsg.Member {
+	return p.granters("room/" + service)
+}
+
+// granters returns the daemons that grant what the key names. See Granters.
+func (p roomPeers) granters(key string) []peermsg.Member {
+	ranked := p.list.Ranked(granterRankKey)
+	staying := make([]peermsg.Member, 0, maxGranters)
+	for _, m := range ranked {
+		if len(staying) == maxGranters {
+			break
+		}
+		if m.Name != p.name || !p.gateway.draining.Load() {
+			staying = append(staying, m)
+		}
+	}
+	owners := membership.OwnersAmong(key, staying, maxGrantersAsked)
+	for i := range owners {
+		if owners[i].Name == p.name {
+			owners[i].PeerAddr = ""
+		}
+	}
+	return owners
+}
+
+// Send sends a message that is not answered. It may get lost.
+func (p roomPeers) Send(addr string, kind uint8, message any) error {
+	payload, err := peermsg.Encode(message)
+	if err != nil {
+		return err
+	}
+	return p.net.Send(addr, peernet.Kind(kind), payload)
+}
+
+// Fleet returns the number of live daemons, including this one, and whether it is known.
+func (p roomPeers) Fleet() (daemons int, known bool) {
+	return len(p.list.Live()), p.gateway.exchange.FleetSizeKnown()
+}
+
+// requestStatus asks a daemon for the state of a service's room.
+func (p roomPeers) requestStatus(ctx context.Context, addr, service string) (*peermsg.RoomStatus, error) {
+	var status peermsg.RoomStatus
+	if err := p.Request(ctx, addr, uint8(peermsg.KindRoomStatus), &peermsg.RoomStatusRequest{Service: service}, &status); err != nil {
+		return nil, err
+	}
+	return &status, nil
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -59,7 +59,7 @@
 
 // components returns the long-running components by name.
 func (g *Gateway) components() map[string]func(context.Context) error {
-	return map[string]func(context.Context) error{
+	all := map[string]func(context.Context) error{
 		"configuration": g.configFollower.Run,
 		"upstreams":     g.upstreamFollower.Run,
 		"peers":         g.peers.run,
@@ -72,6 +72,10 @@
 		"callers":       g.serveCallers,
 		"metrics":       g.serveMetrics,
 	}
+	if g.room != nil {
+		all["room granter"], all["room client"] = g.room.granter.Run, g.room.client.Run
+	}
+	return all
 }
 
 func (g *Gateway) runComponent(ctx context.Context, name string, run func(context.Context) error, failed chan<- error) error {
@@ -95,6 +99,7 @@
 		g.resolver.Resolve(ctx, g.fleet)
 		g.logFreshness()
 		g.logIgnoredValues()
+		g.room.logDivision()
 		g.logEraChange()
 		g.logAccepting()
 		g.logDroppedLines()
