spanrill room: shows how room is divided

Cause: operators ask who grants the room of a service, how full chains are and how many requests wait, by class.

--- a/cli/spanrillcmd/root.go
+++ b/cli/spanrillcmd/root.go
@@ -96,7 +96,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			getCommand(), editCommand(), diffCommand(), historyCommand(), validateCommand(),
-			statusCommand(), explainCommand(), traceCommand(), lossesCommand(), planCommand(), drainCommand(), demoCommand(), benchCommand(), soakCommand(), settingsCommand(), schemaCommand(), hashKeyCommand(),
+			statusCommand(), explainCommand(), traceCommand(), roomCommand(), lossesCommand(), planCommand(), drainCommand(), demoCommand(), benchCommand(), soakCommand(), settingsCommand(), schemaCommand(), hashKeyCommand(),
 		},
 	}
 }
