granting: Leave a granting daemon that falls silent while requests wait

Cause: a request that waited at a granting daemon which then died was refused at its latest start, although the standby could have started it.

Change: when a granting daemon leaves a request unanswered, does not answer other questions either, or is not one of those that grant any more, the requests that wait there are woken.

--- a/coordination/granting/client.go
+++ b/coordination/granting/client.go
@@ -20,6 +20,7 @@
 //	clientask.go        questions to the granting daemons
 //	clientcontact.go    which of them are asked
 //	clientwait.go       requests that wait for a notice
+//	clientsilent.go     requests that wait at a daemon which does not answer any more
 //	clientahead.go      grants given ahead of need
 //	clientgrant.go      grants and their release
 //	clientshare.go      starts without a granting daemon
--- a/coordination/granting/clientcontact.go
+++ b/coordination/granting/clientcontact.go
@@ -38,6 +38,11 @@
 	askedAt    spanrill.Millis
 }
 
+// isTrusted reports whether the daemon has answered lately.
+func (k *contact) isTrusted(now spanrill.Millis) bool {
+	return k.hasAnswer && now-k.answeredAt <= answerTrust
+}
+
 // begin reports whether a request may ask a granting daemon now. Only one request at a time asks a
 // daemon that may not answer, so that the others don't wait for it.
 func (c contacts) begin(now spanrill.Millis, name string, unresponsive bool) bool {
@@ -49,8 +54,7 @@
 	if now < k.passUntil {
 		return false
 	}
-	hasAnswered := k.hasAnswer && now-k.answeredAt <= answerTrust
-	if k.isSilent || unresponsive && !hasAnswered {
+	if k.isSilent || unresponsive && !k.isTrusted(now) {
 		if k.isProbed {
 			return false
 		}
@@ -108,7 +112,7 @@
 	return c.fleet.isMinority(now)
 }
 
-// endContact records how a granting daemon answered.
+// endContact records how a granting daemon answered. Requests that wait at a silent one leave it.
 func (c *Client) endContact(granter peermsg.Member, result contactResult) {
 	if result == contactSilent {
 		c.counts.unanswered.Add(1)
@@ -119,4 +123,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.contacts.end(c.clock.Now(), granter.Name, result)
+	if result == contactSilent {
+		c.wakeWaiters(func(w *clientWaiter) bool { return w.granter.Name == granter.Name })
+	}
 }
--- a/coordination/granting/clientwait.go
+++ b/coordination/granting/clientwait.go
@@ -13,9 +13,12 @@
 
 // clientWaiter is a request that has asked a granting daemon, until it is decided.
 type clientWaiter struct {
-	id     uint64
-	box    *outbox
-	notice chan answer // receives at most one
+	id        uint64
+	service   string
+	granter   peermsg.Member
+	box       *outbox
+	notice    chan answer // receives at most one
+	isWaiting bool        // the granting daemon has told it to wait; guarded by Client.mu
 }
 
 // answer is the decision on a request for room.
@@ -40,8 +43,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w := &clientWaiter{
-		id: c.lastID.Add(1), box: c.outbox(c.service(q.request.Service), q.granter),
-		notice: make(chan answer, 1),
+		id: c.lastID.Add(1), service: q.request.Service, granter: q.granter,
+		box: c.outbox(c.service(q.request.Service), q.granter), notice: make(chan answer, 1),
 	}
 	w.box.hold(w.id)
 	c.waiters[w.id] = w
@@ -70,11 +73,19 @@
 		return c.answerWithoutReply(ctx, w)
 	case reply.State == peermsg.RoomWaiting:
 		c.counts.waited.Add(1)
+		c.beginWaiting(w)
 		return c.await(ctx, w, c.latestStart(q)+noticeMargin)
 	}
 	return answer{state: reply.State, first: reply.First, retryAfter: reply.RetryAfter, reason: refusedByGranter}
 }
 
+// beginWaiting marks a request that waits for a notice.
+func (c *Client) beginWaiting(w *clientWaiter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.isWaiting = true
+}
+
 // answerWithoutReply returns the decision on a request that got no reply.
 func (c *Client) answerWithoutReply(ctx context.Context, w *clientWaiter) answer {
 	select {
--- a/coordination/granting/reportrun.go
+++ b/coordination/granting/reportrun.go
@@ -10,7 +10,8 @@
 // reportPoll is how often the client looks for reports that have become due.
 const reportPoll = reportInterval / 2
 
-// Run sends reports to the granting daemons until the context ends.
+// Run sends reports to the granting daemons until the context ends. It also looks after the requests
+// that wait.
 func (c *Client) Run(ctx context.Context) error {
 	defer close(c.done)
 	poll := c.clock.After(reportPoll)
@@ -24,6 +25,7 @@
 			poll = c.clock.After(reportPoll)
 		}
 		c.observeFleet(c.clock.Now(), fleetInterval)
+		c.leaveSilentGranters()
 		c.sendReports(false)
 	}
 }
