granting: Do not grant in a group that is cut off, and begin with care

Cause: a daemon that became the granting one of a group that had been cut off refused its own client only. To the other daemons of the group it gave all room once more. A daemon that lost its role kept requests waiting, and one that had known a service before it became preferred gave all room at once.

When it does not grant any more it tells those that wait to ask elsewhere. It starts from the part of a standby in every case.

--- a/coordination/granting/granter.go
+++ b/coordination/granting/granter.go
@@ -37,8 +37,9 @@
 	mu        sync.Mutex
 	notice    func(*peermsg.RoomNotice) // receives the notices for this daemon
 	services  map[string]*served        // with requests in the last serviceRetention
-	opened    uint64                    // services added since the start
-	forgotten Counts                    // of services that are no longer retained
+	fleet     fleetSize
+	opened    uint64 // services added since the start
+	forgotten Counts // of services that are no longer retained
 }
 
 // GranterOption changes a default of NewGranter.
@@ -71,7 +72,8 @@
 }
 
 // HandleRequest decides on a request of a daemon. The state of the reply is peermsg.RoomUnknown if
-// this daemon does not grant the room of the service, or does not know the engines yet.
+// this daemon does not grant the room of the service, has probably been cut off from most others, or
+// does not know the engines yet.
 func (g *Granter) HandleRequest(req *peermsg.RoomRequest) *peermsg.RoomReply {
 	reply, notices := g.request(req)
 	g.deliver(notices)
@@ -111,11 +113,11 @@
 func (g *Granter) HandleStatus(req *peermsg.RoomStatusRequest) *peermsg.RoomStatus {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.clock.Now()
 	s := g.services[req.Service]
 	if s == nil {
-		return &peermsg.RoomStatus{Granting: g.source.Divides(req.Service) && g.roleOf(req.Service) == rolePreferred}
+		return &peermsg.RoomStatus{Granting: g.source.Divides(req.Service) && g.roleOf(now, req.Service) == rolePreferred}
 	}
-	now := g.clock.Now()
 	granting := s.grants(now, g)
 	status := s.room.Status(now)
 	status.Granting = granting
@@ -154,6 +156,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
+	g.observeFleet(now)
 	var notices []Notice
 	for _, name := range slices.Sorted(maps.Keys(g.services)) {
 		s := g.services[name]
@@ -175,6 +178,7 @@
 	}
 	s = &served{name: name, requestedAt: g.clock.Now()}
 	s.room = NewRoom(name, g.parts, g.roomOptions()...)
+	s.room.SetStandby(s.requestedAt, true) // until the role is known
 	g.services[name] = s
 	return s
 }
--- a/coordination/granting/granter_test.go
+++ b/coordination/granting/granter_test.go
@@ -15,6 +15,7 @@
 type granterBox struct {
 	granters     []peermsg.Member
 	unresponsive bool // the first of them
+	daemons      int  // live ones, 0 for 2
 	chains       []spanrill.RoomChain
 	told         map[uint32]spanrill.RoomUse
 	asOf         spanrill.Millis
@@ -23,7 +24,7 @@
 
 func (b *granterBox) Granters(string) []peermsg.Member { return b.granters }
 func (b *granterBox) Unresponsive(daemon string) bool  { return b.unresponsive && daemon == "first" }
-func (b *granterBox) Fleet() (int, bool)               { return 2, true }
+func (b *granterBox) Fleet() (int, bool)               { return max(2, b.daemons), true }
 func (b *granterBox) Divides(service string) bool      { return service == "s" }
 
 func (b *granterBox) Request(context.Context, string, uint8, any, any) error { return nil }
@@ -95,6 +96,75 @@
 	}
 }
 
+// Guards against requests that wait at a daemon which does not grant any more, as it has been cut off
+// or others are preferred, and against all room at once from one that has just begun to grant.
+func TestRoleLost(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(*granterBox)
+	}{
+		{"cut off", func(b *granterBox) { b.daemons = 40 }},
+		{"others preferred", func(b *granterBox) { b.granters = []peermsg.Member{firstMember, secondMember} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, manual := &granterBox{granters: []peermsg.Member{selfMember}, chains: chainsOf(1000), daemons: 100}, clock.NewManual()
+			g := newGranter(b, manual)
+			settle(g, manual, spanrill.Second) // without any service
+			lost := *b
+			c.lose(&lost)
+			g.HandleRequest(roomRequest("a", 100))
+			settle(g, manual, cautiousTime+tickInterval)
+			for id := range uint64(9) {
+				g.HandleRequest(roomRequest("a", id))
+			}
+			if reply := g.HandleRequest(roomRequest("a", 10)); reply.State != stateWaiting {
+				t.Fatalf("state %d, want waiting", reply.State)
+			}
+			kept := *b
+			b.granters, b.daemons = lost.granters, lost.daemons
+			settle(g, manual, refreshInterval)
+			if reply := g.HandleRequest(roomRequest("a", 11)); reply.State != peermsg.RoomUnknown {
+				t.Errorf("state %d, want unknown", reply.State)
+			}
+			if len(b.sent) != 1 || b.sent[0].ID != 10 || b.sent[0].State != peermsg.RoomUnknown {
+				t.Errorf("sent %v, want that the room is unknown for the waiting request", b.sent)
+			}
+			settle(g, manual, reportTimeout+tickInterval) // all claims lapse
+			b.granters, b.daemons = kept.granters, kept.daemons
+			settle(g, manual, refreshInterval)
+			got := 0
+			for id := range uint64(10) {
+				if g.HandleRequest(roomRequest("a", 20+id)).State == stateGranted {
+					got++
+				}
+			}
+			// standbyShare, and more as the cautious time passes
+			if got == 0 || got > 5 {
+				t.Errorf("%d of 10 requests granted by a daemon that grants for up to 100 ms, want 1 to 5", got)
+			}
+		})
+	}
+}
+
+// Guards against all room at once from a daemon that has known the service for long, but not granted.
+func TestFirstRole(t *testing.T) {
+	b, manual := &granterBox{granters: []peermsg.Member{firstMember, secondMember}, chains: chainsOf(1000)}, clock.NewManual()
+	g := newGranter(b, manual)
+	g.HandleRequest(roomRequest("a", 100))
+	settle(g, manual, 2*spanrill.Second)
+	b.granters = []peermsg.Member{selfMember}
+	settle(g, manual, refreshInterval)
+	got := 0
+	for id := range uint64(10) {
+		if g.HandleRequest(roomRequest("a", id)).State == stateGranted {
+			got++
+		}
+	}
+	if got == 0 || got > 5 {
+		t.Errorf("%d of 10 requests granted by a daemon that grants for up to 100 ms, want 1 to 5", got)
+	}
+}
+
 // Guards against replies for services that are not divided or not known yet.
 func TestUnknownRoom(t *testing.T) {
 	b, manual := &granterBox{granters: []peermsg.Member{selfMember}}, clock.NewManual()
--- a/coordination/granting/granterserved.go
+++ b/coordination/granting/granterserved.go
@@ -26,10 +26,14 @@
 func (r role) String() string { return roleNames[r] }
 
 // roleOf returns this daemon's role by its own list of daemons, whatever the sender of a request
-// believes: where lists differ, one of two daemons stays within the part of a standby.
-func (g *Granter) roleOf(service string) role {
+// believes: where lists differ, one of two daemons stays within the part of a standby. A daemon that
+// has probably been cut off from most others does not grant: they have another granting daemon.
+func (g *Granter) roleOf(now spanrill.Millis, service string) role {
+	g.observeFleet(now)
 	granters := g.peers.Granters(service)
 	switch {
+	case g.fleet.isMinority(now):
+		return roleNone
 	case len(granters) > 0 && granters[0].PeerAddr == "":
 		return rolePreferred
 	case len(granters) < 2 || granters[1].PeerAddr != "":
@@ -40,6 +44,13 @@
 	return roleStandby
 }
 
+// observeFleet records the number of live daemons. The caller holds the lock.
+func (g *Granter) observeFleet(now spanrill.Millis) {
+	if daemons, known := g.peers.Fleet(); known {
+		g.fleet.observe(now, daemons)
+	}
+}
+
 // served is a service for which this daemon is asked for room.
 type served struct {
 	name        string
@@ -78,9 +89,9 @@
 }
 
 // setRole reads the role. A daemon that becomes preferred knows nothing of what others have given
-// but the sums.
+// but the sums. One that no longer grants sends the waiting requests elsewhere.
 func (s *served) setRole(now spanrill.Millis, g *Granter) {
-	current := g.roleOf(s.name)
+	current := g.roleOf(now, s.name)
 	if current == s.role {
 		return
 	}
@@ -88,6 +99,9 @@
 		Info("role in granting the room of a service changed")
 	s.role = current
 	s.room.SetStandby(now, current != rolePreferred)
+	if current == roleNone {
+		s.room.Resign(now)
+	}
 }
 
 // tick does the periodic work.
--- a/coordination/granting/join_test.go
+++ b/coordination/granting/join_test.go
@@ -267,6 +267,32 @@
 	})
 }
 
+// Guards against a group that is cut off together and divides all room once more: its daemons start
+// requests within their shares.
+func TestFleetMinority(t *testing.T) {
+	playFleet(t, 10, 2000, func(n *fleetNet) {
+		minority := n.daemons[7:]
+		for _, d := range minority {
+			d.moveTo(1)
+		}
+		n.pass(spanrill.Second)
+		n.learn()
+		started := 0
+		for range 20 {
+			for _, d := range minority {
+				if e := <-d.enter(0); e.refusal == nil {
+					started++
+				}
+			}
+			n.pass(100)
+		}
+		if most := 20 * len(minority) / len(n.daemons); started > most || started == 0 {
+			n.Errorf("%d requests started in a group of %d out of %d daemons, want 1 to %d of 20", started, len(minority), len(n.daemons), most)
+		}
+		n.daemons[2].start(0, roundTrip) // the others go on
+	})
+}
+
 // fleetLoad plays requests of all daemons that run for runTime.
 type fleetLoad struct {
 	*fleetNet
--- a/coordination/granting/roomlapse.go
+++ b/coordination/granting/roomlapse.go
@@ -1,9 +1,11 @@
 package granting
 
 import (
+	"maps"
 	"slices"
 
 	"spanrill"
+	"spanrill/protocol/peermsg"
 )
 
 const (
@@ -72,3 +74,15 @@
 		r.end(now, c)
 	}
 }
+
+// Resign ends all waiting requests, as this daemon does not grant any more. The notices, with the next
+// Tick, tell the daemons to ask elsewhere.
+func (r *Room) Resign(now spanrill.Millis) {
+	now = max(r.now, now)
+	for _, handle := range slices.Sorted(maps.Keys(r.claims)) {
+		if c := r.claims[handle]; c.state == claimWaiting {
+			r.end(now, c)
+			r.notify(c, peermsg.RoomNotice{State: peermsg.RoomUnknown})
+		}
+	}
+}
