granting: Start requests that cannot wait if there is room

Cause: a request without an objective for its first event, or whose objective could not be met any more, entered the line for a moment. It was refused while any request of its class waited, also one that could not use the room, and waiting requests were dropped because of it although it was refused next. One whose objective could not be met was refused with room free if the ledger had no chain that was fast enough. A request that had waited got its chain by the time that it had at first.

Change: a request that cannot wait starts at once or is refused, and never enters the line. One whose objective cannot be met has none. The time that is left is told to the ledger when a waiting request starts. The rate of the line is guarded: that of ends, 0 while it is unknown.

Result: of two requests that cannot wait with room for them both start, where one and none did; a request that has waited 900 of 1000 ms gets a chain for 100 ms, where it was 1000.

--- a/coordination/granting/granterfakes_test.go
+++ b/coordination/granting/granterfakes_test.go
@@ -14,8 +14,13 @@
 	closed  map[uint32]spanrill.Millis // until when
 	loads   int
 	refused int
+	patient spanrill.Millis // of the last request that got room
+	endRate float64
 }
 
+// fakeFirstEvent is the time from the start of a request to its first event.
+const fakeFirstEvent spanrill.Millis = 40
+
 type fakeGrant struct {
 	engine uint32
 	tokens float64
@@ -26,7 +31,7 @@
 const urgentFill = 0.75
 
 func newFakeLedger() *fakeLedger {
-	return &fakeLedger{others: map[uint32]float64{}, grants: map[uint64]fakeGrant{}, closed: map[uint32]spanrill.Millis{}}
+	return &fakeLedger{others: map[uint32]float64{}, grants: map[uint64]fakeGrant{}, closed: map[uint32]spanrill.Millis{}, endRate: 100}
 }
 
 func (l *fakeLedger) SetChains(_ spanrill.Millis, chains []spanrill.RoomChain) { l.chains = chains }
@@ -59,6 +64,9 @@
 
 func (l *fakeLedger) Give(now spanrill.Millis, id uint64, need spanrill.RoomNeed) (uint32, bool) {
 	tokens, best, bestFree := float64(need.Prompt+need.Answer), uint32(0), -1.0
+	if need.Patient > 0 && need.Patient < fakeFirstEvent {
+		return 0, false // no chain is fast enough
+	}
 	for _, c := range l.chains {
 		limit := c.Parts[0].Capacity
 		if need.Class >= 5 {
@@ -73,6 +81,7 @@
 		return 0, false
 	}
 	l.grants[id] = fakeGrant{best, tokens, need.Class}
+	l.patient = need.Patient
 	return best, true
 }
 
@@ -84,9 +93,11 @@
 
 func (l *fakeLedger) End(_ spanrill.Millis, id uint64) { delete(l.grants, id) }
 
-func (l *fakeLedger) FirstEvent(spanrill.Millis, spanrill.RoomNeed) spanrill.Millis { return 40 }
+func (l *fakeLedger) FirstEvent(spanrill.Millis, spanrill.RoomNeed) spanrill.Millis {
+	return fakeFirstEvent
+}
 
-func (l *fakeLedger) EndRate(spanrill.Millis) float64 { return 100 }
+func (l *fakeLedger) EndRate(spanrill.Millis) float64 { return l.endRate }
 
 func (l *fakeLedger) Chains(spanrill.Millis) (states []spanrill.RoomState) {
 	for _, c := range l.chains {
@@ -96,7 +107,11 @@
 }
 
 // fakeLine orders requests by class, then by arrival.
-type fakeLine struct{ entries []spanrill.LineEntry }
+type fakeLine struct {
+	entries []spanrill.LineEntry
+	limit   int // of entries, 0 for none; the last one is dropped for a more urgent one
+	rates   []float64
+}
 
 func (l *fakeLine) Enter(now spanrill.Millis, e spanrill.LineEntry) (bool, []spanrill.LineEntry) {
 	if e.LatestStart < now {
@@ -104,6 +119,11 @@
 	}
 	l.entries = append(l.entries, e)
 	slices.SortStableFunc(l.entries, func(a, b spanrill.LineEntry) int { return int(a.Class) - int(b.Class) })
+	if n := len(l.entries) - 1; l.limit > 0 && n == l.limit {
+		last := l.entries[n]
+		l.entries = l.entries[:n]
+		return last.ID != e.ID, slices.DeleteFunc([]spanrill.LineEntry{last}, func(d spanrill.LineEntry) bool { return d.ID == e.ID })
+	}
 	return true, nil
 }
 
@@ -134,7 +154,7 @@
 }
 
 func (l *fakeLine) RecordRefused(spanrill.Millis, spanrill.LineEntry)               {}
-func (l *fakeLine) SetRate(float64)                                                 {}
+func (l *fakeLine) SetRate(perSecond float64)                                       { l.rates = append(l.rates, perSecond) }
 func (l *fakeLine) Wait(spanrill.Millis, spanrill.LineEntry) (wait spanrill.Millis) { return 20 }
 func (l *fakeLine) Len() int                                                        { return len(l.entries) }
 
--- a/coordination/granting/roomclaim.go
+++ b/coordination/granting/roomclaim.go
@@ -31,6 +31,7 @@
 	entry     spanrill.LineEntry
 	content   uint64
 	callerEnd spanrill.Millis // until then the caller waits for an answer
+	firstBy   spanrill.Millis // objective for the first event, or the time of its arrival if it has none
 	refusedBy []uint32        // engines that the RoomRequest named
 	first     uint32          // first engine of the granted chain
 	since     spanrill.Millis // when the daemon last learned of it, or asked
--- a/coordination/granting/roomlapse.go
+++ b/coordination/granting/roomlapse.go
@@ -43,6 +43,8 @@
 	r.lapseAhead(now)
 	r.lapseSilent(now)
 	r.applyAllowance(now)
+	// While requests wait, each one that ends lets about one of them start. The rate is 0 while none has
+	// ended yet, which the line takes as unknown.
 	r.line.SetRate(r.ledger.EndRate(now))
 	return now
 }
--- a/coordination/granting/roomrequest.go
+++ b/coordination/granting/roomrequest.go
@@ -48,11 +48,15 @@
 		callerEnd: now + min(max(0, req.Remaining), maxRemaining),
 		refusedBy: atMost(req.RefusedBy, maxRefusedBy),
 	}
+	c.firstBy = now + need.Patient
 	c.entry = spanrill.LineEntry{
 		ID: c.handle, Class: need.Class, Account: accountOf(req.Account),
 		LatestStart: now + max(0, need.Patient-r.ledger.FirstEvent(now, need)),
 		Returned:    r.returns.Redeem(now, req.Content),
 	}
+	if c.entry.LatestStart == now { // its objective cannot be met any more
+		c.need.Patient = 0
+	}
 	if c.entry.Returned {
 		r.counts.ReturnsKept++
 	}
@@ -64,6 +68,9 @@
 	if len(r.claims) >= maxClaims || !r.canEver(now, c.need) {
 		return false
 	}
+	if c.entry.LatestStart == now {
+		return r.startAtOnce(now, c)
+	}
 	alone := r.Waiting() == 0
 	if alone && r.start(now, c) {
 		r.keep(c, claimHolding)
@@ -77,16 +84,37 @@
 		r.startWaiting(now)
 		c.replying = false
 	}
-	if c.state == claimWaiting && c.entry.LatestStart <= now {
-		r.end(now, c)
-		return false
-	}
 	if c.waited = c.state == claimWaiting; c.waited {
 		r.counts.Waited[c.need.Class]++
 	}
 	return true
 }
 
+// startAtOnce starts a request that cannot wait, because its objective for the first event cannot be met
+// any more, or it has none. It does not enter the line, where others could be dropped because of it.
+// It returns false if there is no room, or a waiting request goes before it.
+func (r *Room) startAtOnce(now spanrill.Millis, c *claim) bool {
+	if r.Waiting() > 0 {
+		r.startWaiting(now)
+	}
+	if next, ok := r.line.Next(now); ok && goesBefore(next, c.entry) {
+		return false
+	}
+	if !r.start(now, c) {
+		return false
+	}
+	r.keep(c, claimHolding)
+	return true
+}
+
+// goesBefore reports whether a waiting request starts before one that has just arrived.
+func goesBefore(waiting, arrived spanrill.LineEntry) bool {
+	if waiting.Class != arrived.Class {
+		return waiting.Class < arrived.Class
+	}
+	return waiting.Returned || !arrived.Returned
+}
+
 // canEver reports whether a request could get room if the chains were empty. While the allowance
 // rises, the ledger cannot tell.
 func (r *Room) canEver(now spanrill.Millis, need spanrill.RoomNeed) bool {
--- a/coordination/granting/roomstart.go
+++ b/coordination/granting/roomstart.go
@@ -135,8 +135,10 @@
 	}
 }
 
-// startWaiter starts a waiting request. It returns false if there is no room for it.
+// startWaiter starts a waiting request with the patience that it has left. It returns false if there is
+// no room for it.
 func (r *Room) startWaiter(now spanrill.Millis, c *claim) bool {
+	c.need.Patient = max(1, c.firstBy-now)
 	if !r.start(now, c) {
 		c.tried = r.tries
 		return false
