granting: Ignore unknown engines, and forget chains that are gone

Cause: when the last chain of a service was gone, room was still given on it. Refusals and loads of engines that are on no chain went to the ledger, so that a peer could fill its tables. Names of zones and addresses of any length were kept, and cut names held the whole message. A service was limited to 4096 requests at once; the largest fleet has more engines than that allows.

Change: the chains are replaced by none, too; what is told of unknown engines is ignored; requests with longer names are not decided; the limit is 32,768 requests.

--- a/coordination/granting/room.go
+++ b/coordination/granting/room.go
@@ -28,6 +28,8 @@
 	advancedAt spanrill.Millis // when due changes were last made
 
 	chains    []spanrill.RoomChain
+	known     bool            // the chains were set
+	engines   map[uint32]bool // on the chains
 	told      map[uint32]spanrill.RoomUse
 	allowance granterAllowance
 	applied   float64 // allowance in the chains of the ledger, or 0 if they have changed
@@ -61,7 +63,7 @@
 func NewRoom(service string, parts Parts, opts ...RoomOption) *Room {
 	r := &Room{
 		service: service, ledger: parts.NewLedger(), line: parts.NewLine(), returns: parts.NewReturns(),
-		ahead: true, claims: map[uint64]*claim{}, askers: map[string]*asker{},
+		ahead: true, engines: map[uint32]bool{}, claims: map[uint64]*claim{}, askers: map[string]*asker{},
 	}
 	for _, o := range opts {
 		o(r)
--- a/coordination/granting/roomallowance.go
+++ b/coordination/granting/roomallowance.go
@@ -43,7 +43,13 @@
 
 // SetChains replaces the chains.
 func (r *Room) SetChains(now spanrill.Millis, chains []spanrill.RoomChain) {
-	r.chains, r.applied = chains, 0
+	r.chains, r.known, r.applied = chains, true, 0
+	clear(r.engines)
+	for i := range chains {
+		for _, p := range chains[i].Parts {
+			r.engines[p.Engine] = true
+		}
+	}
 	r.applyAllowance(max(r.now, now))
 }
 
@@ -61,7 +67,7 @@
 // applyAllowance sets the chains of the ledger if they or the allowance have changed.
 func (r *Room) applyAllowance(now spanrill.Millis) {
 	share := r.allowance.at(now)
-	if share == r.applied || r.chains == nil {
+	if share == r.applied || !r.known {
 		return
 	}
 	r.applied = share
--- a/coordination/granting/roomborder.go
+++ b/coordination/granting/roomborder.go
@@ -1,6 +1,8 @@
 package granting
 
 import (
+	"strings"
+
 	"spanrill"
 	"spanrill/protocol/peermsg"
 )
@@ -16,14 +18,21 @@
 	maxRefusedBy       = 64   // engines that one message names as having refused
 	maxReportedLoadAge = 10 * spanrill.Second
 	maxEngineRequests  = 1_000_000
-	maxNameLength      = 256 // bytes of a daemon's or an account's name
+	maxNameLength      = 256 // bytes of the name of a daemon, an account or an availability zone, or of an address
 )
 
-// validDaemon reports whether a daemon's name may be kept.
-func validDaemon(name string) bool { return name != "" && len(name) <= maxNameLength }
+// validNames reports whether the names in a request may be kept.
+func validNames(req *peermsg.RoomRequest) bool {
+	return req.Daemon != "" && max(len(req.Daemon), len(req.Addr), len(req.Zone)) <= maxNameLength
+}
 
-// accountOf returns the name of a client account within the limit.
-func accountOf(name string) string { return name[:min(len(name), maxNameLength)] }
+// accountOf returns the name of a client account within the limit. It does not keep a longer one.
+func accountOf(name string) string {
+	if len(name) <= maxNameLength {
+		return name
+	}
+	return strings.Clone(name[:maxNameLength])
+}
 
 // classOf returns the class of a priority.
 func classOf(priority int) spanrill.Class {
--- a/coordination/granting/roomclaim.go
+++ b/coordination/granting/roomclaim.go
@@ -8,8 +8,14 @@
 	"spanrill/protocol/peermsg"
 )
 
-// maxClaims bounds the requests of a service that wait or hold room. 300 daemons have about 2,000.
-const maxClaims = 4096
+const (
+	// maxClaims bounds the requests of a service that wait or hold room: over the 20,000 that run on all
+	// engines of the largest fleet at once.
+	maxClaims = 32_768
+	// maxAskers bounds the daemons of a service that are known: over the 1,000 of the largest fleet and
+	// as many that have just been restarted.
+	maxAskers = 4096
+)
 
 // claimState is the state of a claim.
 type claimState uint8
@@ -64,7 +70,7 @@
 func (r *Room) asker(now spanrill.Millis, name, addr string) *asker {
 	a := r.askers[name]
 	if a == nil {
-		if len(r.askers) >= maxClaims {
+		if len(r.askers) >= maxAskers {
 			return nil
 		}
 		a = &asker{claims: map[uint64]*claim{}}
--- a/coordination/granting/roomreport.go
+++ b/coordination/granting/roomreport.go
@@ -52,10 +52,11 @@
 	}
 }
 
-// recordLoads passes on what first engines have told. Figures that are out of range are ignored.
+// recordLoads passes on what first engines have told. Figures that are out of range, or of
+// engines that are on no chain, are ignored.
 func (r *Room) recordLoads(now spanrill.Millis, loads []peermsg.RoomEngine) {
 	for _, l := range loads {
-		if l.Age < 0 || l.Age > maxReportedLoadAge || l.Requests < 0 || l.Requests > maxEngineRequests {
+		if !r.engines[l.Engine] || l.Age < 0 || l.Age > maxReportedLoadAge || l.Requests < 0 || l.Requests > maxEngineRequests {
 			continue
 		}
 		r.ledger.RecordEngineLoad(now, now-l.Age, l.Engine, l.Requests)
--- a/coordination/granting/roomrequest.go
+++ b/coordination/granting/roomrequest.go
@@ -1,6 +1,8 @@
 package granting
 
 import (
+	"slices"
+
 	"spanrill"
 	"spanrill/protocol/peermsg"
 )
@@ -12,7 +14,7 @@
 }
 
 func (r *Room) request(now spanrill.Millis, req *peermsg.RoomRequest) *peermsg.RoomReply {
-	if !validDaemon(req.Daemon) {
+	if !validNames(req) {
 		return &peermsg.RoomReply{State: peermsg.RoomUnknown}
 	}
 	a := r.asker(now, req.Daemon, req.Addr)
@@ -46,7 +48,7 @@
 	c := &claim{
 		handle: r.nextHandle(), id: req.ID, asker: a, need: need, content: req.Content, since: now,
 		callerEnd: now + min(max(0, req.Remaining), maxRemaining),
-		refusedBy: atMost(req.RefusedBy, maxRefusedBy),
+		refusedBy: slices.Clone(atMost(req.RefusedBy, maxRefusedBy)),
 	}
 	c.firstBy = now + need.Patient
 	c.entry = spanrill.LineEntry{
@@ -145,9 +147,13 @@
 	return max(1, r.returns.Plan(now, refused, r.ledger.EndRate(now), r.Waiting()))
 }
 
-// recordRefusals records engines that have refused requests for lack of room.
+// recordRefusals records engines that have refused requests for lack of room. Those that are on no chain
+// are ignored.
 func (r *Room) recordRefusals(now spanrill.Millis, engines []uint32) {
 	for _, engine := range atMost(engines, maxRefusedBy) {
+		if !r.engines[engine] {
+			continue
+		}
 		r.ledger.RecordRefusal(now, engine)
 		r.counts.RefusedByEngines++
 	}
