granting: Use known chains only, and repeat a complete report that failed

Cause: a grant given ahead was used also if this daemon did not know its chain. A complete report that could not be sent was made again after a second only, and never if nothing was held any more: the ends in it were lost. Notices for requests of the granting daemon itself went to its own address through the network.

Change: grants for unknown chains wait or lapse; a complete report that failed is made again with the next one, and a granting daemon is forgotten after it was told that nothing is held; the address of a request that stays in the process is empty.

--- a/coordination/granting/client_test.go
+++ b/coordination/granting/client_test.go
@@ -38,6 +38,30 @@
 	expect(t, "requests sent after the lapse", p.asked("a"), 3)
 }
 
+// A grant given ahead for a chain that this daemon does not know is not used.
+func TestGrantAheadOnUnknownChain(t *testing.T) {
+	p := newClientPeers()
+	c := p.newClient(1)
+	p.replyWith("a", peermsg.RoomReply{
+		State: peermsg.RoomGranted, First: 3, Ahead: []peermsg.RoomAhead{{ID: 7, First: 99, Lapse: 900}},
+	})
+	mustEnter(t, c, testRequest)
+	expect(t, "chain", mustEnter(t, c, testRequest).First(), 3)
+	expect(t, "requests sent", p.asked("a"), 2)
+}
+
+// Notices for requests that this daemon grants itself do not go through the network.
+func TestOwnAddress(t *testing.T) {
+	p := newClientPeers()
+	c := p.newClient(1)
+	p.replyWith("b", peermsg.RoomReply{State: peermsg.RoomGranted, First: 3})
+	mustEnter(t, c, testRequest)
+	expect(t, "address for another daemon", p.lastRequest().Addr, "self")
+	p.granters = []peermsg.Member{{Name: "self"}}
+	mustEnter(t, c, testRequest)
+	expect(t, "address for this daemon", p.lastRequest().Addr, "")
+}
+
 // A silent granting daemon costs one request its timeout, and one more each second. The standby is
 // told that it stands by.
 func TestSilentGranterIsPassedOver(t *testing.T) {
--- a/coordination/granting/clientahead.go
+++ b/coordination/granting/clientahead.go
@@ -50,16 +50,19 @@
 	return false
 }
 
-// takeAhead returns a grant given ahead, or nil if there is none for a chain that the request may
-// use.
+// takeAhead returns a grant given ahead, or nil if there is none for a chain that this daemon knows and
+// the request may use.
 func (c *Client) takeAhead(now spanrill.Millis, r *spanrill.RoomRequest) *clientGrant {
 	avoid := c.avoidSet(now, r)
 	chains := c.chainsWith(r.Service, avoid)
+	view := c.chainView(r.Service, chainsMaxAge)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.service(r.Service)
 	var taken aheadGrant
-	s.ahead, taken = pickAhead(s.ahead, now, func(first uint32) bool { return !avoid[first] && !chains[first] })
+	s.ahead, taken = pickAhead(s.ahead, now, func(first uint32) bool {
+		return !avoid[first] && !chains[first] && (view.firsts[first] || !view.known)
+	})
 	if taken.first == 0 {
 		return nil
 	}
--- a/coordination/granting/clientask.go
+++ b/coordination/granting/clientask.go
@@ -135,8 +135,12 @@
 	c.mu.Lock()
 	daemons := c.fleet.current
 	c.mu.Unlock()
+	addr := c.addr
+	if q.granter.PeerAddr == "" {
+		addr = "" // the notice does not leave this process
+	}
 	return &peermsg.RoomRequest{
-		Daemon: c.name, Addr: c.addr, ID: id, Service: r.Service,
+		Daemon: c.name, Addr: addr, ID: id, Service: r.Service,
 		Class: int(r.Need.Class), Account: r.Account, Content: r.Content,
 		Prompt: max(0, r.Need.Prompt), Answer: max(0, r.Need.Answer),
 		Zone: r.Need.Zone, Pause: r.Need.Pause,
--- a/coordination/granting/report.go
+++ b/coordination/granting/report.go
@@ -116,6 +116,9 @@
 	for _, engine := range report.Refused {
 		o.refuse(engine)
 	}
+	if report.Complete {
+		o.completeAt = o.reportedAt - completeInterval // what is held is named again
+	}
 }
 
 // heldIDs returns what is held, in order.
--- a/coordination/granting/report_test.go
+++ b/coordination/granting/report_test.go
@@ -64,6 +64,25 @@
 	expect(t, "reports after that", reports, 0)
 }
 
+// A complete report that cannot be sent is made again, also if it is the last one.
+func TestLostCompleteReport(t *testing.T) {
+	p := newClientPeers()
+	c := p.newClient(1)
+	p.replyWith("a", peermsg.RoomReply{State: peermsg.RoomGranted, First: 1})
+	g := mustEnter(t, c, testRequest)
+	p.clock.Advance(spanrill.Second)
+	g.Release()
+	p.sendErr = errors.New("no connection")
+	if _, reports := p.report(c, "a"); reports > 0 {
+		t.Fatal("reported without a connection")
+	}
+	p.sendErr = nil
+	all, _ := p.report(c, "a")
+	expect(t, "ended", len(all.Ended), 1)
+	expect(t, "complete", all.Complete, true)
+	expect(t, "outboxes", len(c.services[testService].outboxes), 0)
+}
+
 // A request that is being asked for is named as held: the granting daemon may already have granted
 // it when a complete report without it arrives.
 func TestHeldWhileAsked(t *testing.T) {
--- a/coordination/granting/reportrun.go
+++ b/coordination/granting/reportrun.go
@@ -74,8 +74,7 @@
 	return names
 }
 
-// takeReports returns the due reports of a service. It removes granting daemons that have departed,
-// and those of which nothing is held after they were told so.
+// takeReports returns the due reports of a service. It removes granting daemons that have departed.
 func (c *Client) takeReports(now spanrill.Millis, service string, granters []peermsg.Member, firsts map[uint32]bool, isLast bool) []outgoingReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -101,9 +100,6 @@
 			report.Loads = c.loads.take(now, firsts)
 		}
 		due = append(due, outgoingReport{o, o.granter, report})
-		if report.Complete && o.isIdle() {
-			delete(s.outboxes, name)
-		}
 	}
 	return due
 }
@@ -130,10 +126,12 @@
 	c.counts.reports.Add(1)
 	if d.granter.PeerAddr == "" {
 		c.local.HandleReport(d.report)
+		c.removeIdle(d)
 		return
 	}
 	err := c.peers.Send(d.granter.PeerAddr, uint8(peermsg.KindRoomReport), d.report)
 	if err == nil {
+		c.removeIdle(d)
 		return
 	}
 	c.log.WithError(err).WithField("peer", d.granter.Name).Debug("cannot send a report of requests to the granting daemon")
@@ -141,3 +139,13 @@
 	defer c.mu.Unlock()
 	d.box.putBack(d.report)
 }
+
+// removeIdle removes a granting daemon of which nothing is held, after it was told so.
+func (c *Client) removeIdle(d outgoingReport) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	outboxes := c.services[d.report.Service].outboxes
+	if d.report.Complete && d.box.isIdle() && outboxes[d.granter.Name] == d.box {
+		delete(outboxes, d.granter.Name)
+	}
+}
