granting: Read the fill of the chains less often

Cause: each request of a daemon that might get grants ahead of need read the state of all chains, which allocates a record for each of them.

Change: the mean fill is read again after 10 ms. The comment of the granter's lock says what is done under it. BenchmarkRequest measures a request and the report of its end.

--- a/coordination/granting/granter.go
+++ b/coordination/granting/granter.go
@@ -34,6 +34,10 @@
 	ahead  bool
 	done   chan struct{}
 
+	// mu is held while Peers and Source are read: the chains of a service every refreshInterval, the
+	// list of granting daemons as often. They have to answer from memory, and must not call the
+	// Granter. A decision takes some microseconds (BenchmarkRequest), so that one lock suffices for
+	// the thousand requests a second of the largest service.
 	mu        sync.Mutex
 	notice    func(*peermsg.RoomNotice) // receives the notices for this daemon
 	services  map[string]*served        // with requests in the last serviceRetention
--- a/coordination/granting/room.go
+++ b/coordination/granting/room.go
@@ -40,6 +40,7 @@
 	aside      []*claim          // waiting, but taken out of the line; by class
 	aheads     []*claim          // given ahead of need, oldest first; some have been used since
 	sizes      meanSize
+	fill       recentFill
 	waiting    [spanrill.ClassCount]int
 	freed      bool   // room came free since waiting requests were last tried
 	tries      uint64 // calls of startWaiting
--- a/coordination/granting/roomahead.go
+++ b/coordination/granting/roomahead.go
@@ -40,7 +40,25 @@
 // mayGiveAhead reports whether there is so much room that requests of other daemons will not need
 // that of an unused grant.
 func (r *Room) mayGiveAhead(now spanrill.Millis) bool {
-	return len(r.claims) < maxClaims && meanFill(r.ledger.Chains(now)) < aheadMaxFill
+	return len(r.claims) < maxClaims && r.fill.value(now, r.ledger) < aheadMaxFill
+}
+
+// fillAge is the age from which the mean fill of the chains is read again. At a thousand requests
+// a second each tenth one reads it.
+const fillAge spanrill.Millis = 10
+
+// recentFill is the mean fill of the chains as of a recent time.
+type recentFill struct {
+	mean  float64
+	at    spanrill.Millis
+	known bool
+}
+
+func (f *recentFill) value(now spanrill.Millis, ledger spanrill.RoomLedger) float64 {
+	if !f.known || now-f.at >= fillAge {
+		*f = recentFill{mean: meanFill(ledger.Chains(now)), at: now, known: true}
+	}
+	return f.mean
 }
 
 // meanFill returns the mean fill of chains, or 1 if there are none.
