granting: Bound the log lines of the granting daemon

Cause: each change of the role and each check with lapsed claims logged a line, up to 30 a second for a service. The line that a state has ended could be left out for good, if it changed back within a second.

Change: one line a second about each, with the state that was logged last and the claims since then.

--- a/coordination/granting/clientshare.go
+++ b/coordination/granting/clientshare.go
@@ -62,26 +62,20 @@
 	return mean
 }
 
-// sharing is whether requests of a service start without a granting daemon.
+// sharing is whether requests of a service start without a granting daemon, as it was logged last.
 type sharing struct {
-	active   bool
-	loggedAt spanrill.Millis
-	logged   bool
+	logged bool
+	limit  logLimit
 }
 
-// sharingLogInterval is the shortest time between two log lines about a service.
-const sharingLogInterval = spanrill.Second
-
 // noteSharing logs that requests of a service begin or cease to start without a granting daemon.
 func (c *Client) noteSharing(service string, active bool) {
 	now := c.clock.Now()
 	c.mu.Lock()
 	s := &c.service(service).sharing
-	isChange := s.active != active
-	s.active = active
-	isLogged := isChange && (!s.logged || now-s.loggedAt >= sharingLogInterval)
+	isLogged := s.logged != active && s.limit.allow(now)
 	if isLogged {
-		s.logged, s.loggedAt = true, now
+		s.logged = active
 	}
 	daemons := c.fleet.largest(now)
 	c.mu.Unlock()
--- a/coordination/granting/granterserved.go
+++ b/coordination/granting/granterserved.go
@@ -62,6 +62,11 @@
 	toldAsOf    spanrill.Millis
 	toldSet     bool
 	requestedAt spanrill.Millis
+
+	loggedRole  role
+	roleLimit   logLimit
+	lapsed      uint64 // claims that have lapsed since they were logged last
+	lapsedLimit logLimit
 }
 
 // grants reports whether requests may be decided here.
@@ -95,8 +100,6 @@
 	if current == s.role {
 		return
 	}
-	g.log.WithFields(logrus.Fields{"service": s.name, "role": current, "before": s.role}).
-		Info("role in granting the room of a service changed")
 	s.role = current
 	s.room.SetStandby(now, current != rolePreferred)
 	if current == roleNone {
@@ -109,11 +112,23 @@
 	s.refresh(now, g)
 	lapsed := s.room.Counts().Lapsed
 	notices := s.room.Tick(now)
-	if n := s.room.Counts().Lapsed - lapsed; n > 0 {
-		g.log.WithFields(logrus.Fields{"service": s.name, "claims": n}).
+	s.lapsed += s.room.Counts().Lapsed - lapsed
+	s.logChanges(now, g)
+	return notices
+}
+
+// logChanges logs a new role, and claims that have lapsed.
+func (s *served) logChanges(now spanrill.Millis, g *Granter) {
+	if s.role != s.loggedRole && s.roleLimit.allow(now) {
+		g.log.WithFields(logrus.Fields{"service": s.name, "role": s.role, "before": s.loggedRole}).
+			Info("role in granting the room of a service changed")
+		s.loggedRole = s.role
+	}
+	if s.lapsed > 0 && s.lapsedLimit.allow(now) {
+		g.log.WithFields(logrus.Fields{"service": s.name, "claims": s.lapsed}).
 			Warn("room of requests whose daemons stopped reporting taken back")
+		s.lapsed = 0
 	}
-	return notices
 }
 
 // discardLog returns a logger without output.
--- a/coordination/granting/granting.go
+++ b/coordination/granting/granting.go
@@ -11,6 +11,7 @@
 //	room*.go     decisions of the granting daemon for one service
 //	granter*.go  the granting daemon
 //	client*.go   the daemon that asks
+//	loglimit.go  bounds of log lines
 //	report*.go   what it tells the granting daemon afterwards
 //	share*.go    the share of a daemon that reaches no granting daemon
 //
