granting: Do not follow late replies, and leave restarted daemons

Cause: a daemon that had been stopped for longer than its claims last started requests on replies whose room had been taken back. A request that waited at a granting daemon which was restarted under the same name was refused at its latest start.

Change: a reply older than 2 s is not followed, its room is given back, and the granting daemon does not count as silent for it. A change of the incarnation wakes the requests that wait there.

--- a/coordination/granting/client_test.go
+++ b/coordination/granting/client_test.go
@@ -50,6 +50,40 @@
 	expect(t, "requests sent", p.asked("a"), 2)
 }
 
+// A reply that arrives after the granting daemon has taken the room back is not followed.
+func TestStaleReply(t *testing.T) {
+	p := newClientPeers()
+	c := p.newClient(1)
+	p.answer["a"] = func(*peermsg.RoomRequest) *peermsg.RoomReply {
+		p.clock.Advance(reportTimeout) // this daemon is stopped
+		return &peermsg.RoomReply{State: peermsg.RoomGranted, First: 1}
+	}
+	p.replyWith("b", peermsg.RoomReply{State: peermsg.RoomGranted, First: 2})
+	expect(t, "chain", mustEnter(t, c, testRequest).First(), 2)
+	all, _ := p.report(c, "a")
+	expect(t, "given back", len(all.Ended), 1)
+	p.replyWith("a", peermsg.RoomReply{State: peermsg.RoomGranted, First: 3})
+	expect(t, "chain of the daemon that was not silent", mustEnter(t, c, testRequest).First(), 3)
+}
+
+// A request that waits at a daemon which has been restarted asks the next one.
+func TestWaiterOfRestartedGranter(t *testing.T) {
+	p := newClientPeers()
+	c := p.newClient(1)
+	p.replyWith("a", peermsg.RoomReply{State: peermsg.RoomWaiting})
+	p.replyWith("b", peermsg.RoomReply{State: peermsg.RoomGranted, First: 2})
+	result := enterLater(t.Context(), c, testRequest)
+	p.clock.AwaitTimers(1)
+	c.leaveSilentGranters()
+	expect(t, "asked while the first goes on", p.asked("b"), 0)
+	p.granters = []peermsg.Member{{Name: "a", PeerAddr: "a", Incarnation: 2}, p.granters[1]}
+	c.leaveSilentGranters()
+	p.clock.Advance(testRequest.MaxWait + noticeMargin)
+	if e := <-result; e.refusal != nil || e.grant.First() != 2 {
+		t.Errorf("refused by %v, want a grant of the standby", e.refusal)
+	}
+}
+
 // Notices for requests that this daemon grants itself do not go through the network.
 func TestOwnAddress(t *testing.T) {
 	p := newClientPeers()
--- a/coordination/granting/clientask.go
+++ b/coordination/granting/clientask.go
@@ -23,8 +23,13 @@
 	maxAsksPerGranter = 2
 	// maxWaitBound bounds how long a request waits, whatever it asks for.
 	maxWaitBound = spanrill.Minute
+	// maxReplyAge is the age from which a reply is not followed any more: this daemon was stopped, and
+	// the granting daemon may have taken the room back, as it does after reportTimeout.
+	maxReplyAge = 2 * spanrill.Second
 )
 
+var errLateReply = errors.New("ask for room: reply too late")
+
 // verdict is what follows from asking. It is empty if the granting daemon gave no usable answer.
 type verdict struct {
 	grant   *clientGrant
@@ -89,7 +94,11 @@
 	w := c.addWaiter(q)
 	sentAt := c.clock.Now()
 	reply, err := c.exchange(ctx, q.granter, c.message(q, w.id, sentAt))
-	c.endContact(q.granter, resultOf(ctx, reply, err))
+	result := resultOf(ctx, reply, err)
+	if c.clock.Now()-sentAt > maxReplyAge {
+		result, err = contactUnknown, errLateReply
+	}
+	c.endContact(q.granter, result)
 	if err == nil {
 		c.addAhead(q.request.Service, q.granter, sentAt, reply.Ahead)
 	}
--- a/coordination/granting/clientsilent.go
+++ b/coordination/granting/clientsilent.go
@@ -50,12 +50,12 @@
 	return found
 }
 
-// isLost reports whether the daemon at which a request waits does not answer, or is not one that
-// grants any more.
+// isLost reports whether the daemon at which a request waits does not answer, has been restarted or is
+// not one that grants any more.
 func (c *Client) isLost(w *clientWaiter) bool {
 	for _, granter := range c.granters(w.service) {
 		if granter.Name == w.granter.Name {
-			return c.isSilent(c.clock.Now(), granter.Name)
+			return granter.Incarnation != w.granter.Incarnation || c.isSilent(c.clock.Now(), granter.Name)
 		}
 	}
 	return true
