--- a/coordination/granting/join_test.go
+++ b/coordination/granting/join_test.go
@@ -58,7 +58,7 @@
 // Guards that lost reports are made good by those that name all that is held, within 1.5 s, and that
 // no running request loses its room.
 func TestFleetLostReports(t *testing.T) {
-	playFleet(t, 3, 10_000, func(n *fleetNet) {
+	playFleet(t, 3, 20_000, func(n *fleetNet) {
 		d, granter := n.daemons[2], n.daemons[0]
 		var grants []spanrill.RoomGrant
 		for range 20 {
@@ -75,10 +75,13 @@
 		if got := granter.claims(); got < 10 || got > 10+maxAhead {
 			n.Errorf("%d claims 1.5 s after the lost reports, want 10", got)
 		}
+		running := 10
 		for range 100 {
-			n.pass(50)
-			if got := granter.claims(); got < 10 {
-				n.Fatalf("%d claims, want 10: running requests have lost their room", got)
+			d.start(0, roundTrip)
+			running++
+			n.pass(spanrill.Millis(1 + n.random.IntN(99)))
+			if got := granter.claims(); got < running {
+				n.Fatalf("%d claims, want %d: running requests have lost their room", got, running)
 			}
 		}
 	})
@@ -130,62 +133,13 @@
 			n.pass(10)
 		}
 		for _, k := range slow {
-			if k > 4 {
-				n.Errorf("requests that waited for the dead daemon in 3 s, by daemon: %v, want 4 at most", slow)
+			if k > 3 {
+				n.Errorf("requests that waited for the dead daemon in 3 s, by daemon: %v, want 3 at most", slow)
 			}
 		}
 	})
 }
 
-// Guards that a request which waits at a daemon that dies, or is frozen, asks the standby with the
-// time that it has left.
-func TestFleetWaiterOfSilentGranter(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		fail  func(*fleetDaemon)
-		asked bool // other requests notice the failure first
-	}{{"killed", (*fleetDaemon).kill, true}, {"killed, quiet", (*fleetDaemon).kill, false}, {"frozen", (*fleetDaemon).freeze, true}} {
-		t.Run(c.name, func(t *testing.T) {
-			playFleet(t, 4, 1000, func(n *fleetNet) {
-				d, granter := n.daemons[2], n.daemons[0]
-				for range 10 {
-					d.start(0, roundTrip)
-				}
-				waiting := d.enter(2000)
-				n.pass(50)
-				c.fail(granter)
-				if c.asked {
-					go func() { <-d.enter(0) }()
-				}
-				e := <-waiting
-				limit := 50 + newsTimeout + reportPoll + 2*requestTimeout + 2*roundTrip + answerTrust
-				if c.asked {
-					limit = 50 + requestTimeout + 3*roundTrip
-				}
-				if e.refusal != nil || e.took > limit {
-					n.Errorf("refused by %v after %d ms, want a start by the standby within %d ms", e.refusal, e.took, limit)
-				}
-			})
-		})
-	}
-}
-
-// Guards against requests that leave a granting daemon only because no other request has asked it for
-// a while.
-func TestFleetLongWait(t *testing.T) {
-	playFleet(t, 3, 100, func(n *fleetNet) {
-		d := n.daemons[2]
-		held := d.start(0, roundTrip)
-		waiting := d.enter(30 * spanrill.Second)
-		n.pass(2 * contactRetention)
-		held.Release()
-		e := <-waiting
-		if e.refusal != nil || e.took > 2*contactRetention+200 || d.client.Counts().Waited != 1 {
-			n.Errorf("refused by %v after %d ms and %d waits, want a start after %d ms and 1", e.refusal, e.took, d.client.Counts().Waited, 2*contactRetention)
-		}
-	})
-}
-
 // Guards against stale decisions of a daemon that was stopped for 5 s. Daemons ask it again within a
 // second, and meanwhile the standby gives room, too: less than two that know nothing of each other.
 // After that and a run there is never more running than fits. Nothing is left behind.
