--- a/coordination/granting/clientask.go
+++ b/coordination/granting/clientask.go
@@ -23,8 +23,13 @@
 	maxAsksPerGranter = 2
 	// maxWaitBound bounds how long a request waits, whatever it asks for.
 	maxWaitBound = spanrill.Minute
+	// maxReplyAge is the age from which a reply is not followed any more: this daemon was stopped, and
+	// the granting daemon may have taken the room back, as it does after reportTimeout.
+	maxReplyAge = 2 * spanrill.Second
 )
 
+var errLateReply = errors.New("ask for room: reply too late")
+
 // verdict is what follows from asking. It is empty if the granting daemon gave no usable answer.
 type verdict struct {
 	grant   *clientGrant
@@ -89,7 +94,11 @@
 	w := c.addWaiter(q)
 	sentAt := c.clock.Now()
 	reply, err := c.exchange(ctx, q.granter, c.message(q, w.id, sentAt))
-	c.endContact(q.granter, resultOf(ctx, reply, err))
+	result := resultOf(ctx, reply, err)
+	if c.clock.Now()-sentAt > maxReplyAge {
+		result, err = contactUnknown, errLateReply
+	}
+	c.endContact(q.granter, result)
 	if err == nil {
 		c.addAhead(q.request.Service, q.granter, sentAt, reply.Ahead)
 	}
@@ -135,8 +144,12 @@
 	c.mu.Lock()
 	daemons := c.fleet.current
 	c.mu.Unlock()
+	addr := c.addr
+	if q.granter.PeerAddr == "" {
+		addr = "" // the notice does not leave this process
+	}
 	return &peermsg.RoomRequest{
-		Daemon: c.name, Addr: c.addr, ID: id, Service: r.Service,
+		Daemon: c.name, Addr: addr, ID: id, Service: r.Service,
 		Class: int(r.Need.Class), Account: r.Account, Content: r.Content,
 		Prompt: max(0, r.Need.Prompt), Answer: max(0, r.Need.Answer),
 		Zone: r.Need.Zone, Pause: r.Need.Pause,
--- a/coordination/granting/granterserved.go
+++ b/coordination/granting/granterserved.go
@@ -26,10 +26,14 @@
 func (r role) String() string { return roleNames[r] }
 
 // roleOf returns this daemon's role by its own list of daemons, whatever the sender of a request
-// believes: where lists differ, one of two daemons stays within the part of a standby.
-func (g *Granter) roleOf(service string) role {
+// believes: where lists differ, one of two daemons stays within the part of a standby. A daemon that
+// has probably been cut off from most others does not grant: they have another granting daemon.
+func (g *Granter) roleOf(now spanrill.Millis, service string) role {
+	g.observeFleet(now)
 	granters := g.peers.Granters(service)
 	switch {
+	case g.fleet.isMinority(now):
+		return roleNone
 	case len(granters) > 0 && granters[0].PeerAddr == "":
 		return rolePreferred
 	case len(granters) < 2 || granters[1].PeerAddr != "":
@@ -40,6 +44,13 @@
 	return roleStandby
 }
 
+// observeFleet records the number of live daemons. The caller holds the lock.
+func (g *Granter) observeFleet(now spanrill.Millis) {
+	if daemons, known := g.peers.Fleet(); known {
+		g.fleet.observe(now, daemons)
+	}
+}
+
 // served is a service for which this daemon is asked for room.
 type served struct {
 	name        string
@@ -51,6 +62,11 @@
 	toldAsOf    spanrill.Millis
 	toldSet     bool
 	requestedAt spanrill.Millis
+
+	loggedRole  role
+	roleLimit   logLimit
+	lapsed      uint64 // claims that have lapsed since they were logged last
+	lapsedLimit logLimit
 }
 
 // grants reports whether requests may be decided here.
@@ -78,16 +94,17 @@
 }
 
 // setRole reads the role. A daemon that becomes preferred knows nothing of what others have given
-// but the sums.
+// but the sums. One that no longer grants sends the waiting requests elsewhere.
 func (s *served) setRole(now spanrill.Millis, g *Granter) {
-	current := g.roleOf(s.name)
+	current := g.roleOf(now, s.name)
 	if current == s.role {
 		return
 	}
-	g.log.WithFields(logrus.Fields{"service": s.name, "role": current, "before": s.role}).
-		Info("role in granting the room of a service changed")
 	s.role = current
 	s.room.SetStandby(now, current != rolePreferred)
+	if current == roleNone {
+		s.room.Resign(now)
+	}
 }
 
 // tick does the periodic work.
@@ -95,11 +112,23 @@
 	s.refresh(now, g)
 	lapsed := s.room.Counts().Lapsed
 	notices := s.room.Tick(now)
-	if n := s.room.Counts().Lapsed - lapsed; n > 0 {
-		g.log.WithFields(logrus.Fields{"service": s.name, "claims": n}).
+	s.lapsed += s.room.Counts().Lapsed - lapsed
+	s.logChanges(now, g)
+	return notices
+}
+
+// logChanges logs a new role, and claims that have lapsed.
+func (s *served) logChanges(now spanrill.Millis, g *Granter) {
+	if s.role != s.loggedRole && s.roleLimit.allow(now) {
+		g.log.WithFields(logrus.Fields{"service": s.name, "role": s.role, "before": s.loggedRole}).
+			Info("role in granting the room of a service changed")
+		s.loggedRole = s.role
+	}
+	if s.lapsed > 0 && s.lapsedLimit.allow(now) {
+		g.log.WithFields(logrus.Fields{"service": s.name, "claims": s.lapsed}).
 			Warn("room of requests whose daemons stopped reporting taken back")
+		s.lapsed = 0
 	}
-	return notices
 }
 
 // discardLog returns a logger without output.
--- a/coordination/granting/room.go
+++ b/coordination/granting/room.go
@@ -28,6 +28,8 @@
 	advancedAt spanrill.Millis // when due changes were last made
 
 	chains    []spanrill.RoomChain
+	known     bool            // the chains were set
+	engines   map[uint32]bool // on the chains
 	told      map[uint32]spanrill.RoomUse
 	allowance granterAllowance
 	applied   float64 // allowance in the chains of the ledger, or 0 if they have changed
@@ -38,6 +40,7 @@
 	aside      []*claim          // waiting, but taken out of the line; by class
 	aheads     []*claim          // given ahead of need, oldest first; some have been used since
 	sizes      meanSize
+	fill       recentFill
 	waiting    [spanrill.ClassCount]int
 	freed      bool   // room came free since waiting requests were last tried
 	tries      uint64 // calls of startWaiting
@@ -61,7 +64,7 @@
 func NewRoom(service string, parts Parts, opts ...RoomOption) *Room {
 	r := &Room{
 		service: service, ledger: parts.NewLedger(), line: parts.NewLine(), returns: parts.NewReturns(),
-		ahead: true, claims: map[uint64]*claim{}, askers: map[string]*asker{},
+		ahead: true, engines: map[uint32]bool{}, claims: map[uint64]*claim{}, askers: map[string]*asker{},
 	}
 	for _, o := range opts {
 		o(r)
--- a/coordination/granting/roomlapse.go
+++ b/coordination/granting/roomlapse.go
@@ -1,9 +1,11 @@
 package granting
 
 import (
+	"maps"
 	"slices"
 
 	"spanrill"
+	"spanrill/protocol/peermsg"
 )
 
 const (
@@ -41,6 +43,8 @@
 	r.lapseAhead(now)
 	r.lapseSilent(now)
 	r.applyAllowance(now)
+	// While requests wait, each one that ends lets about one of them start. The rate is 0 while none has
+	// ended yet, which the line takes as unknown.
 	r.line.SetRate(r.ledger.EndRate(now))
 	return now
 }
@@ -72,3 +76,15 @@
 		r.end(now, c)
 	}
 }
+
+// Resign ends all waiting requests, as this daemon does not grant any more. The notices, with the next
+// Tick, tell the daemons to ask elsewhere.
+func (r *Room) Resign(now spanrill.Millis) {
+	now = max(r.now, now)
+	for _, handle := range slices.Sorted(maps.Keys(r.claims)) {
+		if c := r.claims[handle]; c.state == claimWaiting {
+			r.end(now, c)
+			r.notify(c, peermsg.RoomNotice{State: peermsg.RoomUnknown})
+		}
+	}
+}
--- a/coordination/granting/roomrequest.go
+++ b/coordination/granting/roomrequest.go
@@ -1,6 +1,8 @@
 package granting
 
 import (
+	"slices"
+
 	"spanrill"
 	"spanrill/protocol/peermsg"
 )
@@ -12,7 +14,7 @@
 }
 
 func (r *Room) request(now spanrill.Millis, req *peermsg.RoomRequest) *peermsg.RoomReply {
-	if !validDaemon(req.Daemon) {
+	if !validNames(req) {
 		return &peermsg.RoomReply{State: peermsg.RoomUnknown}
 	}
 	a := r.asker(now, req.Daemon, req.Addr)
@@ -46,13 +48,17 @@
 	c := &claim{
 		handle: r.nextHandle(), id: req.ID, asker: a, need: need, content: req.Content, since: now,
 		callerEnd: now + min(max(0, req.Remaining), maxRemaining),
-		refusedBy: atMost(req.RefusedBy, maxRefusedBy),
+		refusedBy: slices.Clone(atMost(req.RefusedBy, maxRefusedBy)),
 	}
+	c.firstBy = now + need.Patient
 	c.entry = spanrill.LineEntry{
 		ID: c.handle, Class: need.Class, Account: accountOf(req.Account),
 		LatestStart: now + max(0, need.Patient-r.ledger.FirstEvent(now, need)),
 		Returned:    r.returns.Redeem(now, req.Content),
 	}
+	if c.entry.LatestStart == now { // its objective cannot be met any more
+		c.need.Patient = 0
+	}
 	if c.entry.Returned {
 		r.counts.ReturnsKept++
 	}
@@ -64,6 +70,9 @@
 	if len(r.claims) >= maxClaims || !r.canEver(now, c.need) {
 		return false
 	}
+	if c.entry.LatestStart == now {
+		return r.startAtOnce(now, c)
+	}
 	alone := r.Waiting() == 0
 	if alone && r.start(now, c) {
 		r.keep(c, claimHolding)
@@ -77,16 +86,37 @@
 		r.startWaiting(now)
 		c.replying = false
 	}
-	if c.state == claimWaiting && c.entry.LatestStart <= now {
-		r.end(now, c)
-		return false
-	}
 	if c.waited = c.state == claimWaiting; c.waited {
 		r.counts.Waited[c.need.Class]++
 	}
 	return true
 }
 
+// startAtOnce starts a request that cannot wait, because its objective for the first event cannot be met
+// any more, or it has none. It does not enter the line, where others could be dropped because of it.
+// It returns false if there is no room, or a waiting request goes before it.
+func (r *Room) startAtOnce(now spanrill.Millis, c *claim) bool {
+	if r.Waiting() > 0 {
+		r.startWaiting(now)
+	}
+	if next, ok := r.line.Next(now); ok && goesBefore(next, c.entry) {
+		return false
+	}
+	if !r.start(now, c) {
+		return false
+	}
+	r.keep(c, claimHolding)
+	return true
+}
+
+// goesBefore reports whether a waiting request starts before one that has just arrived.
+func goesBefore(waiting, arrived spanrill.LineEntry) bool {
+	if waiting.Class != arrived.Class {
+		return waiting.Class < arrived.Class
+	}
+	return waiting.Returned || !arrived.Returned
+}
+
 // canEver reports whether a request could get room if the chains were empty. While the allowance
 // rises, the ledger cannot tell.
 func (r *Room) canEver(now spanrill.Millis, need spanrill.RoomNeed) bool {
@@ -117,9 +147,13 @@
 	return max(1, r.returns.Plan(now, refused, r.ledger.EndRate(now), r.Waiting()))
 }
 
-// recordRefusals records engines that have refused requests for lack of room.
+// recordRefusals records engines that have refused requests for lack of room. Those that are on no chain
+// are ignored.
 func (r *Room) recordRefusals(now spanrill.Millis, engines []uint32) {
 	for _, engine := range atMost(engines, maxRefusedBy) {
+		if !r.engines[engine] {
+			continue
+		}
 		r.ledger.RecordRefusal(now, engine)
 		r.counts.RefusedByEngines++
 	}
