admission: Line orders the requests that wait for room, in all frames

Cause: requests that wait at the daemon which gives the room of a service to all daemons need an order over classes and accounts, and a refusal at once for what will not start in time. The queue of our own frame had such decisions for one class, and estimated waits without the requests that enter before one that waits already.

Change: Line implements spanrill.StartLine: classes with an assured part, fair queueing within a class, expected waits that count overtaking, requests dropped when it is known that they are too late. The queue decides by it, with one class. Its throughput counts as unknown in the first second of ends, so that waiting requests are not dropped by a rate that has just begun. A dropped request gets the refusal that it got before at its deadline.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -1,6 +1,7 @@
 // Package admission decides whether and when a request may start. It enforces the limits of client
 // accounts, which are divided among the daemons, and queues requests of a model when its engines
-// are at capacity.
+// are at capacity. Line orders the requests that wait, also for daemons that give the room of a
+// service to the requests of all daemons.
 //
 // # Usage
 //
@@ -10,6 +11,22 @@
 //		return refusal
 //	}
 //	defer func() { release(tokens) }()
+//
+// A line decides only; time and the rate of starts are told to it:
+//
+//	line := admission.NewLine(admission.WithCapacity(512))
+//	line.SetRate(startsPerSecond)
+//	ok, dropped := line.Enter(now, entry) // refuse the request if not ok, and those dropped
+//	for hasRoom() {
+//		next, ok := line.Next(now)
+//		if !ok {
+//			break
+//		}
+//		line.Start(now, next)
+//	}
+//	for _, late := range line.Drop(now) {
+//		refuse(late)
+//	}
 package admission
 
 import (
@@ -115,10 +132,11 @@
 	select {
 	case <-w.started:
 		return nil
+	case <-w.dropped:
 	case <-ctx.Done():
 	case <-g.clock.After(g.maxWait):
 	}
-	if !q.cancel(w) {
+	if !q.cancel(w) && !w.wasDropped() {
 		return nil // the request was started concurrently
 	}
 	return spanrill.NewRefusal(spanrill.ReasonQueueDeadline, "the request did not start within %d ms", g.maxWait).
