--- a/gateway/room.go
+++ b/gateway/room.go
@@ -1,8 +1,25 @@
 package gateway
 
-import "spanrill/coordination/granting"
+import (
+	"spanrill"
+	"spanrill/coordination/admission"
+	"spanrill/coordination/granting"
+	"spanrill/coordination/returns"
+	ledger "spanrill/coordination/room"
+)
 
-// newRoomParts returns the parts that divide room among the daemons, or nil if they are not built in.
-func (*Gateway) newRoomParts(granting.Peers, granting.Source) (roomGranter, roomClient) {
-	return nil, nil
+// newRoomParts returns the parts that divide room among the daemons.
+func (g *Gateway) newRoomParts(peers granting.Peers, source granting.Source) (roomGranter, roomClient) {
+	parts := granting.Parts{
+		NewLedger:  func() spanrill.RoomLedger { return ledger.NewLedger() },
+		NewLine:    func() spanrill.StartLine { return admission.NewLine() },
+		NewReturns: func() spanrill.ReturnPlanner { return returns.New(g.random.Float64) },
+	}
+	overload := g.settings.Overload
+	granter := granting.NewGranter(peers, source, parts, g.clock)
+	client := granting.NewClient(g.peers.name, peers, source, granter, g.clock,
+		granting.WithLogger(g.log), granting.WithRandom(g.random.Float64), granting.WithAddr(g.settings.PeerListen),
+		granting.WithPlanReturns(overload.PlanReturns), granting.WithQueue(overload.Queue))
+	granter.OnNotice(client.HandleNotice)
+	return granter, client
 }
