--- a/gateway/room.go
+++ b/gateway/room.go
@@ -16,7 +16,7 @@
 		NewReturns: func() spanrill.ReturnPlanner { return returns.New(g.random.Float64) },
 	}
 	overload := g.settings.Overload
-	granter := granting.NewGranter(peers, source, parts, g.clock)
+	granter := granting.NewGranter(peers, source, parts, g.clock, granting.WithGranterLogger(g.log))
 	client := granting.NewClient(g.peers.name, peers, source, granter, g.clock,
 		granting.WithLogger(g.log), granting.WithRandom(g.random.Float64), granting.WithAddr(g.settings.PeerListen),
 		granting.WithPlanReturns(overload.PlanReturns), granting.WithQueue(overload.Queue))
