Rank classes by account and route, and let chains fill to their limit

Change: a class is the rank of the account's priority and then the route's; room is divided where chained routes have several priorities. The ledger drops the margin.

--- a/cli/spanrillcmd/room.go
+++ b/cli/spanrillcmd/room.go
@@ -55,7 +55,7 @@
 		fmt.Fprintf(w, "%s: nobody grants room, asked %s %s\n", s.Service, strings.Join(s.Granters, ", "), s.Error)
 		return
 	}
-	fmt.Fprintf(w, "%s: room granted by %s, %d classes\n", s.Service, s.GrantedBy, s.Classes)
+	fmt.Fprintf(w, "%s: room granted by %s, %d priorities\n", s.Service, s.GrantedBy, s.Priorities)
 	fmt.Fprintf(w, "waiting: %s; planned returns: %d\n", formatClasses(s.Waiting), s.Returns)
 	fmt.Fprintf(w, "%-14s %-14s %5s %-14s %-24s %7s %9s\n", "FIRST", "ZONE", "FILL", "FULLEST", "GIVEN", "OTHERS", "START MS")
 	for _, chain := range s.Chains {
--- a/coordination/granting/clientshare.go
+++ b/coordination/granting/clientshare.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
+	"spanrill/events"
 )
 
 // enterByShare decides on a request without a granting daemon: it starts within this daemon's share
@@ -82,10 +83,9 @@
 	if !isLogged {
 		return
 	}
-	log := c.log.WithFields(logrus.Fields{"service": service, "daemons": daemons})
+	event := events.RoomGranterReached
 	if active {
-		log.Warn("no granting daemon answers, requests start within this daemon's share of the room")
-		return
+		event = events.RoomOwnShare
 	}
-	log.Info("a granting daemon answers again")
+	event.Log(c.log, logrus.Fields{"service": service, "daemons": daemons})
 }
--- a/coordination/granting/granterserved.go
+++ b/coordination/granting/granterserved.go
@@ -63,10 +63,7 @@
 	toldSet     bool
 	requestedAt spanrill.Millis
 
-	loggedRole  role
-	roleLimit   logLimit
-	lapsed      uint64 // claims that have lapsed since they were logged last
-	lapsedLimit logLimit
+	log servedLog
 }
 
 // grants reports whether requests may be decided here.
@@ -110,27 +107,11 @@
 // tick does the periodic work.
 func (s *served) tick(now spanrill.Millis, g *Granter) []Notice {
 	s.refresh(now, g)
-	lapsed := s.room.Counts().Lapsed
 	notices := s.room.Tick(now)
-	s.lapsed += s.room.Counts().Lapsed - lapsed
-	s.logChanges(now, g)
+	s.logChanges(now, g.log)
 	return notices
 }
 
-// logChanges logs a new role, and claims that have lapsed.
-func (s *served) logChanges(now spanrill.Millis, g *Granter) {
-	if s.role != s.loggedRole && s.roleLimit.allow(now) {
-		g.log.WithFields(logrus.Fields{"service": s.name, "role": s.role, "before": s.loggedRole}).
-			Info("role in granting the room of a service changed")
-		s.loggedRole = s.role
-	}
-	if s.lapsed > 0 && s.lapsedLimit.allow(now) {
-		g.log.WithFields(logrus.Fields{"service": s.name, "claims": s.lapsed}).
-			Warn("room of requests whose daemons stopped reporting taken back")
-		s.lapsed = 0
-	}
-}
-
 // discardLog returns a logger without output.
 func discardLog() logrus.FieldLogger {
 	log := logrus.New()
--- a/coordination/granting/room.go
+++ b/coordination/granting/room.go
@@ -111,6 +111,9 @@
 // Len returns the number of requests that wait or hold room, and of grants given ahead of need.
 func (r *Room) Len() int { return len(r.claims) }
 
+// EndRate returns how many requests end per second.
+func (r *Room) EndRate(now spanrill.Millis) float64 { return r.ledger.EndRate(max(r.now, now)) }
+
 // Waiting returns the number of waiting requests.
 func (r *Room) Waiting() int { return r.line.Len() + len(r.aside) }
 
--- a/coordination/relay/room.go
+++ b/coordination/relay/room.go
@@ -163,7 +163,7 @@
 // roomRequest describes the request to those who divide the room.
 func (g *generation) roomRequest() spanrill.RoomRequest {
 	need := g.pathNeed(false)
-	class, _ := spanrill.ClassOf(g.priority())
+	class := g.table.Class(g.service.Name, g.route, g.account)
 	patient := max(0, g.route.LatencyTarget-(g.relay.Clock.Now()-g.start))
 	r := spanrill.RoomRequest{
 		Service: g.service.Name, Model: g.service.Model, Content: uint64(g.content),
--- a/coordination/room/engine.go
+++ b/coordination/room/engine.go
@@ -23,7 +23,6 @@
 	requests int                      // to which the ledger gave room, first engine or not
 	given    [spanrill.ClassCount]int // those of which it is the first engine, by class
 	history  history                  // of own
-	beyond   variation                // of the tokens of other requests
 	reported report                   // what the engine itself told
 	current  bool                     // belongs to a chain
 	leftAt   spanrill.Millis          // when it last did
--- a/coordination/room/news.go
+++ b/coordination/room/news.go
@@ -1,8 +1,6 @@
 package room
 
 import (
-	"math"
-
 	"spanrill"
 )
 
@@ -19,32 +17,6 @@
 	maxCalls = 1 << 20
 )
 
-const (
-	// variations is how many mean deviations of what is told are added to it: answers turn out longer
-	// than expected, and requests start without a grant, while the news is under way.
-	variations = 1.0
-	// maxVariation bounds that addition, as a fraction of an engine's capacity.
-	maxVariation = 0.05
-	// meanGain and deviationGain are the weights of the latest news, as in the estimate of round-trip
-	// times in RFC 6298.
-	meanGain      = 1.0 / 8
-	deviationGain = 1.0 / 4
-)
-
-// variation is how much a figure varies from one news to the next.
-type variation struct {
-	mean, deviation float64
-	known           bool
-}
-
-func (v *variation) add(x float64) {
-	if !v.known {
-		*v = variation{mean: x, known: true}
-	}
-	v.deviation += deviationGain * (math.Abs(x-v.mean) - v.deviation)
-	v.mean += meanGain * (x - v.mean)
-}
-
 // report is what a first engine told of the requests that it has.
 type report struct {
 	excess float64 // requests beyond those of the ledger
@@ -75,9 +47,8 @@
 			continue
 		}
 		use := uses[id]
-		beyond := min(e.capacity, max(-e.capacity, float64(use.Tokens)-own.tokens))
-		e.beyond.add(beyond)
-		e.told.tokens = max(0, beyond) + min(maxVariation*e.capacity, variations*e.beyond.deviation)
+		beyond := min(e.capacity, float64(use.Tokens)-own.tokens)
+		e.told.tokens = max(0, beyond)
 		e.told.calls = min(maxCalls, max(0, float64(use.Calls)-own.calls))
 		e.sum()
 	}
@@ -113,7 +84,7 @@
 	if l.told && now-l.toldAt > maxNewsAge {
 		l.told = false
 		for _, e := range l.engines {
-			e.told, e.beyond = load{}, variation{}
+			e.told = load{}
 			e.sum()
 		}
 	}
--- a/coordination/room/state.go
+++ b/coordination/room/state.go
@@ -14,7 +14,7 @@
 		e, _ := c.estimate(&r, false)
 		states[i] = spanrill.RoomState{
 			First: first.id, Zone: c.zone, Given: first.given, Fill: fill, Fullest: fullest.id,
-			Told: int(first.foreignCalls()), Starting: spanrill.Millis(e.first),
+			Own: fullest.own.tokens / fullest.capacity, Told: int(first.foreignCalls()), Starting: spanrill.Millis(e.first),
 		}
 	}
 	return states
--- a/events/events.go
+++ b/events/events.go
@@ -169,6 +169,8 @@
 	RoomOwnShare         = define(643, logrus.WarnLevel, "no daemon grants room, starting requests within this daemon's own share")
 	RoomGranterReached   = define(644, logrus.InfoLevel, "daemon that grants the room of a service answers again")
 	RoomGrantUnusable    = define(645, logrus.InfoLevel, "this daemon cannot use the chain that a request was granted")
+	RoomShort            = define(646, logrus.InfoLevel, "requests of a service wait for room or are refused")
+	RoomLapsed           = define(647, logrus.WarnLevel, "room of requests whose daemons stopped reporting taken back")
 	LogsDropped          = define(630, logrus.WarnLevel, "log lines dropped, output too slow")
 )
 
--- a/gateway/roomdivision.go
+++ b/gateway/roomdivision.go
@@ -137,7 +137,7 @@
 	case settings.DivideAlways:
 		return true
 	case settings.DivideByClass:
-		return t.Classes(service) > 1
+		return t.Priorities(service) > 1
 	}
 	return false
 }
@@ -177,7 +177,7 @@
 func (r *room) logChange(service string, divided bool) {
 	fields := logrus.Fields{"service": service, "divided": divided, "setting": r.gateway.settings.Overload.DivideRoom}
 	if t := r.gateway.config.Table(); t != nil {
-		fields["classes"] = t.Classes(service)
+		fields["priorities"] = t.Priorities(service)
 	}
 	events.RoomDivisionChanged.Log(r.gateway.log, fields)
 }
--- a/gateway/roompage.go
+++ b/gateway/roompage.go
@@ -23,14 +23,14 @@
 
 // RoomService is the state of the room of one service, as the daemon tells that grants it.
 type RoomService struct {
-	Service   string                   `json:"service"`
-	Classes   int                      `json:"classes"`    // number of different priorities
-	Granters  []string                 `json:"granters"`   // daemons that grant the room, in order of preference
-	GrantedBy string                   `json:"granted_by"` // the daemon that told the rest, "" if none did
-	Error     string                   `json:"error,omitempty"`
-	Chains    []RoomChain              `json:"chains"`
-	Waiting   [spanrill.ClassCount]int `json:"waiting"`         // requests that wait for room, by class
-	Returns   int                      `json:"planned_returns"` // refused callers whose planned return is not due yet
+	Service    string                   `json:"service"`
+	Priorities int                      `json:"priorities"` // number of different priorities of its chained routes
+	Granters   []string                 `json:"granters"`   // daemons that grant the room, in order of preference
+	GrantedBy  string                   `json:"granted_by"` // the daemon that told the rest, "" if none did
+	Error      string                   `json:"error,omitempty"`
+	Chains     []RoomChain              `json:"chains"`
+	Waiting    [spanrill.ClassCount]int `json:"waiting"`         // requests that wait for room, by class
+	Returns    int                      `json:"planned_returns"` // refused callers whose planned return is not due yet
 }
 
 // RoomChain is the state of the room on one chain.
@@ -74,7 +74,7 @@
 func (r *room) service(ctx context.Context, name string) RoomService {
 	s := RoomService{Service: name, Granters: []string{}, Chains: []RoomChain{}}
 	if t := r.gateway.config.Table(); t != nil {
-		s.Classes = t.Classes(name)
+		s.Priorities = t.Priorities(name)
 	}
 	for _, m := range r.peers.Granters(name) {
 		s.Granters = append(s.Granters, m.Name)
--- a/overload.go
+++ b/overload.go
@@ -2,14 +2,14 @@
 
 import "context"
 
-// Class ranks the requests of a service that compete for the same engines. It is the priority of
-// their route or client account; 0 is the most urgent.
+// Class ranks the requests of a service that compete for the same engines; 0 is the most urgent.
+// It follows from the priorities of their routes and client accounts.
 type Class uint8
 
 const (
 	// ClassCount is the number of classes.
 	ClassCount = 10
-	// DefaultClass is the class of requests whose priority is out of range.
+	// DefaultClass is the class of a priority that is out of range.
 	DefaultClass Class = 5
 )
 
@@ -104,6 +104,7 @@
 	Zone     string
 	Given    [ClassCount]int // requests that hold room from this ledger, by class
 	Fill     float64         // of the fullest engine, from 0 to 1 and more
+	Own      float64         // part of Fill that requests with room from this ledger hold
 	Fullest  uint32          // that engine
 	Told     int             // requests that others started, by what engines and daemons told
 	Starting Millis          // expected time to the first event of a request of mean size
--- a/state/routes/classes.go
+++ b/state/routes/classes.go
@@ -1,62 +1,86 @@
 package routes
 
-import "spanrill"
+import (
+	"cmp"
+	"slices"
 
-// Classes returns how many classes of requests compete for the engines of a service: the number of
-// different priorities that its chained routes and the client accounts give to requests.
-func (t *Table) Classes(service string) int { return t.classes[service] }
+	"spanrill"
+)
 
-// countClasses returns the number of classes of each service with chained routes.
-func countClasses(c *spanrill.RouteConfig) map[string]int {
-	ofAccounts, routeDecides := accountClasses(c.Accounts)
-	found := map[string]map[spanrill.Class]bool{}
+// rank is the urgency of requests. The account's own priority goes before that of the route, so it
+// decides first. Requests for which it is the same are ranked by their routes.
+type rank struct{ priority, route spanrill.Class }
+
+// rankOf returns the rank of the requests of a route. The account is nil if they have none.
+func rankOf(r *spanrill.Route, a *spanrill.Account) rank {
+	route, _ := spanrill.ClassOf(r.Priority)
+	if a == nil || a.Priority == spanrill.NoPriority {
+		return rank{priority: route, route: route}
+	}
+	own, _ := spanrill.ClassOf(a.Priority)
+	return rank{priority: own, route: route}
+}
+
+func compareRanks(a, b rank) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.route, b.route))
+}
+
+// competition is how the requests of a service compete for its engines.
+type competition struct {
+	priorities int    // different priorities of its chained routes
+	ranks      []rank // of its requests, most urgent first
+}
+
+// Priorities returns how many different priorities the chained routes of a service have.
+func (t *Table) Priorities(service string) int { return t.competitions[service].priorities }
+
+// Class returns the class of a request among those that compete for the engines of a service: 0 for
+// the most urgent ones that its routes and the client accounts can have, 1 for the next, and so on.
+// The account is nil if the request has none.
+func (t *Table) Class(service string, r *spanrill.Route, a *spanrill.Account) spanrill.Class {
+	index, _ := slices.BinarySearchFunc(t.competitions[service].ranks, rankOf(r, a), compareRanks)
+	return spanrill.Class(min(index, spanrill.ClassCount-1))
+}
+
+// findCompetitions returns how the requests of each service with chained routes compete.
+func findCompetitions(c *spanrill.RouteConfig) map[string]competition {
+	found := map[string]competition{}
+	priorities := map[string]map[spanrill.Class]bool{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		if !r.Chained {
-			continue
-		}
 		for _, share := range r.Shares {
-			if share.Weight > 0 {
-				addClasses(found, share.Service, r, ofAccounts, routeDecides)
+			if !r.Chained || share.Weight <= 0 {
+				continue
+			}
+			of := found[share.Service]
+			of.ranks = append(of.ranks, ranksOf(r, c.Accounts)...)
+			found[share.Service] = of
+			if priorities[share.Service] == nil {
+				priorities[share.Service] = map[spanrill.Class]bool{}
 			}
+			priorities[share.Service][rankOf(r, nil).route] = true
 		}
 	}
-	counts := make(map[string]int, len(found))
-	for service, classes := range found {
-		counts[service] = len(classes)
+	for service, of := range found {
+		slices.SortFunc(of.ranks, compareRanks)
+		found[service] = competition{priorities: len(priorities[service]), ranks: slices.Compact(of.ranks)}
 	}
-	return counts
+	return found
 }
 
-// accountClasses returns the classes of the accounts with a priority of their own, and whether the
-// route's priority applies to any request with a key.
-func accountClasses(accounts []spanrill.Account) (classes map[spanrill.Class]bool, routeDecides bool) {
-	classes = map[spanrill.Class]bool{}
+// ranksOf returns the ranks that the requests of a route can have. Requests of a route that needs no
+// key have no account.
+func ranksOf(r *spanrill.Route, accounts []spanrill.Account) []rank {
+	if r.AuthExempt || len(accounts) == 0 {
+		return []rank{rankOf(r, nil)}
+	}
+	seen := map[rank]bool{}
+	var ranks []rank
 	for i := range accounts {
-		if accounts[i].Priority == spanrill.NoPriority {
-			routeDecides = true
-			continue
+		if of := rankOf(r, &accounts[i]); !seen[of] {
+			seen[of] = true
+			ranks = append(ranks, of)
 		}
-		class, _ := spanrill.ClassOf(accounts[i].Priority)
-		classes[class] = true
-	}
-	return classes, routeDecides || len(accounts) == 0
-}
-
-// addClasses adds the classes that requests of a route may have to those of a service. Requests of a
-// route that needs no key have no account.
-func addClasses(found map[string]map[spanrill.Class]bool, service string, r *spanrill.Route, ofAccounts map[spanrill.Class]bool, routeDecides bool) {
-	if found[service] == nil {
-		found[service] = map[spanrill.Class]bool{}
-	}
-	if routeDecides || r.AuthExempt {
-		class, _ := spanrill.ClassOf(r.Priority)
-		found[service][class] = true
-	}
-	if r.AuthExempt {
-		return
-	}
-	for class := range ofAccounts {
-		found[service][class] = true
 	}
+	return ranks
 }
--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -19,11 +19,11 @@
 
 // Table is one version of the configuration, indexed for lookups.
 type Table struct {
-	config   *spanrill.RouteConfig
-	byHost   map[string][]*spanrill.Route // longest prefix first
-	services map[string]*spanrill.ServiceInfo
-	accounts map[string]*spanrill.Account // by key
-	classes  map[string]int               // number of classes, by service
+	config       *spanrill.RouteConfig
+	byHost       map[string][]*spanrill.Route // longest prefix first
+	services     map[string]*spanrill.ServiceInfo
+	accounts     map[string]*spanrill.Account // by key
+	competitions map[string]competition       // by service
 }
 
 // New returns the table of a configuration.
@@ -48,7 +48,7 @@
 			t.accounts[key] = &c.Accounts[i]
 		}
 	}
-	t.classes = countClasses(c)
+	t.competitions = findCompetitions(c)
 	return t
 }
 
