Divide room: tell starts and true ends, and keep the waiting in their line

Cause: the planner of returns was not told of starts, so that it took all classes to have room. Grants that never started, lapsed, or were refused by an engine counted as ends, so that the rate of ends was too high. A used grant kept the mean size. Requests that found no room were taken out of the line: they counted as lost and, when they started, once more; after four of them, those behind waited, also when a class that went first had no room within its fill limit.

Change: ReturnPlanner.RecordStart, RoomLedger.Cancel and Resize, StartLine.LenOf; StartLine.Next passes over requests by id, at most four of each class, and they stay in their line. The granting daemon takes a request that ends within a second after its daemon told a refusal for the refused one, since reports do not tell them apart. The next start after a refusal is no longer delayed by a size that becomes known.

Tests: the test doubles follow the interfaces. In TestUrgentBeforeAside only the name of the constant changed.

--- a/coordination/admission/gate.go
+++ b/coordination/admission/gate.go
@@ -18,7 +18,7 @@
 //	line.SetRate(startsPerSecond)
 //	ok, dropped := line.Enter(now, entry) // refuse the request if not ok, and those dropped
 //	for hasRoom() {
-//		next, ok := line.Next(now)
+//		next, ok := line.Next(now, nil)
 //		if !ok {
 //			break
 //		}
--- a/coordination/admission/line.go
+++ b/coordination/admission/line.go
@@ -120,13 +120,14 @@
 	l.share.recordStart(l.now, class)
 }
 
-// Next returns the request that starts next, without removing it. It passes over requests whose
-// latest start has passed; Drop returns these.
-func (l *Line) Next(now spanrill.Millis) (spanrill.LineEntry, bool) {
+// Next returns the request that starts next, without removing it. It passes over requests whose latest
+// start has passed; Drop returns these. It also passes over the ids in skip, at most four of each
+// class: a class of which so many are passed over has none that starts.
+func (l *Line) Next(now spanrill.Millis, skip map[uint64]bool) (spanrill.LineEntry, bool) {
 	l.advance(now)
 	var next *lineEntry
 	for class := range l.classes {
-		first := l.classes[class].firstInTime(now)
+		first := l.classes[class].firstInTime(now, skip)
 		if first != nil && (next == nil || l.rank(first.Class) < l.rank(next.Class)) {
 			next = first
 		}
--- a/coordination/admission/line_test.go
+++ b/coordination/admission/line_test.go
@@ -24,7 +24,7 @@
 func startAll(l *Line, now spanrill.Millis) []uint64 {
 	var ids []uint64
 	for {
-		e, ok := l.Next(now)
+		e, ok := l.Next(now, nil)
 		if !ok {
 			return ids
 		}
@@ -191,3 +191,23 @@
 		})
 	}
 }
+
+// Requests that have no room are passed over, and stay in the line. A class of which four are passed
+// over has none that starts.
+func TestNextPassesOver(t *testing.T) {
+	l := NewLine()
+	for id := range uint64(6) {
+		l.Enter(1000, spanrill.LineEntry{ID: id, Class: 1, LatestStart: 9000 + spanrill.Millis(id)})
+	}
+	l.Enter(1000, spanrill.LineEntry{ID: 10, Class: 2, LatestStart: 9000})
+	skip := map[uint64]bool{}
+	for _, want := range []uint64{0, 1, 2, 3, 10} {
+		if e, ok := l.Next(1000, skip); !ok || e.ID != want {
+			t.Errorf("request %d, %v passing over %v, want %d", e.ID, ok, skip, want)
+		}
+		skip[want] = true
+	}
+	if e, ok := l.Next(1000, skip); ok || l.Len() != 7 {
+		t.Errorf("request %d passing over %v, want none; %d wait, want 7", e.ID, skip, l.Len())
+	}
+}
--- a/coordination/admission/lineclass.go
+++ b/coordination/admission/lineclass.go
@@ -72,11 +72,22 @@
 // last returns the request that starts last.
 func (c *lineClass) last() *lineEntry { return c.waiting[len(c.waiting)-1] }
 
-// firstInTime returns the first request that can start now, or nil.
-func (c *lineClass) firstInTime(now spanrill.Millis) *lineEntry {
+// maxSkipped is the number of requests of a class that are passed over at most. It bounds the time in
+// which the line is searched.
+const maxSkipped = 4
+
+// firstInTime returns the first request that can start now and is not to be skipped, or nil.
+func (c *lineClass) firstInTime(now spanrill.Millis, skip map[uint64]bool) *lineEntry {
+	skipped := 0
 	for _, e := range c.waiting {
-		if now <= e.LatestStart {
+		switch {
+		case now > e.LatestStart:
+		case !skip[e.ID]:
 			return e
+		default:
+			if skipped++; skipped == maxSkipped {
+				return nil
+			}
 		}
 	}
 	return nil
--- a/coordination/admission/lineload_test.go
+++ b/coordination/admission/lineload_test.go
@@ -121,7 +121,7 @@
 		}
 		p.start(now)
 		p.drop(now, p.line.Drop(now))
-		if next, ok := p.line.Next(now); ok {
+		if next, ok := p.line.Next(now, nil); ok {
 			p.next = next.ID
 		}
 		if p.room >= 1 && p.line.Len() > 0 {
@@ -162,7 +162,7 @@
 
 func (p *lineLoad) start(now spanrill.Millis) {
 	for p.room >= 1 {
-		e, ok := p.line.Next(now)
+		e, ok := p.line.Next(now, nil)
 		if !ok {
 			return
 		}
--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -118,7 +118,7 @@
 func (q *queue) startWaiting() {
 	now := q.clock.Now()
 	for q.running < q.limit() {
-		e, ok := q.line.Next(now)
+		e, ok := q.line.Next(now, nil)
 		if !ok {
 			break
 		}
--- a/coordination/granting/granterfakes_test.go
+++ b/coordination/granting/granterfakes_test.go
@@ -15,6 +15,7 @@
 	sums    map[uint32]float64         // tokens given, by engine
 	loads   int
 	refused int
+	ended   int             // requests that have run
 	patient spanrill.Millis // of the last request that got room
 	endRate float64
 }
@@ -86,7 +87,22 @@
 	})
 }
 
-func (l *fakeLedger) End(_ spanrill.Millis, id uint64) {
+func (l *fakeLedger) Resize(_ spanrill.Millis, id uint64, need spanrill.RoomNeed) {
+	if g, ok := l.grants[id]; ok {
+		tokens := float64(need.Prompt + need.Answer)
+		l.sums[g.engine] += tokens - g.tokens
+		l.grants[id] = fakeGrant{g.engine, tokens, need.Class}
+	}
+}
+
+func (l *fakeLedger) End(now spanrill.Millis, id uint64) {
+	if _, ok := l.grants[id]; ok {
+		l.ended++
+	}
+	l.Cancel(now, id)
+}
+
+func (l *fakeLedger) Cancel(_ spanrill.Millis, id uint64) {
 	g := l.grants[id]
 	l.sums[g.engine] -= g.tokens
 	delete(l.grants, id)
@@ -110,6 +126,14 @@
 	entries []spanrill.LineEntry
 	limit   int // of entries, 0 for none; the last one is dropped for a more urgent one
 	rates   []float64
+	first   spanrill.Class // goes before all others, unless it is 0
+}
+
+func (l *fakeLine) rank(e spanrill.LineEntry) int {
+	if e.Class == l.first {
+		return -1
+	}
+	return int(e.Class)
 }
 
 func (l *fakeLine) Enter(now spanrill.Millis, e spanrill.LineEntry) (bool, []spanrill.LineEntry) {
@@ -117,7 +141,7 @@
 		return false, nil
 	}
 	l.entries = append(l.entries, e)
-	slices.SortStableFunc(l.entries, func(a, b spanrill.LineEntry) int { return int(a.Class) - int(b.Class) })
+	slices.SortStableFunc(l.entries, func(a, b spanrill.LineEntry) int { return l.rank(a) - l.rank(b) })
 	if n := len(l.entries) - 1; l.limit > 0 && n == l.limit {
 		last := l.entries[n]
 		l.entries = l.entries[:n]
@@ -126,11 +150,27 @@
 	return true, nil
 }
 
-func (l *fakeLine) Next(spanrill.Millis) (spanrill.LineEntry, bool) {
-	if len(l.entries) == 0 {
-		return spanrill.LineEntry{}, false
+// fakeMaxSkipped is the number of requests of a class that are passed over at most.
+const fakeMaxSkipped = 4
+
+func (l *fakeLine) Next(_ spanrill.Millis, skip map[uint64]bool) (spanrill.LineEntry, bool) {
+	var skipped [spanrill.ClassCount]int
+	for _, e := range l.entries {
+		if !skip[e.ID] && skipped[e.Class] < fakeMaxSkipped {
+			return e, true
+		}
+		skipped[e.Class]++
+	}
+	return spanrill.LineEntry{}, false
+}
+
+func (l *fakeLine) LenOf(class spanrill.Class) (n int) {
+	for _, e := range l.entries {
+		if e.Class == class {
+			n++
+		}
 	}
-	return l.entries[0], true
+	return n
 }
 
 func (l *fakeLine) Start(_ spanrill.Millis, e spanrill.LineEntry) { l.Remove(e.ID) }
@@ -158,10 +198,15 @@
 func (l *fakeLine) Len() int                                                        { return len(l.entries) }
 
 // fakeReturns plans all returns after plannedReturn.
-type fakeReturns struct{ planned map[uint64]bool }
+type fakeReturns struct {
+	planned map[uint64]bool
+	starts  [spanrill.ClassCount]int
+}
 
 const plannedReturn spanrill.Millis = 700
 
+func (p *fakeReturns) RecordStart(_ spanrill.Millis, class spanrill.Class) { p.starts[class]++ }
+
 func (p *fakeReturns) Plan(_ spanrill.Millis, r spanrill.RefusedRequest, _ float64, _ int) spanrill.Millis {
 	p.planned[r.Content] = true
 	return plannedReturn
--- a/coordination/granting/room.go
+++ b/coordination/granting/room.go
@@ -37,13 +37,11 @@
 	lastHandle uint64
 	claims     map[uint64]*claim // by handle
 	askers     map[string]*asker // by name of the daemon
-	aside      []*claim          // waiting, but taken out of the line; by class
+	passed     map[uint64]bool   // handles of waiting claims that had no room when they were last tried
 	aheads     []*claim          // given ahead of need, oldest first; some have been used since
 	sizes      meanSize
 	fill       recentFill
-	waiting    [spanrill.ClassCount]int
-	freed      bool   // room came free since waiting requests were last tried
-	tries      uint64 // calls of startWaiting
+	freed      bool // room came free since waiting requests were last tried
 
 	notices []Notice // of the current call
 	counts  Counts
@@ -65,6 +63,7 @@
 	r := &Room{
 		service: service, ledger: parts.NewLedger(), line: parts.NewLine(), returns: parts.NewReturns(),
 		ahead: true, engines: map[uint32]bool{}, claims: map[uint64]*claim{}, askers: map[string]*asker{},
+		passed: map[uint64]bool{},
 	}
 	for _, o := range opts {
 		o(r)
@@ -115,14 +114,16 @@
 func (r *Room) EndRate(now spanrill.Millis) float64 { return r.ledger.EndRate(max(r.now, now)) }
 
 // Waiting returns the number of waiting requests.
-func (r *Room) Waiting() int { return r.line.Len() + len(r.aside) }
+func (r *Room) Waiting() int { return r.line.Len() }
 
 // Status returns the state for operators. The caller sets Granting.
 func (r *Room) Status(now spanrill.Millis) *peermsg.RoomStatus {
 	now = max(r.now, now)
-	return &peermsg.RoomStatus{
-		Chains: r.ledger.Chains(now), Waiting: r.waiting, Returns: r.returns.Outstanding(now),
+	s := &peermsg.RoomStatus{Chains: r.ledger.Chains(now), Returns: r.returns.Outstanding(now)}
+	for class := range s.Waiting {
+		s.Waiting[class] = r.line.LenOf(spanrill.Class(class))
 	}
+	return s
 }
 
 // notify adds a notice to those of the current call.
--- a/coordination/granting/room_test.go
+++ b/coordination/granting/room_test.go
@@ -135,7 +135,7 @@
 	}
 }
 
-// Guards against urgent requests that wait for patient ones, set aside or not.
+// Guards against urgent requests that wait for patient ones, passed over or not.
 func TestUrgentBeforeAside(t *testing.T) {
 	p := newPlays(t, noAhead(), 100, 100)
 	for id := range uint64(2) {
@@ -144,12 +144,12 @@
 	choosy := roomRequest("b", 11)
 	choosy.Class, choosy.Avoid = 4, []uint32{1}
 	p.ask(choosy, stateWaiting)
-	for id := range uint64(maxAside - 1) {
+	for id := range uint64(fakeMaxSkipped - 1) {
 		patient := roomRequest("c", id)
 		patient.Class = 3
 		p.ask(patient, stateWaiting)
 	}
-	p.pass(advanceInterval) // sets them aside
+	p.pass(advanceInterval) // passes them over
 	p.ask(roomRequest("b", 12), stateWaiting)
 	p.report(peermsg.RoomReport{Daemon: "a", Ended: []uint64{0}})
 	p.wantNotices("12 1")
--- a/coordination/granting/roomahead.go
+++ b/coordination/granting/roomahead.go
@@ -98,7 +98,7 @@
 		return
 	}
 	if a.claims[u.ID] != nil {
-		r.end(now, c) // the request has room already
+		r.cancel(now, c) // the request has room already
 		return
 	}
 	a.aheads--
@@ -107,7 +107,9 @@
 	c.need.Prompt, c.need.Answer = clampTokens(u.Prompt), clampTokens(u.Answer)
 	c.entry = spanrill.LineEntry{ID: c.handle, Class: c.need.Class, Account: accountOf(u.Account), LatestStart: now}
 	r.keep(c, claimHolding)
+	r.ledger.Resize(now, c.handle, c.need)
 	r.line.Start(now, c.entry)
+	r.returns.RecordStart(now, c.need.Class)
 	r.counts.Given[c.need.Class]++
 	r.sizes.record(c.need)
 	a.starts.record(now)
@@ -121,7 +123,7 @@
 			if now < c.since+aheadReturn {
 				return
 			}
-			r.end(now, c)
+			r.cancel(now, c)
 			r.counts.AheadLapsed++
 		}
 		r.aheads[0] = nil
--- a/coordination/granting/roomclaim.go
+++ b/coordination/granting/roomclaim.go
@@ -22,7 +22,7 @@
 
 const (
 	claimEnded   claimState = iota
-	claimWaiting            // in the line, or aside
+	claimWaiting            // in the line
 	claimHolding            // a request has room
 	claimAhead              // room was given ahead of need, and no request is known to use it
 )
@@ -42,8 +42,7 @@
 	first     uint32          // first engine of the granted chain
 	since     spanrill.Millis // when the daemon last learned of it, or asked
 	waited    bool
-	replying  bool   // the reply to its RoomRequest is being made
-	tried     uint64 // the call of startWaiting that last found no room for it
+	replying  bool // the reply to its RoomRequest is being made
 }
 
 // repeats reports whether a RoomRequest was sent a second time for a claim, because the reply was
@@ -64,6 +63,7 @@
 	claims  map[uint64]*claim // by id; without grants given ahead of need
 	aheads  int               // grants given ahead of need that were not used yet
 	starts  startRate
+	refused refusedStarts
 }
 
 // asker returns the state of a daemon that has sent a request, or nil if there are too many.
@@ -93,17 +93,24 @@
 	c.asker.claims[c.id] = c
 }
 
-// end ends a claim. It takes back its room, or takes it out of the line.
+// end ends the claim of a request that has run.
 func (r *Room) end(now spanrill.Millis, c *claim) {
+	r.ledger.End(now, c.handle)
+	r.cancel(now, c)
+}
+
+// cancel ends a claim whose request has not run, or of which that is not known. It takes back its room,
+// or takes it out of the line.
+func (r *Room) cancel(now spanrill.Millis, c *claim) {
 	switch c.state {
 	case claimWaiting:
-		r.leaveLine(c)
+		r.line.Remove(c.handle)
 	case claimHolding:
 		r.freed = true
-		r.ledger.End(now, c.handle)
+		r.ledger.Cancel(now, c.handle)
 	case claimAhead:
 		r.freed = true
-		r.ledger.End(now, c.handle)
+		r.ledger.Cancel(now, c.handle)
 		c.asker.aheads--
 	}
 	if c.asker.claims[c.id] == c {
--- a/coordination/granting/roomlapse.go
+++ b/coordination/granting/roomlapse.go
@@ -73,7 +73,7 @@
 			r.refuseWaiting(now, c)
 			continue
 		}
-		r.end(now, c)
+		r.cancel(now, c)
 	}
 }
 
@@ -83,7 +83,7 @@
 	now = max(r.now, now)
 	for _, handle := range slices.Sorted(maps.Keys(r.claims)) {
 		if c := r.claims[handle]; c.state == claimWaiting {
-			r.end(now, c)
+			r.cancel(now, c)
 			r.notify(c, peermsg.RoomNotice{State: peermsg.RoomUnknown})
 		}
 	}
--- a/coordination/granting/roomrequest.go
+++ b/coordination/granting/roomrequest.go
@@ -26,7 +26,9 @@
 			c.since = now
 			return r.reply(now, c)
 		}
-		r.end(now, c)
+		r.cancel(now, c)
+	} else {
+		a.refused.record(now, len(atMost(req.RefusedBy, maxRefusedBy)))
 	}
 	r.recordRefusals(now, req.RefusedBy)
 	c := r.newClaim(now, a, req)
@@ -81,7 +83,7 @@
 	if !r.enterLine(now, c) {
 		return false
 	}
-	if next, ok := r.line.Next(now); !alone && ok && next.ID == c.handle {
+	if next, ok := r.line.Next(now, r.passed); !alone && ok && next.ID == c.handle {
 		c.replying = true
 		r.startWaiting(now)
 		c.replying = false
@@ -99,7 +101,7 @@
 	if r.Waiting() > 0 {
 		r.startWaiting(now)
 	}
-	if next, ok := r.line.Next(now); ok && goesBefore(next, c.entry) {
+	if next, ok := r.line.Next(now, r.passed); ok && goesBefore(next, c.entry) {
 		return false
 	}
 	if !r.start(now, c) {
--- a/coordination/returns/load_test.go
+++ b/coordination/returns/load_test.go
@@ -99,7 +99,7 @@
 
 func (p *callers) start(now spanrill.Millis) {
 	for p.room >= 1 {
-		e, ok := p.line.Next(now)
+		e, ok := p.line.Next(now, nil)
 		if !ok {
 			return
 		}
--- a/coordination/room/engine.go
+++ b/coordination/room/engine.go
@@ -42,7 +42,6 @@
 	e.own.tokens += tokens
 	e.requests++
 	e.readEnds = max(e.readEnds, float64(now)) + readMillis
-	e.pause.recordStart(now)
 	e.history.record(now, e.own)
 	e.sum()
 }
--- a/coordination/room/ledger.go
+++ b/coordination/room/ledger.go
@@ -20,7 +20,7 @@
 //	ledger.SetChains(now, chains)
 //	first, ok := ledger.Give(now, id, spanrill.RoomNeed{Prompt: 800, Answer: 170, Class: 1})
 //	...
-//	ledger.End(now, id)
+//	ledger.End(now, id) // or Cancel, if the request has not run
 package room
 
 import (
@@ -97,6 +97,9 @@
 	}
 	l.grants[id] = grant{chain: c, tokens: r.tokens, prompt: r.prompt, class: r.class, readBy: float64(now) + e.read}
 	l.hold(now, c, &r)
+	for _, p := range c.parts {
+		p.engine.pause.recordStart(now)
+	}
 	return c.first().id, true
 }
 
@@ -111,6 +114,22 @@
 	first.history.record(now, first.own)
 }
 
+// Resize implements spanrill.RoomLedger. It takes time in proportion to the length of the chain.
+func (l *Ledger) Resize(now spanrill.Millis, id uint64, need spanrill.RoomNeed) {
+	g, ok := l.grants[id]
+	if !ok {
+		return
+	}
+	l.takeBack(now, id)
+	l.recordAsked(now, need)
+	r := l.newRequest(now, need)
+	l.grants[id] = grant{chain: g.chain, tokens: r.tokens, prompt: r.prompt, class: r.class, readBy: float64(now) + r.prompt*g.chain.readMillis}
+	l.hold(now, g.chain, &r)
+}
+
+// Cancel implements spanrill.RoomLedger. It takes time in proportion to the length of the chain.
+func (l *Ledger) Cancel(now spanrill.Millis, id uint64) { l.takeBack(now, id) }
+
 // End implements spanrill.RoomLedger. It takes time in proportion to the length of the chain.
 func (l *Ledger) End(now spanrill.Millis, id uint64) {
 	if l.takeBack(now, id) {
--- a/coordination/room/ledger_test.go
+++ b/coordination/room/ledger_test.go
@@ -275,3 +275,36 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// A request whose true size becomes known holds that on its chain. Only those that ran count as ended.
+func TestResizeAndCancel(t *testing.T) {
+	l := newLedger(testChain(plain, 1, "a", 0))
+	giveAll(l, start, 0, thousand)
+	small := spanrill.RoomNeed{Prompt: 100, Answer: 200, Class: 2}
+	l.Resize(start+10, 1, small)
+	l.Resize(start+10, 99, small)
+	s := l.Chains(start + 10)[0]
+	if s.Fill != 0.82 || s.Given[1] != 8 || s.Given[2] != 1 {
+		t.Errorf("after a request became smaller: %+v", s)
+	}
+	if got := giveAll(l, start+10, 100, thousand); got != 1 {
+		t.Errorf("%d requests got the room that became free, want 1", got)
+	}
+	for id := range uint64(200) {
+		l.Cancel(start+20, id)
+	}
+	if s := l.Chains(start + 20)[0]; s.Fill != 0 || l.EndRate(start+20) != 0 {
+		t.Errorf("%.1f ends a second after all were cancelled: %+v", l.EndRate(start+20), s)
+	}
+}
+
+// A true size that becomes known is no start: it does not space those that follow after a refusal.
+func TestResizeIsNoStart(t *testing.T) {
+	l := newLedger(testChain(kind{2, 100_000, 0.001, 5, 0}, 1, "a", 0))
+	l.Give(start, 1, thousand)
+	l.RecordRefusal(start+1, 1)
+	l.Resize(start+450, 1, thousand)
+	if _, ok := l.Give(start+450, 2, thousand); !ok {
+		t.Error("no room after the pause")
+	}
+}
--- a/overload.go
+++ b/overload.go
@@ -86,13 +86,19 @@
 	Give(now Millis, id uint64, need RoomNeed) (first uint32, ok bool)
 	// CanEver reports whether any chain that need may use could give it room if it were empty.
 	CanEver(need RoomNeed) bool
-	// End takes back the room of a request that has ended, or never started. It does nothing for an
-	// unknown id.
+	// Resize accounts a request that has room by its true class and size, on the chain that it has.
+	// It does nothing for an unknown id.
+	Resize(now Millis, id uint64, need RoomNeed)
+	// End takes back the room of a request that has run. It does nothing for an unknown id.
 	End(now Millis, id uint64)
+	// Cancel takes back the room of a request that has not run: it never started, an engine refused
+	// it, or nothing is known of it. It does nothing for an unknown id.
+	Cancel(now Millis, id uint64)
 	// FirstEvent returns the expected time from the start of a request to its first event, on the
 	// chain that would be chosen if it had room.
 	FirstEvent(now Millis, need RoomNeed) Millis
-	// EndRate returns how many requests to which room was given end per second.
+	// EndRate returns how many requests to which room was given end per second. Cancelled ones do not
+	// count.
 	EndRate(now Millis) float64
 	// Chains returns the state of each chain for operators.
 	Chains(now Millis) []RoomState
@@ -132,8 +138,9 @@
 	// It then has not been added. Dropped are the requests that can no longer start in time because
 	// of it.
 	Enter(now Millis, e LineEntry) (ok bool, dropped []LineEntry)
-	// Next returns the request that starts next, without removing it.
-	Next(now Millis) (LineEntry, bool)
+	// Next returns the request that starts next, without removing it. It passes over the ids in skip,
+	// at most four of each class: a class of which so many are passed over has none that starts.
+	Next(now Millis, skip map[uint64]bool) (LineEntry, bool)
 	// Start removes a request that starts. A request that never waited may be started too: it is
 	// only counted.
 	Start(now Millis, e LineEntry)
@@ -143,12 +150,15 @@
 	Drop(now Millis) []LineEntry
 	// RecordRefused counts a request that is refused for lack of room without having entered.
 	RecordRefused(now Millis, e LineEntry)
-	// SetRate sets how many waiting requests start per second, for the expected waits.
+	// SetRate sets how many waiting requests start per second, for the expected waits. 0 stands for
+	// unknown: requests may then wait until their latest start.
 	SetRate(perSecond float64)
 	// Wait returns how long a new request would wait.
 	Wait(now Millis, e LineEntry) Millis
 	// Len returns the number of waiting requests.
 	Len() int
+	// LenOf returns the number of waiting requests of a class.
+	LenOf(class Class) int
 }
 
 // RefusedRequest describes a request that is refused for lack of room.
@@ -164,6 +174,8 @@
 //
 // It is pure: time is an argument, and it reads no clock. It is not safe for concurrent use.
 type ReturnPlanner interface {
+	// RecordStart records that a request starts.
+	RecordStart(now Millis, class Class)
 	// Plan returns the retry time of a refused caller, counted from now. EndRate is how many
 	// requests of the service end per second, and waiting how many wait to start.
 	Plan(now Millis, r RefusedRequest, endRate float64, waiting int) Millis
