room: Adapt how much of an engine is given to what it refuses

Cause: an engine was given up to 0.95 of its capacity by the ledger's account of sizes, which are guesses. Guessed too large, room is left unused while requests wait; too small, engines refuse.

Change: the fraction rises by 0.01 a second while requests wait, the engine is full by the account and has refused none for a second, up to 1.10; a refusal of an engine that holds 0.85 or more multiplies it by 0.97, not under 0.85; it is 0.95 again after 5 s without either. The granting daemon tells how many requests wait (RoomLedger.SetWaiting), and none while it may give a part of the room only.

Tests: load_test.go tells the ledger of requests that found no room, and gives back room of refused requests as such; its bounds are unchanged.

--- a/coordination/granting/granterfakes_test.go
+++ b/coordination/granting/granterfakes_test.go
@@ -87,6 +87,8 @@
 	})
 }
 
+func (l *fakeLedger) SetWaiting(spanrill.Millis, int) {}
+
 func (l *fakeLedger) Resize(_ spanrill.Millis, id uint64, need spanrill.RoomNeed) {
 	if g, ok := l.grants[id]; ok {
 		tokens := float64(need.Prompt + need.Answer)
--- a/coordination/granting/roomlapse.go
+++ b/coordination/granting/roomlapse.go
@@ -46,9 +46,19 @@
 	// While requests wait, each one that ends lets about one of them start. The rate is 0 while none has
 	// ended yet, which the line takes as unknown.
 	r.line.SetRate(r.ledger.EndRate(now))
+	r.ledger.SetWaiting(now, r.waitingForEngines(now))
 	return now
 }
 
+// waitingForEngines returns how many requests wait because engines are full, and not because this daemon
+// may give only a part of the room.
+func (r *Room) waitingForEngines(now spanrill.Millis) int {
+	if r.allowance.at(now) < 1 {
+		return 0
+	}
+	return r.Waiting()
+}
+
 // lapseSilent ends the claims of daemons that have stopped reporting, and forgets these daemons.
 func (r *Room) lapseSilent(now spanrill.Millis) {
 	var silent []string
--- a/coordination/room/choice.go
+++ b/coordination/room/choice.go
@@ -148,7 +148,8 @@
 	for i := range c.parts {
 		p := &c.parts[i]
 		used := p.engine.used + r.tokens*p.share
-		if mustHaveRoom && (used > r.maxFill*p.engine.capacity || !p.engine.pause.allows(r.now)) {
+		if mustHaveRoom && !p.engine.hasRoom(r, used) {
+			c.recordFull(r, p.engine)
 			return e, false
 		}
 		end = max(end, p.engine.readEnds) + r.prompt*p.readMillis
--- a/coordination/room/engine.go
+++ b/coordination/room/engine.go
@@ -15,6 +15,7 @@
 	used     float64 // tokens that are accounted to it: the sum of own, told and extra
 	readEnds float64 // time until which it reads the prompts given to it, in milliseconds
 	pause    pause   // after it refused a request
+	limit    fillLimit
 	id       uint32
 
 	own      load                     // of requests to which the ledger gave room
@@ -31,6 +32,11 @@
 // sum computes used again.
 func (e *engine) sum() { e.used = e.own.tokens + e.told.tokens + max(0, e.extra.tokens) }
 
+// hasRoom reports whether a request may start now that would bring the engine to so many tokens.
+func (e *engine) hasRoom(r *request, used float64) bool {
+	return used <= e.givenOf(r) && e.pause.allows(r.now)
+}
+
 // calls returns the requests that are accounted to it as their first engine.
 func (e *engine) calls() float64 { return e.own.calls + e.foreignCalls() }
 
--- a/coordination/room/load_test.go
+++ b/coordination/room/load_test.go
@@ -51,6 +51,8 @@
 	nextID  uint64
 	slots   int64   // of each first engine
 	ungiven float64 // fraction of the requests that start without a grant
+	guess   float64 // sizes that the ledger is told, over the true ones
+	lacked  int     // requests that found no room since the ledger was last told
 
 	counting                             bool
 	refusedUngiven                       float64 // without a grant
@@ -61,7 +63,7 @@
 func newPlay(seed uint64, slots int, ungiven float64) *play {
 	p := &play{
 		ledger: room.NewLedger(), random: rng.New(seed), now: 100_000, agenda: map[spanrill.Millis][]func(){},
-		holding: map[uint32]spanrill.RoomUse{}, starts: map[uint32]float64{}, slots: int64(slots), ungiven: ungiven,
+		holding: map[uint32]spanrill.RoomUse{}, starts: map[uint32]float64{}, slots: int64(slots), ungiven: ungiven, guess: 1,
 	}
 	for i, k := range allKinds {
 		p.chains = append(p.chains, testChain(k, uint32(1+100*i), fmt.Sprint("z", i%4), slots))
@@ -109,6 +111,10 @@
 		if p.now%250 == 0 {
 			p.tell()
 		}
+		if p.now%50 == 0 {
+			p.ledger.SetWaiting(p.now, p.lacked)
+			p.lacked = 0
+		}
 		if p.now%spanrill.Second == 0 {
 			p.countBusiest()
 		}
@@ -161,9 +167,14 @@
 func (p *play) ask(need spanrill.RoomNeed, answer float64, tries int) {
 	p.nextID++
 	id := p.nextID
-	first, ok := p.ledger.Give(p.now, id, need)
+	guessed := need
+	guessed.Prompt, guessed.Answer = int(p.guess*float64(need.Prompt)), int(p.guess*float64(need.Answer))
+	first, ok := p.ledger.Give(p.now, id, guessed)
+	if !ok {
+		p.lacked++
+	}
 	if !ok || tries == 0 {
-		p.ledger.End(p.now, id)
+		p.ledger.Cancel(p.now, id)
 		return
 	}
 	if p.counting {
@@ -178,7 +189,7 @@
 				}
 				p.after(newsDelay, func() {
 					p.ledger.RecordRefusal(p.now, engine)
-					p.ledger.End(p.now, id)
+					p.ledger.Cancel(p.now, id)
 					need.Avoid[engine] = true
 					p.ask(need, answer, tries-1)
 				})
--- a/coordination/room/refusal.go
+++ b/coordination/room/refusal.go
@@ -53,12 +53,16 @@
 }
 
 // RecordRefusal implements spanrill.RoomLedger. The engine gets no request until about a tenth of
-// those that it has have ended, then few at first. An unknown engine is ignored.
+// those that it has have ended, then few at first. If it was nearly full, less of it is given from
+// then on. An unknown engine is ignored.
 func (l *Ledger) RecordRefusal(now spanrill.Millis, id uint32) {
 	e := l.engines[id]
 	if e == nil {
 		return
 	}
+	if e.used >= minFill*e.capacity { // below it the limit would not have prevented the refusal
+		e.limit.recordRefusal(now, l.fill)
+	}
 	length, spacing := maxPause, maxSpacing
 	if perSecond := l.ends.perSecond(now); perSecond > 0 {
 		mean := float64(len(l.grants)) / perSecond * float64(spanrill.Second) // time that a request holds its room
--- a/overload.go
+++ b/overload.go
@@ -94,6 +94,9 @@
 	// Cancel takes back the room of a request that has not run: it never started, an engine refused
 	// it, or nothing is known of it. It does nothing for an unknown id.
 	Cancel(now Millis, id uint64)
+	// SetWaiting tells how many requests wait for room. Call it every 50 ms or so: while requests wait
+	// and engines refuse none, more of the engines is given.
+	SetWaiting(now Millis, requests int)
 	// FirstEvent returns the expected time from the start of a request to its first event, on the
 	// chain that would be chosen if it had room.
 	FirstEvent(now Millis, need RoomNeed) Millis
