room: Count load of others where it is known, and not the ledger's own twice

Cause: requests that a first engine told beyond those known were accounted to all engines of its chain, also when daemons had given them up and they only stood still at the first one. And sums of daemons have parts of different ages: when the ledger's own load fell, sums showed it as load of others.

Change: what a first engine tells counts at that engine. If the ledger's own load fell by more than 0.03 of the capacity within the ages of the sums' parts, what was told before counts, within the bounds that the sums leave.

--- a/coordination/room/chains.go
+++ b/coordination/room/chains.go
@@ -23,7 +23,6 @@
 	stepMillis, perRequest float64
 	readMillis             float64 // of all engines, for one prompt token
 	penalty                float64
-	extraTokens            float64 // accounted to its engines because of what its first engine told
 }
 
 func (c *chain) first() *engine { return c.parts[0].engine }
@@ -36,10 +35,9 @@
 // negative, without capacity, an engine twice) is left out. Engines that belong to no chain are
 // forgotten once they have no requests. It takes time in proportion to the number of engines.
 func (l *Ledger) SetChains(now spanrill.Millis, chains []spanrill.RoomChain) {
-	l.withdrawExtra()
 	was := map[*engine]bool{}
 	for _, e := range l.engines {
-		was[e], e.current = e.current, false
+		was[e], e.current, e.firstShare = e.current, false, 0
 	}
 	l.chains = make([]*chain, 0, len(chains))
 	for i := range chains {
@@ -76,6 +74,7 @@
 		c.readMillis += p.ReadMillis
 		c.parts[i] = part{engine: e, share: min(1, p.Share), readMillis: p.ReadMillis}
 	}
+	c.first().firstShare = max(c.first().firstShare, c.parts[0].share)
 	return c
 }
 
--- a/coordination/room/engine.go
+++ b/coordination/room/engine.go
@@ -18,19 +18,22 @@
 	limit    fillLimit
 	id       uint32
 
-	own      load                     // of requests to which the ledger gave room
-	told     load                     // of other requests, as daemons told
-	extra    load                     // of other requests, beyond told, as engines told
-	requests int                      // to which the ledger gave room, first engine or not
-	given    [spanrill.ClassCount]int // those of which it is the first engine, by class
-	history  history                  // of own
-	reported report                   // what the engine itself told
-	current  bool                     // belongs to a chain
-	leftAt   spanrill.Millis          // when it last did
+	own        load                     // of requests to which the ledger gave room
+	told       load                     // of other requests, as daemons told
+	steadyTold load                     // told, when own had last been steady
+	extra      load                     // of other requests, beyond told, as engines told
+	requests   int                      // to which the ledger gave room, first engine or not
+	given      [spanrill.ClassCount]int // those of which it is the first engine, by class
+	history    history                  // of own
+	reported   report                   // what the engine itself told
+	// firstShare is the share of its layers in the chain that begins at it, 0 if none does.
+	firstShare float64
+	current    bool            // belongs to a chain
+	leftAt     spanrill.Millis // when it last did
 }
 
 // sum computes used again.
-func (e *engine) sum() { e.used = e.own.tokens + e.told.tokens + max(0, e.extra.tokens) }
+func (e *engine) sum() { e.used = e.own.tokens + e.told.tokens + e.extra.tokens }
 
 // hasRoom reports whether a request may start now that would bring the engine to so many tokens.
 func (e *engine) hasRoom(r *request, used float64) bool {
--- a/coordination/room/history.go
+++ b/coordination/room/history.go
@@ -46,6 +46,21 @@
 	return load{tokens: float64(s.tokens), calls: float64(s.calls)}
 }
 
+// bounds returns the lowest and the highest of a load and those between two earlier times, as far as
+// they are known.
+func (h *history) bounds(from, to spanrill.Millis, known load) (least, most load) {
+	least, most = known, known
+	if l, ok := h.asOf(from); ok {
+		least, most = minLoad(least, l), maxLoad(most, l)
+	}
+	for index := h.count - 1; index >= max(0, h.count-historyLen) && h.at(index).from > from; index-- {
+		if h.at(index).from+historyStep <= to {
+			least, most = minLoad(least, h.load(index)), maxLoad(most, h.load(index))
+		}
+	}
+	return least, most
+}
+
 // asOf returns the load at an earlier time, interpolated within a step. It returns false if that is
 // too long ago.
 func (h *history) asOf(t spanrill.Millis) (load, bool) {
--- a/coordination/room/ledger.go
+++ b/coordination/room/ledger.go
@@ -8,6 +8,7 @@
 //	news.go     load that the ledger did not give, as told by daemons and engines
 //	refusal.go  engines that have refused a request
 //	limit.go    how much of an engine is given
+//	told.go     what others hold by the sums of daemons
 //	history.go  what the ledger's own requests held at an earlier time
 //	rate.go     how many requests end per second
 //	state.go    the state of each chain for operators
--- a/coordination/room/news.go
+++ b/coordination/room/news.go
@@ -11,6 +11,12 @@
 	// maxToldDelay is the greatest age at which sums of other daemons are of use: the longest for
 	// which the ledger knows its own load.
 	maxToldDelay = historyStep * historyLen
+	// maxSumSpread is how much older than the time of the sums the load of a daemon in them may be:
+	// sums are passed on from daemon to daemon, at most three times, each 250 ms.
+	maxSumSpread spanrill.Millis = 750
+	// steadyChange is by how much of an engine's capacity the ledger's own load may have changed in that
+	// time for the sums to tell what others hold: as much may then look like load of others.
+	steadyChange = 0.03
 	// expiryInterval is how often the age of news is checked.
 	expiryInterval spanrill.Millis = 50
 	// maxCalls bounds the numbers of requests that engines and daemons tell.
@@ -33,31 +39,26 @@
 	return r.excess * (1 - float64(max(0, now-r.at))/float64(maxNewsAge))
 }
 
-// SetTold implements spanrill.RoomLedger. What is told beyond the ledger's own load as of that time
-// counts until the next call, two seconds at most. Sums of a time yet to come, of one more than 3.2 s
-// ago or older than the last ones are ignored, and so are unknown engines.
+// SetTold implements spanrill.RoomLedger. What is told beyond the ledger's own load counts until the
+// next call, two seconds at most. The loads of daemons in the sums may be up to 750 ms older than
+// asOf, so that a change of the ledger's own load is not taken for load of others. Sums of a time yet to
+// come, of one more than 3.2 s ago or older than the last ones are ignored, and so are unknown engines.
 func (l *Ledger) SetTold(now, asOf spanrill.Millis, uses map[uint32]spanrill.RoomUse) {
 	if asOf > now || asOf < now-maxToldDelay || l.told && asOf < l.toldAsOf {
 		return
 	}
 	l.told, l.toldAsOf, l.toldAt = true, asOf, now
 	for id, e := range l.engines {
-		own, ok := e.history.asOf(asOf)
-		if !ok {
-			continue
-		}
-		use := uses[id]
-		beyond := min(e.capacity, float64(use.Tokens)-own.tokens)
-		e.told.tokens = max(0, beyond)
-		e.told.calls = min(maxCalls, max(0, float64(use.Calls)-own.calls))
-		e.sum()
+		e.setTold(asOf, uses[id])
 	}
 	l.countExtra(now)
 	l.forgetEngines(now)
 }
 
-// RecordEngineLoad implements spanrill.RoomLedger. Requests beyond the ledger's own are accounted,
-// with mean size, to the chains that begin at the engine. The news counts for two seconds at most.
+// RecordEngineLoad implements spanrill.RoomLedger. Requests beyond the ledger's own are accounted to
+// the engine, with mean size. The engines behind it may not have them any more: requests that their
+// daemons have given up stay at a first engine for a while. What others hold there is told by SetTold.
+// The news counts for two seconds at most.
 func (l *Ledger) RecordEngineLoad(now, at spanrill.Millis, id uint32, requests int) {
 	e := l.engines[id]
 	if e == nil || requests < 0 || requests > maxCalls || at > now || at <= now-maxNewsAge || e.reported.known && at < e.reported.at {
@@ -68,11 +69,7 @@
 		return
 	}
 	e.reported = report{excess: max(0, float64(requests)-own.calls), at: at, known: true}
-	for _, c := range l.chains {
-		if c.first() == e {
-			l.countExtraOf(now, c)
-		}
-	}
+	l.countExtraOf(now, e)
 }
 
 // expire drops news that is too old.
@@ -84,46 +81,26 @@
 	if l.told && now-l.toldAt > maxNewsAge {
 		l.told = false
 		for _, e := range l.engines {
-			e.told = load{}
+			e.told, e.steadyTold = load{}, load{}
 			e.sum()
 		}
 	}
 	l.countExtra(now)
 }
 
-// countExtra accounts again what first engines told, to all chains.
+// countExtra accounts again what first engines told.
 func (l *Ledger) countExtra(now spanrill.Millis) {
-	for _, c := range l.chains {
-		l.countExtraOf(now, c)
+	for _, e := range l.engines {
+		l.countExtraOf(now, e)
 	}
 }
 
-// countExtraOf accounts the requests that the first engine of a chain told, beyond those that
-// daemons told, to the engines of the chain.
-func (l *Ledger) countExtraOf(now spanrill.Millis, c *chain) {
-	e := c.first()
-	e.extra.calls = max(0, e.reported.calls(now)-e.told.calls)
-	c.setExtra(e.extra.calls * l.mean.tokens())
-}
-
-// withdrawExtra takes back what countExtra accounted.
-func (l *Ledger) withdrawExtra() {
-	for _, c := range l.chains {
-		c.setExtra(0)
-		c.first().extra.calls = 0
-	}
-}
-
-// setExtra sets the tokens that are accounted to the engines of a chain because of what its first
-// engine told.
-func (c *chain) setExtra(tokens float64) {
-	added := tokens - c.extraTokens
-	if added == 0 {
+// countExtraOf accounts the requests that an engine told, beyond those that daemons told.
+func (l *Ledger) countExtraOf(now spanrill.Millis, e *engine) {
+	if !e.reported.known {
 		return
 	}
-	c.extraTokens = tokens
-	for _, p := range c.parts {
-		p.engine.extra.tokens += added * p.share
-		p.engine.sum()
-	}
+	e.extra.calls = max(0, e.reported.calls(now)-e.told.calls)
+	e.extra.tokens = e.extra.calls * l.mean.tokens() * e.firstShare
+	e.sum()
 }
