relay: Tell only refusals for lack of room to those who divide it

Every refusal of a granted request was named when the request asked again. The granting daemon then gave no room at that engine for up to 400 ms, also if the engine leaves, rests, lacks the layers (421), has terminated, or if the answer named a later engine that this daemon does not know, so that the first engine was blamed.

A refusal is now told only if none of these is known. The request avoids the engine in any case, and the engine's own avoidance on this daemon is unchanged.

--- a/coordination/relay/attempts.go
+++ b/coordination/relay/attempts.go
@@ -18,6 +18,7 @@
 	cause         error
 	engineAtFault *fleet.Upstream // engine that refused, or nil
 	misdirected   bool            // the engine does not hold the layers that its entry lists
+	unknownFault  bool            // the engine that kept the path from running is not known here
 }
 
 // Error returns the cause.
@@ -45,14 +46,17 @@
 // newRefusalError returns the sendError for an answer that says that the request was not run. The
 // answer may name a later engine of the path as the cause.
 func (g *generation) newRefusalError(first *fleet.Upstream, head spanrill.UpstreamResponse, status int) *sendError {
-	atFault := first
-	if u := g.relay.Fleet.View().ByAddr(head.FailedAddr); u != nil && head.FailedAddr != "" {
-		atFault = u
+	atFault, unknown := first, false
+	if head.FailedAddr != "" {
+		named := g.relay.Fleet.View().ByAddr(head.FailedAddr)
+		if unknown = named == nil; !unknown {
+			atFault = named
+		}
 	}
 	return &sendError{
 		outcome: spanrill.OutcomeNotRun, retryReason: meter.RetryRefused, engineAtFault: atFault,
-		misdirected: status == fasthttp.StatusMisdirectedRequest,
-		cause:       errors.Errorf("engine %s refused with status %d", atFault.ID(), status),
+		misdirected: status == fasthttp.StatusMisdirectedRequest, unknownFault: unknown,
+		cause: errors.Errorf("engine %s refused with status %d", atFault.ID(), status),
 	}
 }
 
@@ -96,7 +100,7 @@
 	g.relay.Meters.UpstreamRefusals.Inc()
 	g.avoid[atFault.ID()] = true
 	atFault.RecordRefusal(now, g.relay.Router.HasRoom(g.service.Model, atFault))
-	g.recordRoomRefusal(first, atFault)
+	g.recordRoomRefusal(first, failure)
 	if failure.misdirected {
 		atFault.Avoid(now + misdirectedAvoidTime)
 	}
--- a/coordination/relay/room.go
+++ b/coordination/relay/room.go
@@ -32,18 +32,26 @@
 	}
 }
 
-// recordRoomRefusal records that an engine has refused an attempt that was sent to first, so that it
-// is named when the request asks for room again.
-func (g *generation) recordRoomRefusal(first, engine *fleet.Upstream) {
-	if !g.dividesRoom() {
+// recordRoomRefusal records that an engine has refused an attempt for lack of room, so that it is
+// named when the request asks for room again. The attempt was sent to first.
+func (g *generation) recordRoomRefusal(first *fleet.Upstream, failure *sendError) {
+	if !g.dividesRoom() || !failure.lacksRoom(g.relay.Clock.Now()) {
 		return
 	}
-	g.room.refusedBy = append(g.room.refusedBy, engine.Key())
+	g.room.refusedBy = append(g.room.refusedBy, failure.engineAtFault.Key())
 	if g.room.grant != nil && first == g.firstEngine {
 		g.relay.roomCounts.engineRefused.Add(1)
 	}
 }
 
+// lacksRoom reports whether an engine refused for lack of room, as far as this daemon knows. Engines
+// that leave, have terminated, rest, limit their requests or lack the layers refuse whatever room
+// they have. The request avoids them in any case.
+func (e *sendError) lacksRoom(now spanrill.Millis) bool {
+	u := e.engineAtFault
+	return !e.misdirected && !e.unknownFault && !u.Dead() && !u.Ended() && u.CheckSend(now) == nil
+}
+
 // roomCounts counts what became of requests for room.
 type roomCounts struct{ granted, waited, refused, unusable, engineRefused atomic.Uint64 }
 
--- a/coordination/relay/room_test.go
+++ b/coordination/relay/room_test.go
@@ -182,6 +182,58 @@
 	gate.wantReleased(t, 1, 1, 1)
 }
 
+// A refusal that is not for lack of room is not told to those who divide the room, because they would
+// give no room at that engine to anyone. The request avoids the engine all the same.
+func TestRefusalsForOtherReasons(t *testing.T) {
+	const misdirected, unavailable = fasthttp.StatusMisdirectedRequest, fasthttp.StatusServiceUnavailable
+	for _, c := range []struct {
+		name     string
+		atServer string
+		status   int
+		change   func(*fleet.Upstream) // of the engine at fault
+		notice   spanrill.Notice       // of the first engine
+		atFault  string
+		isTold   bool
+	}{
+		{name: "no room", status: unavailable, atFault: "a1", isTold: true},
+		{name: "no room at a later engine", atServer: "a2:1", status: unavailable, atFault: "a2", isTold: true},
+		{name: "without the layers", status: misdirected, atFault: "a1"},
+		{name: "an engine that is not known", atServer: "x:1", status: unavailable, atFault: "a1"},
+		{name: "dead", atServer: "a2:1", status: unavailable, change: func(u *fleet.Upstream) { u.SetDead(true) }, atFault: "a2"},
+		{name: "terminated", atServer: "a2:1", status: unavailable, change: func(u *fleet.Upstream) { u.RecordNotListening() }, atFault: "a2"},
+		{name: "said that it leaves", status: unavailable, notice: spanrill.Notice{Leaving: true}, atFault: "a1"},
+		{name: "asked for rest", status: unavailable, notice: spanrill.Notice{Rest: 1000}, atFault: "a1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			gate := &fakeGate{answers: keys("a1", "b1")}
+			g := newRoomGeneration(t.Context(), gate)
+			g.find(t, "a1")
+			if c.change != nil {
+				c.change(g.relay.Fleet.View().ByID(c.atFault))
+			}
+			g.relay.Fleet.HandleNotice("a1:1", c.notice, 0)
+			failure := g.newRefusalError(g.firstEngine, spanrill.UpstreamResponse{NotRun: true, FailedAddr: c.atServer}, c.status)
+			g.recordFailure(g.firstEngine, failure)
+			if refusal := g.retryOrRefuse(failure); refusal != nil {
+				t.Fatalf("refused with %v", refusal)
+			}
+			g.find(t, "b1")
+			again := gate.asked[1]
+			if told := len(again.RefusedBy) == 1 && again.RefusedBy[0] == fleet.KeyOf(c.atFault); told != c.isTold || !told && len(again.RefusedBy) > 0 {
+				t.Errorf("told that %v refused, want %s told: %t", again.RefusedBy, c.atFault, c.isTold)
+			}
+			if !again.Need.Avoid[fleet.KeyOf(c.atFault)] {
+				t.Errorf("avoids %v, want %s", again.Need.Avoid, c.atFault)
+			}
+			if n := g.relay.RoomCounts().EngineRefused; n == 1 != c.isTold {
+				t.Errorf("counted %d refusals in spite of a grant, want one: %t", n, c.isTold)
+			}
+			gate.wantReleased(t, 1, 0)
+			g.release()
+		})
+	}
+}
+
 // When every engine refuses, each grant is given back once, and the request has not run.
 func TestAllEnginesRefuse(t *testing.T) {
 	gate := &fakeGate{answers: keys("a1", "b1"), loads: map[uint32]int{}}
