gateway: Keep unreachable daemons from delaying the division of room

Five faults of the wiring:

A notice to a daemon without a connection dialed for up to 0.5 s on the goroutine that decides: the tick of all services, a worker of the peer transport, or a local request.

A request for room has 50 ms, but waited for the dial, 0.5 s. It ends with its time now.

A peer's request without an address for notices, or requests and reports in this daemon's name, reached the requests of this daemon. They are not decided, or ignored.

The division drew two numbers from the daemon's random source at the start, also if no service is divided.

TestRoomMessages names the sender and its address, without which requests are rejected now.

--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -15,6 +15,7 @@
 	"spanrill/coordination/membership"
 	"spanrill/events"
 	"spanrill/protocol/peermsg"
+	"spanrill/rng"
 	"spanrill/settings"
 	"spanrill/state/fleet"
 	"spanrill/state/routes"
@@ -66,7 +67,7 @@
 		members.Members = append(members.Members, peermsg.Member{Name: name, PeerAddr: name + ":1", Incarnation: 1, Heartbeat: 1})
 	}
 	g.peers.list.Merge(members)
-	g.room = &room{gateway: g, granter: &fakeGranter{}, client: &fakeClient{}, peers: roomPeers{g.peers}, divided: map[string]bool{}}
+	g.room = &room{gateway: g, granter: &fakeGranter{}, client: &fakeClient{}, peers: roomPeers{peers: g.peers}, divided: map[string]bool{}}
 	return g, hook
 }
 
@@ -177,7 +178,7 @@
 		if !divides {
 			g.room = nil
 		}
-		reply, status := call(peermsg.KindRoom, &peermsg.RoomRequest{ID: 9}).(*peermsg.RoomReply), call(peermsg.KindRoomStatus, &peermsg.RoomStatusRequest{}).(*peermsg.RoomStatus)
+		reply, status := call(peermsg.KindRoom, &peermsg.RoomRequest{Daemon: "b", Addr: "b:1", ID: 9}).(*peermsg.RoomReply), call(peermsg.KindRoomStatus, &peermsg.RoomStatusRequest{}).(*peermsg.RoomStatus)
 		if granted := reply.State == peermsg.RoomGranted; granted != divides || !granted && reply.State != peermsg.RoomUnknown {
 			t.Errorf("divides %t: reply %+v", divides, reply)
 		}
@@ -194,6 +195,38 @@
 	}
 }
 
+// Requests and reports of peers in this daemon's name, and requests without an address for notices,
+// would touch requests of this daemon.
+func TestRoomMessagesInWrongName(t *testing.T) {
+	g, _ := newRoomGateway(t)
+	for _, m := range []any{&peermsg.RoomRequest{Daemon: "b", ID: 9}, &peermsg.RoomRequest{Daemon: "a", Addr: "b:1", ID: 9}} {
+		payload, err := peermsg.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if reply, err := g.peers.dispatch(peermsg.KindRoom, payload); err != nil || reply.(*peermsg.RoomReply).State != peermsg.RoomUnknown {
+			t.Errorf("%+v: reply %+v, error %v, want that nothing is granted", m, reply, err)
+		}
+	}
+	payload, err := peermsg.Encode(&peermsg.RoomReport{Daemon: "a", Ended: []uint64{9}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := g.peers.dispatch(peermsg.KindRoomReport, payload); err != nil || len(g.room.granter.(*fakeGranter).reports) != 0 {
+		t.Errorf("error %v, want that a report in this daemon's name is ignored", err)
+	}
+}
+
+// With no service divided, the division changes no draw of this daemon: the setting is on by default.
+func TestRoomLeavesDrawsAlone(t *testing.T) {
+	g, _ := newRoomGateway(t)
+	g.random = rng.New(7)
+	g.newRoomParts(g.room.peers, roomSource{g})
+	if got, want := g.random.Uint64(), rng.New(7).Uint64(); got != want {
+		t.Errorf("the next draw is %d, want %d", got, want)
+	}
+}
+
 // The page about room tells who grants it and what that daemon says.
 func TestRoomPage(t *testing.T) {
 	g, _ := newRoomGateway(t)
--- a/gateway/roomdivision.go
+++ b/gateway/roomdivision.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
+	"spanrill/coordination/granting"
 	"spanrill/events"
 	"spanrill/protocol/peermsg"
 	"spanrill/settings"
@@ -29,6 +30,7 @@
 	HandleRequest(req *peermsg.RoomRequest) *peermsg.RoomReply
 	HandleReport(report *peermsg.RoomReport)
 	HandleStatus(req *peermsg.RoomStatusRequest) *peermsg.RoomStatus
+	Counts() granting.Counts
 	Run(ctx context.Context) error
 }
 
@@ -36,6 +38,7 @@
 type roomClient interface {
 	spanrill.RoomGate
 	HandleNotice(notice *peermsg.RoomNotice)
+	Counts() granting.ClientCounts
 	Run(ctx context.Context) error
 }
 
@@ -44,7 +47,8 @@
 	if g.settings.Overload.DivideRoom == settings.DivideNever {
 		return nil
 	}
-	r := &room{gateway: g, peers: roomPeers{g.peers}, divided: map[string]bool{}}
+	notices := newRoomNotices(g.peers.net.Send, g.log)
+	r := &room{gateway: g, peers: roomPeers{g.peers, notices}, divided: map[string]bool{}}
 	r.granter, r.client = g.newRoomParts(r.peers, roomSource{g})
 	if r.granter == nil || r.client == nil {
 		return nil
@@ -64,13 +68,13 @@
 func (r *room) dispatch(kind peernet.Kind, payload []byte) (reply any, err error) {
 	switch kind {
 	case peermsg.KindRoom:
-		return answer(payload, r.handleRequest)
+		return answer(payload, r.handlePeerRequest)
 	case peermsg.KindRoomStatus:
 		return answer(payload, r.handleStatus)
 	case peermsg.KindRoomNotice:
 		return nil, accept(payload, r.handleNotice)
 	case peermsg.KindRoomReport:
-		return nil, accept(payload, r.handleReport)
+		return nil, accept(payload, r.handlePeerReport)
 	}
 	return nil, fmt.Errorf("kind %d is not about room", kind)
 }
@@ -97,8 +101,10 @@
 	return nil
 }
 
-func (r *room) handleRequest(req *peermsg.RoomRequest) *peermsg.RoomReply {
-	if r == nil {
+// handlePeerRequest decides on a request of another daemon. It does not decide on one without an
+// address for notices, or in this daemon's name: its notices would reach requests of this daemon.
+func (r *room) handlePeerRequest(req *peermsg.RoomRequest) *peermsg.RoomReply {
+	if r == nil || req.Addr == "" || req.Daemon == r.peers.name {
 		return &peermsg.RoomReply{State: peermsg.RoomUnknown}
 	}
 	return r.granter.HandleRequest(req)
@@ -117,8 +123,9 @@
 	}
 }
 
-func (r *room) handleReport(report *peermsg.RoomReport) {
-	if r != nil {
+// handlePeerReport handles the report of another daemon. It ignores one in this daemon's name.
+func (r *room) handlePeerReport(report *peermsg.RoomReport) {
+	if r != nil && report.Daemon != r.peers.name {
 		r.granter.HandleReport(report)
 	}
 }
@@ -181,17 +188,3 @@
 	}
 	events.RoomDivisionChanged.Log(r.gateway.log, fields)
 }
-
-// registerRoomGauges registers the gauges about room.
-func (g *Gateway) registerRoomGauges() {
-	for name, count := range map[string]func() uint64{
-		"spanrill_room_grants":          func() uint64 { return g.relay.RoomCounts().Granted },
-		"spanrill_room_waits":           func() uint64 { return g.relay.RoomCounts().Waited },
-		"spanrill_room_refusals":        func() uint64 { return g.relay.RoomCounts().Refused },
-		"spanrill_room_grants_unusable": func() uint64 { return g.relay.RoomCounts().Unusable },
-		"spanrill_room_engine_refusals": func() uint64 { return g.relay.RoomCounts().EngineRefused },
-	} {
-		g.meters.Gauge(name, func() float64 { return float64(count()) })
-	}
-	g.meters.Gauge("spanrill_room_services", func() float64 { return float64(len(g.dividedServices())) })
-}
--- a/gateway/roompage.go
+++ b/gateway/roompage.go
@@ -10,6 +10,7 @@
 
 	"spanrill"
 	"spanrill/protocol/peermsg"
+	"spanrill/task"
 )
 
 // RoomPath is the path of the page about divided room on the metrics listener.
@@ -58,14 +59,23 @@
 	c.SetBody(body)
 }
 
-// page returns the state of all divided room. It asks the daemons that grant it.
+// page returns the state of all divided room. It asks the daemons that grant it, for all services at
+// once: daemons that do not answer delay it no more than for one service.
 func (r *room) page(ctx context.Context) RoomPage {
 	if r == nil {
 		return RoomPage{Services: []RoomService{}}
 	}
-	p := RoomPage{Daemon: r.peers.name, Services: []RoomService{}}
-	for _, service := range r.gateway.dividedServices() {
-		p.Services = append(p.Services, r.service(ctx, service))
+	names := r.gateway.dividedServices()
+	p := RoomPage{Daemon: r.peers.name, Services: make([]RoomService, len(names))}
+	var tasks task.Group
+	for i, name := range names {
+		tasks.Start(ctx, "room page", func(ctx context.Context) error {
+			p.Services[i] = r.service(ctx, name)
+			return nil
+		})
+	}
+	if err := tasks.Wait(); err != nil {
+		r.gateway.log.WithError(err).Error("cannot make the page about room")
 	}
 	return p
 }
--- a/gateway/roomsource.go
+++ b/gateway/roomsource.go
@@ -54,7 +54,10 @@
 }
 
 // roomPeers finds and calls the daemons that divide room. It is a granting.Peers.
-type roomPeers struct{ *peers }
+type roomPeers struct {
+	*peers
+	notices *roomNotices
+}
 
 // Granters returns the daemons that grant the room of a service, in order of preference. This daemon
 // is returned without an address, and not at all once it is stopping.
@@ -83,8 +86,30 @@
 	return owners
 }
 
-// Send sends a message that is not answered. It may get lost.
+// Request sends a request to a peer and decodes its reply. It returns when the context ends, also if
+// a connection is still being opened, which may take many times longer. The reply is not valid then.
+func (p roomPeers) Request(ctx context.Context, addr string, kind uint8, req, reply any) error {
+	return withinTime(ctx, func() error { return p.peers.Request(ctx, addr, kind, req, reply) })
+}
+
+// withinTime runs a function and returns its result, or returns earlier when the context ends.
+func withinTime(ctx context.Context, f func() error) error {
+	result := make(chan error, 1)
+	go func() { result <- f() }()
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Send sends a message that is not answered. It may get lost. Notices are sent without waiting for
+// a connection.
 func (p roomPeers) Send(addr string, kind uint8, message any) error {
+	if n, ok := message.(*peermsg.RoomNotice); ok {
+		return p.notices.add(addr, n)
+	}
 	payload, err := peermsg.Encode(message)
 	if err != nil {
 		return err
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -74,6 +74,7 @@
 	}
 	if g.room != nil {
 		all["room granter"], all["room client"] = g.room.granter.Run, g.room.client.Run
+		all["room notices"] = g.room.peers.notices.run
 	}
 	return all
 }
