spanrill trace: Say who had the room of a refused or late request

The lines of a request show what its own daemon believed, and not the division of the room at that moment, which the granting daemon logs (event 646).

After the lines, trace prints for each refusal for lack of room, and for a late first event, the last such line of the service before it, the retry time that the caller was told, and its next request of the same content.

--- a/cli/spanrillcmd/trace.go
+++ b/cli/spanrillcmd/trace.go
@@ -18,7 +18,9 @@
 		ArgsUsage: "ID",
 		Description: "spanrill trace --log front-1.log --log front-2.log 9c41d07be2a35f68\n" +
 			"cat *.log | spanrill trace i-7f3a91c2\n\n" +
-			"Prints the lines of all daemons that contain the ID, in the order of their times.",
+			"Prints the lines of all daemons that contain the ID, in the order of their times. If it is a\n" +
+			"request that was refused for lack of room, or late, it also prints who had the room (as the\n" +
+			"daemon logged that grants it), when the caller was told to return and whether it did.",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "log", Usage: "read the log in `FILE`; without it standard input is read"},
 		},
@@ -32,8 +34,9 @@
 		return cli.Exit("name the request or the upstream", exitBadInput)
 	}
 	var lines []traceLine
+	room := newRoomTrace()
 	err := readLogs(c.StringSlice("log"), func(r io.Reader) error {
-		found, err := readTrace(r, id)
+		found, err := readTrace(r, id, room)
 		lines = append(lines, found...)
 		return err
 	})
@@ -47,6 +50,7 @@
 	for _, l := range lines {
 		fmt.Fprintln(c.Root().Writer, l)
 	}
+	room.explain(c.Root().Writer, id)
 	return nil
 }
 
@@ -64,11 +68,12 @@
 	return fmt.Sprintf("%s %-22s %3.0f %s\n    %s", l.time, l.daemon, l.event, l.msg, strings.Join(l.otherFields, " "))
 }
 
-// readTrace returns the lines of a log that contain the ID. It ignores a prefix before the JSON
+// readTrace returns the lines of a log that contain the ID, and adds all lines to room. It ignores a prefix before the JSON
 // object of a line, and skips lines without one.
-func readTrace(r io.Reader, id string) ([]traceLine, error) {
+func readTrace(r io.Reader, id string, room *roomTrace) ([]traceLine, error) {
 	var lines []traceLine
 	err := scanLog(r, func(object []byte) {
+		room.add(object)
 		var fields map[string]any
 		if bytes.Contains(object, []byte(id)) && json.Unmarshal(object, &fields) == nil {
 			lines = append(lines, newTraceLine(fields))
