gateway: Log granting daemons that do not answer (642)

Event 642 was in the catalogue, and nothing logged it.

A request for room that gets no answer in its time is logged, at most once a second, with service, address and error. Callers that leave while they ask are not.

--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -67,7 +67,7 @@
 		members.Members = append(members.Members, peermsg.Member{Name: name, PeerAddr: name + ":1", Incarnation: 1, Heartbeat: 1})
 	}
 	g.peers.list.Merge(members)
-	g.room = &room{gateway: g, granter: &fakeGranter{}, client: &fakeClient{}, peers: roomPeers{peers: g.peers}, divided: map[string]bool{}}
+	g.room = &room{gateway: g, granter: &fakeGranter{}, client: &fakeClient{}, peers: roomPeers{peers: g.peers, silence: &roomSilence{}}, divided: map[string]bool{}}
 	return g, hook
 }
 
--- a/gateway/roomdivision.go
+++ b/gateway/roomdivision.go
@@ -48,7 +48,7 @@
 		return nil
 	}
 	notices := newRoomNotices(g.peers.net.Send, g.log)
-	r := &room{gateway: g, peers: roomPeers{g.peers, notices}, divided: map[string]bool{}}
+	r := &room{gateway: g, peers: roomPeers{g.peers, notices, &roomSilence{}}, divided: map[string]bool{}}
 	r.granter, r.client = g.newRoomParts(r.peers, roomSource{g})
 	if r.granter == nil || r.client == nil {
 		return nil
--- a/gateway/roompage_test.go
+++ b/gateway/roompage_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"spanrill"
+	"spanrill/clock"
+	"spanrill/events"
 	"spanrill/protocol/peermsg"
 	"spanrill/state/routes"
 	"spanrill/transport/peernet"
@@ -75,3 +77,37 @@
 		}
 	}
 }
+
+// A granting daemon that does not answer is logged, once a second at most. A caller that leaves while
+// its request asks says nothing about the daemon.
+func TestSilentGranterIsLogged(t *testing.T) {
+	g, hook := newRoomGateway(t)
+	g.runPeers(t)
+	manual := g.clock.(*clock.Manual)
+	manual.Advance(silenceLogInterval)
+	addr := silentDaemon(t)
+	ask := func(ctx context.Context, want int) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+		defer cancel()
+		if g.room.peers.Request(ctx, addr, uint8(peermsg.KindRoom), &peermsg.RoomRequest{Service: "s"}, &peermsg.RoomReply{}) == nil {
+			t.Fatal("a silent daemon has answered")
+		}
+		logged := 0
+		for _, e := range hook.AllEntries() {
+			if e.Data["event"] == events.RoomGranterSilent.Number() && e.Data["service"] == "s" && e.Data["peer"] == addr {
+				logged++
+			}
+		}
+		if logged != want {
+			t.Errorf("logged %d times, want %d", logged, want)
+		}
+	}
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	ask(left, 0)
+	ask(t.Context(), 1)
+	ask(t.Context(), 1)
+	manual.Advance(silenceLogInterval)
+	ask(t.Context(), 2)
+}
--- a/gateway/roomsource.go
+++ b/gateway/roomsource.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"spanrill"
 	"spanrill/coordination/membership"
+	"spanrill/events"
 	"spanrill/protocol/peermsg"
 	"spanrill/transport/peernet"
 )
@@ -57,6 +62,7 @@
 type roomPeers struct {
 	*peers
 	notices *roomNotices
+	silence *roomSilence
 }
 
 // Granters returns the daemons that grant the room of a service, in order of preference. This daemon
@@ -89,7 +95,28 @@
 // Request sends a request to a peer and decodes its reply. It returns when the context ends, also if
 // a connection is still being opened, which may take many times longer. The reply is not valid then.
 func (p roomPeers) Request(ctx context.Context, addr string, kind uint8, req, reply any) error {
-	return withinTime(ctx, func() error { return p.peers.Request(ctx, addr, kind, req, reply) })
+	err := withinTime(ctx, func() error { return p.peers.Request(ctx, addr, kind, req, reply) })
+	if asked, ok := req.(*peermsg.RoomRequest); ok && err != nil && !errors.Is(err, context.Canceled) {
+		p.silence.log(p.gateway, asked.Service, addr, err)
+	}
+	return err
+}
+
+// silenceLogInterval is the shortest time between two log lines about daemons that do not answer.
+const silenceLogInterval = spanrill.Second
+
+// roomSilence logs that daemons which grant room do not answer.
+type roomSilence struct {
+	loggedAt atomic.Int64 // 0 if never
+}
+
+// log logs that a daemon has not answered a request for room, unless such a line has just been logged.
+func (s *roomSilence) log(g *Gateway, service, addr string, err error) {
+	now, last := g.clock.Now(), s.loggedAt.Load()
+	if last != 0 && now-spanrill.Millis(last) < silenceLogInterval || !s.loggedAt.CompareAndSwap(last, int64(max(1, now))) {
+		return
+	}
+	events.RoomGranterSilent.Log(g.log, logrus.Fields{"service": service, "peer": addr, "error": err})
 }
 
 // withinTime runs a function and returns its result, or returns earlier when the context ends.
