gateway: Bound how long a report to a granting daemon waits

Reports are sent one after another. A granting daemon that is cut off made each of them dial for 0.5 s: with four services granted by such daemons, two seconds passed between the reports to the others, after which these take back the room of what still runs.

--- a/gateway/roomdivision.go
+++ b/gateway/roomdivision.go
@@ -47,8 +47,9 @@
 	if g.settings.Overload.DivideRoom == settings.DivideNever {
 		return nil
 	}
-	notices := newRoomNotices(g.peers.net.Send, g.log)
-	r := &room{gateway: g, peers: roomPeers{g.peers, notices, &roomSilence{}}, divided: map[string]bool{}}
+	send := g.peers.net.Send
+	peers := roomPeers{g.peers, newRoomNotices(send, g.log), newRoomReports(send), &roomSilence{}}
+	r := &room{gateway: g, peers: peers, divided: map[string]bool{}}
 	r.granter, r.client = g.newRoomParts(r.peers, roomSource{g})
 	if r.granter == nil || r.client == nil {
 		return nil
--- a/gateway/roomnotices_test.go
+++ b/gateway/roomnotices_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"runtime"
 	"testing"
 	"time"
 
@@ -78,3 +79,34 @@
 		t.Error(err)
 	}
 }
+
+// Reports to a daemon that cannot be reached do not delay those to others, and do not pile up.
+func TestUnreachableDaemonDelaysNoReports(t *testing.T) {
+	unreachable, failed := make(chan struct{}), errors.New("queue is full")
+	results := map[string]error{"b:1": nil, "full:1": failed}
+	s := newRoomReports(func(addr string, _ peernet.Kind, _ []byte) error {
+		if addr == "cut:1" {
+			<-unreachable
+		}
+		return results[addr]
+	})
+	send := func(addr string) error {
+		return roomPeers{reports: s}.Send(addr, uint8(peermsg.KindRoomReport), &peermsg.RoomReport{})
+	}
+	if err := send("cut:1"); err != nil {
+		t.Fatal(err)
+	}
+	s.wait = 10 * time.Second // the rest does not wait
+	for _, c := range []struct {
+		addr string
+		want error
+	}{{"cut:1", errReportPending}, {"b:1", nil}, {"b:1", nil}, {"full:1", failed}, {"full:1", failed}, {"cut:1", errReportPending}} {
+		if err := send(c.addr); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.addr, err, c.want)
+		}
+	}
+	close(unreachable)
+	for send("cut:1") != nil { // until the first report has ended
+		runtime.Gosched()
+	}
+}
--- a/gateway/roomsource.go
+++ b/gateway/roomsource.go
@@ -62,6 +62,7 @@
 type roomPeers struct {
 	*peers
 	notices *roomNotices
+	reports *roomReports
 	silence *roomSilence
 }
 
@@ -131,8 +132,7 @@
 	}
 }
 
-// Send sends a message that is not answered. It may get lost. Notices are sent without waiting for
-// a connection.
+// Send sends a message that is not answered. It may get lost. It hardly waits for a connection.
 func (p roomPeers) Send(addr string, kind uint8, message any) error {
 	if n, ok := message.(*peermsg.RoomNotice); ok {
 		return p.notices.add(addr, n)
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	return p.net.Send(addr, peernet.Kind(kind), payload)
+	return p.reports.sendTo(addr, peernet.Kind(kind), payload)
 }
 
 // Fleet returns the number of live daemons, including this one, and whether it is known.
