--- a/gateway/roomreports.go
+++ b/gateway/roomreports.go
@@ -30,7 +30,7 @@
 	return &roomReports{send: send, wait: maxReportWait, pending: map[string]bool{}}
 }
 
-// sendTo sends a report, and waits for that up to maxReportWait. If it still waits for a connection after that, it is sent later or
+// sendTo sends a report. If it still waits for a connection after maxReportWait, it is sent later or
 // lost, without an error. It returns an error if an earlier one still waits.
 func (s *roomReports) sendTo(addr string, kind peernet.Kind, payload []byte) error {
 	if !s.begin(addr) {
