gateway: Keep dividing room while daemons join

The chains and the fleet counted as unknown for 1.5 s after each rise of the number of live daemons, at all daemons: one that restarts, or a cut that heals, made the granting daemon answer that it grants nothing, and every daemon start requests without a decision. In a restart of the daemons one after another that is most of the time.

They are known once the size of the fleet has been known since the start of the daemon. A daemon that has just started waits as before.

TestJoiningDaemonsDoNotStopDivision; without the memory it fails with 'known false, chains false, want 2 and true'.

--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -12,6 +12,7 @@
 
 	"spanrill"
 	"spanrill/clock"
+	"spanrill/coordination/chainrouting"
 	"spanrill/coordination/membership"
 	"spanrill/events"
 	"spanrill/protocol/peermsg"
@@ -221,12 +222,30 @@
 func TestRoomLeavesDrawsAlone(t *testing.T) {
 	g, _ := newRoomGateway(t)
 	g.random = rng.New(7)
-	g.newRoomParts(g.room.peers, roomSource{g})
+	g.newRoomParts(g.room.peers, roomSource{g: g})
 	if got, want := g.random.Uint64(), rng.New(7).Uint64(); got != want {
 		t.Errorf("the next draw is %d, want %d", got, want)
 	}
 }
 
+// A daemon divides room once it has known the size of the fleet, also while other daemons join: in a
+// restart of the daemons one after another there is always one that joins.
+func TestJoiningDaemonsDoNotStopDivision(t *testing.T) {
+	g, _ := newRoomGateway(t, "b")
+	g.setPriorities(1, 0, 1)
+	g.router = chainrouting.New(g.fleet, g.clock, logrus.StandardLogger(), rng.New(1))
+	isKnown := false
+	settled := &settledFleet{isKnown: func() bool { return isKnown }}
+	source, peers := roomSource{g, settled}, roomPeers{peers: g.peers, fleet: settled}
+	for _, step := range []struct{ now, want bool }{{false, false}, {true, true}, {false, true}} {
+		isKnown = step.now
+		_, chainsKnown := source.Chains("s")
+		if daemons, known := peers.Fleet(); daemons != 2 || known != step.want || chainsKnown != step.want {
+			t.Errorf("size known now: %t: %d daemons, known %t, chains %t, want 2 and %t", step.now, daemons, known, chainsKnown, step.want)
+		}
+	}
+}
+
 // The page about room tells who grants it and what that daemon says.
 func TestRoomPage(t *testing.T) {
 	g, _ := newRoomGateway(t)
--- a/gateway/roomdivision.go
+++ b/gateway/roomdivision.go
@@ -48,9 +48,10 @@
 		return nil
 	}
 	send := g.peers.net.Send
-	peers := roomPeers{g.peers, newRoomNotices(send, g.log), newRoomReports(send), &roomSilence{}}
+	fleet := &settledFleet{isKnown: g.exchange.FleetSizeKnown}
+	peers := roomPeers{g.peers, newRoomNotices(send, g.log), newRoomReports(send), &roomSilence{}, fleet}
 	r := &room{gateway: g, peers: peers, divided: map[string]bool{}}
-	r.granter, r.client = g.newRoomParts(r.peers, roomSource{g})
+	r.granter, r.client = g.newRoomParts(r.peers, roomSource{g, fleet})
 	if r.granter == nil || r.client == nil {
 		return nil
 	}
--- a/gateway/roomsource.go
+++ b/gateway/roomsource.go
@@ -16,16 +16,34 @@
 
 // roomSource tells those who divide room what this daemon knows about the engines of a service. It is
 // a granting.Source.
-type roomSource struct{ g *Gateway }
+type roomSource struct {
+	g     *Gateway
+	fleet *settledFleet
+}
+
+// settledFleet tells whether the size of the fleet has been known since the start of this daemon. It
+// stays so while daemons join later: one that restarts is no reason for all others to divide no room
+// until the size is known again.
+type settledFleet struct {
+	isKnown func() bool // whether it is known now
+	settled atomic.Bool
+}
+
+func (f *settledFleet) wasKnown() bool {
+	if !f.settled.Load() && f.isKnown() {
+		f.settled.Store(true)
+	}
+	return f.settled.Load()
+}
 
 // Divides reports whether the room of a service is divided.
 func (s roomSource) Divides(service string) bool { return s.g.divides(service) }
 
 // Chains returns the chains on which requests can start. It returns false until this daemon has a
-// configuration and entries of upstreams, and knows the size of the fleet.
+// configuration and entries of upstreams, and has known the size of the fleet.
 func (s roomSource) Chains(service string) (chains []spanrill.RoomChain, ok bool) {
 	t := s.g.config.Table()
-	if t == nil || !s.g.knowsUpstreams() || !s.g.exchange.FleetSizeKnown() {
+	if t == nil || !s.g.knowsUpstreams() || !s.fleet.wasKnown() {
 		return nil, false
 	}
 	info := t.Service(service)
@@ -64,6 +82,7 @@
 	notices *roomNotices
 	reports *roomReports
 	silence *roomSilence
+	fleet   *settledFleet
 }
 
 // Granters returns the daemons that grant the room of a service, in order of preference. This daemon
@@ -144,9 +163,10 @@
 	return p.reports.sendTo(addr, peernet.Kind(kind), payload)
 }
 
-// Fleet returns the number of live daemons, including this one, and whether it is known.
+// Fleet returns the number of live daemons, including this one, and whether it has been known since
+// the start.
 func (p roomPeers) Fleet() (daemons int, known bool) {
-	return len(p.list.Live()), p.gateway.exchange.FleetSizeKnown()
+	return len(p.list.Live()), p.fleet.wasKnown()
 }
 
 // requestStatus asks a daemon for the state of a service's room.
