granting: Count the sums of all daemons in the first decision

A daemon that began to grant told its ledger the sums before the chains. The ledger ignores sums of engines that it does not know, so that the first requests found all chains empty until the next sums came.

--- a/coordination/granting/granterserved.go
+++ b/coordination/granting/granterserved.go
@@ -79,14 +79,14 @@
 	}
 	s.read, s.readAt = true, now
 	s.setRole(now, g)
-	if uses, asOf := g.source.Told(s.name); !s.toldSet || asOf != s.toldAsOf {
-		s.toldSet, s.toldAsOf = true, asOf
-		s.room.SetTold(now, asOf, uses)
-	}
 	chains, ok := g.source.Chains(s.name)
 	s.known = ok
 	if ok {
-		s.room.SetChains(now, chains)
+		s.room.SetChains(now, chains) // before the sums, which count at the engines of known chains only
+	}
+	if uses, asOf := g.source.Told(s.name); !s.toldSet || asOf != s.toldAsOf {
+		s.toldSet, s.toldAsOf = ok, asOf
+		s.room.SetTold(now, asOf, uses)
 	}
 }
 
