granting: Tell the planner of returns which requests start

The planner promises a class at most half of the requests that start in it, but nobody told it of starts. Each class could be promised half of all ends, so that callers that returned took all room of the classes which are refused: at 1.3 times the load hardly any newcomer of classes 1 and 2 was in time.

Tell planners that want to know of each start, also of those by grants given ahead of need.

--- a/coordination/granting/roomahead.go
+++ b/coordination/granting/roomahead.go
@@ -108,6 +108,7 @@
 	c.entry = spanrill.LineEntry{ID: c.handle, Class: c.need.Class, Account: accountOf(u.Account), LatestStart: now}
 	r.keep(c, claimHolding)
 	r.line.Start(now, c.entry)
+	r.recordStart(now, c.need.Class)
 	r.counts.Given[c.need.Class]++
 	r.sizes.record(c.need)
 	a.starts.record(now)
--- a/coordination/granting/roomstart.go
+++ b/coordination/granting/roomstart.go
@@ -23,11 +23,24 @@
 		return false
 	}
 	r.line.Start(now, c.entry)
+	r.recordStart(now, c.need.Class)
 	c.first, c.since = first, now
 	r.counts.Given[c.need.Class]++
 	return true
 }
 
+// startRecorder is a spanrill.ReturnPlanner that bounds the returns of a class by its starts.
+type startRecorder interface {
+	RecordStart(now spanrill.Millis, class spanrill.Class)
+}
+
+// recordStart tells the planner of returns that a request starts, if it wants to know.
+func (r *Room) recordStart(now spanrill.Millis, class spanrill.Class) {
+	if planner, ok := r.returns.(startRecorder); ok {
+		planner.RecordStart(now, class)
+	}
+}
+
 // enterLine lets a request wait. It returns false if it cannot start in time.
 func (r *Room) enterLine(now spanrill.Millis, c *claim) bool {
 	ok, dropped := r.line.Enter(now, c.entry)
