granting: Start returned callers behind those that can be in time

A caller that was refused returns 100 ms to 5 s later, and so has missed its latency target, counted from its first send.

Let returned callers wait in a line of their own, behind all other requests. They have no target to miss any more, so that they may wait for 1.5 s; the reply tells so, in Wait. All that return are recognized: behind others this gives no advantage, so that floods need no bound. Nor is room promised to them: promises packed returns into the time at which newcomers take all room. The line in coordination/admission is as before.

A request without content is not one that returned, whatever the planner says.

--- a/coordination/granting/clientwait.go
+++ b/coordination/granting/clientwait.go
@@ -74,11 +74,17 @@
 	case reply.State == peermsg.RoomWaiting:
 		c.counts.waited.Add(1)
 		c.beginWaiting(w)
-		return c.await(ctx, w, c.latestStart(q)+noticeMargin)
+		return c.await(ctx, w, c.waitUntil(q, reply)+noticeMargin)
 	}
 	return answer{state: reply.State, first: reply.First, retryAfter: reply.RetryAfter, reason: refusedByGranter}
 }
 
+// waitUntil returns the latest start of a request that waits. A caller that has returned waits for
+// as long as the granting daemon says: its objective is missed already.
+func (c *Client) waitUntil(q *question, reply *peermsg.RoomReply) spanrill.Millis {
+	return max(c.latestStart(q), c.clock.Now()+min(reply.Wait, returnWait, max(0, q.request.Remaining)))
+}
+
 // beginWaiting marks a request that waits for a notice.
 func (c *Client) beginWaiting(w *clientWaiter) {
 	c.mu.Lock()
--- a/coordination/granting/room.go
+++ b/coordination/granting/room.go
@@ -63,7 +63,7 @@
 // NewRoom returns a Room without chains.
 func NewRoom(service string, parts Parts, opts ...RoomOption) *Room {
 	r := &Room{
-		service: service, ledger: parts.NewLedger(), line: parts.NewLine(), returns: parts.NewReturns(),
+		service: service, ledger: parts.NewLedger(), line: &lateLine{parts.NewLine(), parts.NewLine()}, returns: parts.NewReturns(),
 		ahead: true, engines: map[uint32]bool{}, claims: map[uint64]*claim{}, askers: map[string]*asker{},
 	}
 	for _, o := range opts {
--- a/coordination/granting/roomrequest.go
+++ b/coordination/granting/roomrequest.go
@@ -54,17 +54,26 @@
 	c.entry = spanrill.LineEntry{
 		ID: c.handle, Class: need.Class, Account: accountOf(req.Account),
 		LatestStart: now + max(0, need.Patient-r.ledger.FirstEvent(now, need)),
-		Returned:    r.returns.Redeem(now, req.Content),
+		Returned:    req.Content != 0 && r.returns.Redeem(now, req.Content),
 	}
 	if c.entry.LatestStart == now { // its objective cannot be met any more
 		c.need.Patient = 0
 	}
 	if c.entry.Returned {
 		r.counts.ReturnsKept++
+		c.entry.LatestStart = max(c.entry.LatestStart, now+lateWait(req))
 	}
 	return c
 }
 
+// lateWait returns how long a caller that has returned waits, 0 if it does not wait at all.
+func lateWait(req *peermsg.RoomRequest) spanrill.Millis {
+	if req.MaxWait <= 0 {
+		return 0
+	}
+	return min(returnWait, max(0, req.Remaining))
+}
+
 // admit starts a request or lets it wait. It reports false if the request is to be refused.
 func (r *Room) admit(now spanrill.Millis, c *claim) bool {
 	if len(r.claims) >= maxClaims || !r.canEver(now, c.need) {
@@ -111,10 +120,10 @@
 
 // goesBefore reports whether a waiting request starts before one that has just arrived.
 func goesBefore(waiting, arrived spanrill.LineEntry) bool {
-	if waiting.Class != arrived.Class {
-		return waiting.Class < arrived.Class
+	if waiting.Returned != arrived.Returned {
+		return arrived.Returned
 	}
-	return waiting.Returned || !arrived.Returned
+	return waiting.Class <= arrived.Class
 }
 
 // canEver reports whether a request could get room if the chains were empty. While the allowance
--- a/coordination/granting/roomstart.go
+++ b/coordination/granting/roomstart.go
@@ -103,18 +103,26 @@
 		if !ok {
 			break
 		}
-		r.startAside(now, next.Class)
+		r.startAside(now, asideClass(next))
 		if r.startNext(now, next) {
 			continue
 		}
-		if len(r.aside) == maxAside {
-			break
+		if next.Returned || len(r.aside) == maxAside {
+			break // behind a caller that has returned are only others
 		}
 		r.setAside(next)
 	}
 	r.startAside(now, spanrill.ClassCount)
 }
 
+// asideClass returns the class up to which requests that were set aside go before one in the line.
+func asideClass(next spanrill.LineEntry) spanrill.Class {
+	if next.Returned {
+		return spanrill.ClassCount
+	}
+	return next.Class
+}
+
 // startNext starts the request that is next in the line, or refuses it if it is too late. It
 // returns false if it still waits.
 func (r *Room) startNext(now spanrill.Millis, e spanrill.LineEntry) bool {
--- a/coordination/returns/returns.go
+++ b/coordination/returns/returns.go
@@ -22,6 +22,7 @@
 type Planner struct {
 	random   func() float64
 	part     float64
+	all      bool // all returns are recognized
 	calendar calendar
 	expected expected
 	refused  classRates
@@ -40,6 +41,12 @@
 	return func(p *Planner) { p.part = part }
 }
 
+// WithAllRecognized makes Redeem recognize callers that came without a promise, however many they
+// are. It is for lines in which callers that return do not go before others.
+func WithAllRecognized() Option {
+	return func(p *Planner) { p.all = true }
+}
+
 const (
 	// defaultPart leaves half of the room to requests that arrive for the first time, so that these
 	// are not refused in turn.
@@ -211,7 +218,7 @@
 		return false
 	}
 	p.redeemed.decay(now)
-	if !r.promised && p.redeemed.byClass[r.class] >= p.roomOfClass(now, r.class) {
+	if !p.all && !r.promised && p.redeemed.byClass[r.class] >= p.roomOfClass(now, r.class) {
 		return false
 	}
 	p.redeemed.add(now, r.class)
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -11,9 +11,11 @@
 // newRoomParts returns the parts that divide room among the daemons.
 func (g *Gateway) newRoomParts(peers granting.Peers, source granting.Source) (roomGranter, roomClient) {
 	parts := granting.Parts{
-		NewLedger:  func() spanrill.RoomLedger { return ledger.NewLedger() },
-		NewLine:    func() spanrill.StartLine { return admission.NewLine() },
-		NewReturns: func() spanrill.ReturnPlanner { return returns.New(g.random.Float64) },
+		NewLedger: func() spanrill.RoomLedger { return ledger.NewLedger() },
+		NewLine:   func() spanrill.StartLine { return admission.NewLine() },
+		NewReturns: func() spanrill.ReturnPlanner {
+			return returns.New(g.random.Float64, returns.WithPart(0), returns.WithAllRecognized())
+		},
 	}
 	overload := g.settings.Overload
 	granter := granting.NewGranter(peers, source, parts, g.clock, granting.WithGranterLogger(g.log))
