granting: Forget the ledger of a daemon that was stopped for long

A granting daemon that was frozen for 5 s let the claims of all daemons lapse, but its ledger still held them for the time in which it was stopped. The sums of that time, 1.25 s old, were taken for its own load, so that it believed the chains empty.

Take a new ledger when a daemon was stopped for longer than all claims last, and tell it the latest sums.

--- a/coordination/granting/room.go
+++ b/coordination/granting/room.go
@@ -17,11 +17,12 @@
 //	notices = room.Report(now, report) // when a daemon tells what has ended
 //	notices = room.Tick(now)           // every 50 ms
 type Room struct {
-	service string
-	ledger  spanrill.RoomLedger
-	line    spanrill.StartLine
-	returns spanrill.ReturnPlanner
-	ahead   bool // grants may be given ahead of need
+	service   string
+	ledger    spanrill.RoomLedger
+	newLedger func() spanrill.RoomLedger
+	line      spanrill.StartLine
+	returns   spanrill.ReturnPlanner
+	ahead     bool // grants may be given ahead of need
 
 	begun      bool
 	now        spanrill.Millis // latest time seen
@@ -31,6 +32,7 @@
 	known     bool            // the chains were set
 	engines   map[uint32]bool // on the chains
 	told      map[uint32]spanrill.RoomUse
+	toldAsOf  spanrill.Millis
 	allowance granterAllowance
 	applied   float64 // allowance in the chains of the ledger, or 0 if they have changed
 
@@ -63,7 +65,7 @@
 // NewRoom returns a Room without chains.
 func NewRoom(service string, parts Parts, opts ...RoomOption) *Room {
 	r := &Room{
-		service: service, ledger: parts.NewLedger(), line: &lateLine{parts.NewLine(), parts.NewLine()}, returns: parts.NewReturns(),
+		service: service, ledger: parts.NewLedger(), newLedger: parts.NewLedger, line: &lateLine{parts.NewLine(), parts.NewLine()}, returns: parts.NewReturns(),
 		ahead: true, engines: map[uint32]bool{}, claims: map[uint64]*claim{}, askers: map[string]*asker{},
 	}
 	for _, o := range opts {
--- a/coordination/granting/roomallowance.go
+++ b/coordination/granting/roomallowance.go
@@ -56,12 +56,12 @@
 // SetTold tells what the requests of all daemons held as of an earlier time.
 func (r *Room) SetTold(now, asOf spanrill.Millis, uses map[uint32]spanrill.RoomUse) {
 	now = max(r.now, now)
-	r.told = uses
+	r.told, r.toldAsOf = uses, min(asOf, now)
 	if r.allowance.at(now) < 1 {
 		r.applied = 0
 	}
 	r.applyAllowance(now) // before the ledger is told, which counts at most the capacity of an engine
-	r.ledger.SetTold(now, min(asOf, now), uses)
+	r.ledger.SetTold(now, r.toldAsOf, uses)
 }
 
 // applyAllowance sets the chains of the ledger if they or the allowance have changed.
--- a/coordination/granting/roomlapse.go
+++ b/coordination/granting/roomlapse.go
@@ -38,10 +38,14 @@
 	if !r.begun || elapsed > frozenTime {
 		r.allowance.since = now
 	}
+	wasStopped := r.begun && elapsed > reportTimeout
 	r.begun, r.advancedAt = true, now
 	r.dropLate(now)
 	r.lapseAhead(now)
 	r.lapseSilent(now)
+	if wasStopped {
+		r.renewLedger(now)
+	}
 	r.applyAllowance(now)
 	// While requests wait, each one that ends lets about one of them start. The rate is 0 while none has
 	// ended yet, which the line takes as unknown.
@@ -49,6 +53,20 @@
 	return now
 }
 
+// renewLedger replaces the ledger after this daemon was stopped for so long that all claims have
+// lapsed. What the ledger knows of its own load in that time is wrong, and would be taken off the
+// sums of all daemons.
+func (r *Room) renewLedger(now spanrill.Millis) {
+	if len(r.claims) > 0 {
+		return
+	}
+	r.ledger, r.applied = r.newLedger(), 0
+	r.applyAllowance(now)
+	if r.told != nil {
+		r.ledger.SetTold(now, r.toldAsOf, r.told)
+	}
+}
+
 // lapseSilent ends the claims of daemons that have stopped reporting, and forgets these daemons.
 func (r *Room) lapseSilent(now spanrill.Millis) {
 	var silent []string
