granting, room: Let load that others gave end after a takeover

A daemon that took over knew the load of the one before by sums that are 1.25 s old. It counted them as lasting, while the requests in them ended and nobody started others: for 1.5 s hardly any request started, and for 3 s too few. For the first second it also gave only a standby's part.

Count told load less the longer ago it was, by the time that a request holds its engines, while a daemon takes over (4 s): from now if the preferred daemon is gone, a second later if others may still ask the one before. A twentieth of each engine is counted as lasting as before, and so is all at other times. The standby takes over at once when more than half of the fleet asks it because the preferred daemon did not answer; RoomRequest told so, but nobody read it.

--- a/coordination/granting/granterserved.go
+++ b/coordination/granting/granterserved.go
@@ -97,8 +97,15 @@
 	if current == s.role {
 		return
 	}
+	before := s.role
 	s.role = current
 	s.room.SetStandby(now, current != rolePreferred)
+	switch {
+	case current == rolePreferred && before == roleStandby:
+		s.room.TakeOver(now)
+	case current == rolePreferred:
+		s.room.TakeOver(now + silentPassOver) // some daemons still ask the one before
+	}
 	if current == roleNone {
 		s.room.Resign(now)
 	}
--- a/coordination/granting/room.go
+++ b/coordination/granting/room.go
@@ -28,13 +28,15 @@
 	now        spanrill.Millis // latest time seen
 	advancedAt spanrill.Millis // when due changes were last made
 
-	chains    []spanrill.RoomChain
-	known     bool            // the chains were set
-	engines   map[uint32]bool // on the chains
-	told      map[uint32]spanrill.RoomUse
-	toldAsOf  spanrill.Millis
-	allowance granterAllowance
-	applied   float64 // allowance in the chains of the ledger, or 0 if they have changed
+	chains      []spanrill.RoomChain
+	known       bool            // the chains were set
+	engines     map[uint32]bool // on the chains
+	told        map[uint32]spanrill.RoomUse
+	toldAsOf    spanrill.Millis
+	standby     bool // another daemon is preferred
+	allowance   granterAllowance
+	drainsSince spanrill.Millis // since when the load of others only ends, 0 if it does not
+	applied     float64         // allowance in the chains of the ledger, or 0 if they have changed
 
 	lastHandle uint64
 	claims     map[uint64]*claim // by handle
--- a/coordination/granting/roomallowance.go
+++ b/coordination/granting/roomallowance.go
@@ -34,9 +34,13 @@
 // SetStandby tells whether another daemon is preferred for giving the room and may still do so.
 func (r *Room) SetStandby(now spanrill.Millis, standby bool) {
 	now = max(r.now, now)
-	if r.allowance.standby == standby {
+	if r.standby == standby {
 		return
 	}
+	r.standby = standby
+	if r.allowance.standby == standby {
+		return // it has taken over already
+	}
 	r.allowance = granterAllowance{standby: standby, since: now}
 	r.applyAllowance(now)
 }
--- a/coordination/granting/roomclaim.go
+++ b/coordination/granting/roomclaim.go
@@ -59,11 +59,12 @@
 
 // asker is a daemon that asks for room.
 type asker struct {
-	addr    string
-	heardAt spanrill.Millis
-	claims  map[uint64]*claim // by id; without grants given ahead of need
-	aheads  int               // grants given ahead of need that were not used yet
-	starts  startRate
+	addr       string
+	heardAt    spanrill.Millis
+	desertedAt spanrill.Millis   // when it last asked because the preferred daemon did not answer, or 0
+	claims     map[uint64]*claim // by id; without grants given ahead of need
+	aheads     int               // grants given ahead of need that were not used yet
+	starts     startRate
 }
 
 // asker returns the state of a daemon that has sent a request, or nil if there are too many.
--- a/coordination/granting/roomlapse.go
+++ b/coordination/granting/roomlapse.go
@@ -47,6 +47,7 @@
 		r.renewLedger(now)
 	}
 	r.applyAllowance(now)
+	r.applyTakeover(now)
 	// While requests wait, each one that ends lets about one of them start. The rate is 0 while none has
 	// ended yet, which the line takes as unknown.
 	r.line.SetRate(r.ledger.EndRate(now))
@@ -65,6 +66,7 @@
 	if r.told != nil {
 		r.ledger.SetTold(now, r.toldAsOf, r.told)
 	}
+	r.TakeOver(now + silentPassOver) // by then all daemons ask here again
 }
 
 // lapseSilent ends the claims of daemons that have stopped reporting, and forgets these daemons.
--- a/coordination/granting/roomrequest.go
+++ b/coordination/granting/roomrequest.go
@@ -21,6 +21,9 @@
 	if a == nil {
 		return &peermsg.RoomReply{State: peermsg.RoomUnknown}
 	}
+	if req.Standby {
+		r.noteStandby(now, a, req.Daemons)
+	}
 	if c := a.claims[req.ID]; c != nil {
 		if c.repeats(req) {
 			c.since = now
--- /dev/null
+++ b/coordination/granting/roomtakeover.go
@@ -0,0 +1,57 @@
+package granting
+
+import "spanrill"
+
+// takeoverTime is how long after a daemon has taken over from one that is gone the load that the other
+// gave is taken to end: about as long as the longest requests last.
+const takeoverTime = 4 * spanrill.Second
+
+// drainer is a spanrill.RoomLedger that can take the load of others to end.
+type drainer interface {
+	// SetDraining tells that those who started the load that daemons told have started none since a
+	// time, or, at 0, that they may start requests.
+	SetDraining(now, since spanrill.Millis)
+}
+
+// TakeOver tells that the daemon which has given room before gives none from a time on.
+func (r *Room) TakeOver(since spanrill.Millis) {
+	if r.drainsSince == 0 {
+		r.drainsSince = since
+	}
+	r.applyTakeover(r.now)
+}
+
+// applyTakeover tells the ledger whether the load of others only ends.
+func (r *Room) applyTakeover(now spanrill.Millis) {
+	if now-r.drainsSince >= takeoverTime {
+		r.drainsSince = 0
+	}
+	if ledger, ok := r.ledger.(drainer); ok {
+		ledger.SetDraining(now, r.drainsSince)
+	}
+}
+
+// desertedTime is the time within which more than half of the daemons must have asked here because
+// the preferred daemon did not answer them, so that it is taken to give no room. Each asks about once
+// in it.
+const desertedTime = spanrill.Second / 2
+
+// noteStandby records that a daemon asked here because the preferred one did not answer. Without
+// waiting for other signs, this daemon takes over when more than half of the fleet does.
+func (r *Room) noteStandby(now spanrill.Millis, a *asker, daemons int) {
+	a.desertedAt = now
+	if !r.allowance.standby || daemons < 1 {
+		return
+	}
+	deserted := 0
+	for _, other := range r.askers {
+		if other.desertedAt > 0 && now-other.desertedAt <= desertedTime {
+			deserted++
+		}
+	}
+	if 2*deserted > daemons {
+		r.allowance = granterAllowance{since: now}
+		r.applyAllowance(now)
+		r.TakeOver(now)
+	}
+}
--- a/coordination/room/engine.go
+++ b/coordination/room/engine.go
@@ -18,7 +18,9 @@
 	id       uint32
 
 	own      load                     // of requests to which the ledger gave room
-	told     load                     // of other requests, as daemons told
+	beyond   load                     // of other requests, as daemons told last
+	held     float64                  // how long a request of mean size holds it, in milliseconds, 0 if unknown
+	told     load                     // of beyond, what is taken to be left
 	extra    load                     // of other requests, beyond told, as engines told
 	requests int                      // to which the ledger gave room, first engine or not
 	given    [spanrill.ClassCount]int // those of which it is the first engine, by class
--- a/coordination/room/ledger.go
+++ b/coordination/room/ledger.go
@@ -37,13 +37,14 @@
 	engines map[uint32]*engine // of the chains, and those that still have load
 	grants  map[uint64]grant
 
-	mean       meanNeed
-	asked      [spanrill.ClassCount]askedAt
-	ends       rate
-	toldAsOf   spanrill.Millis // latest time for which daemons have told their load
-	toldAt     spanrill.Millis // when they told it
-	told       bool            // they have told it, and it counts
-	nextExpiry spanrill.Millis
+	mean        meanNeed
+	asked       [spanrill.ClassCount]askedAt
+	ends        rate
+	toldAsOf    spanrill.Millis // latest time for which daemons have told their load
+	toldAt      spanrill.Millis // when they told it
+	told        bool            // they have told it, and it counts
+	nextExpiry  spanrill.Millis
+	drainsSince spanrill.Millis // since when others start no requests, 0 if they do
 }
 
 // grant is room that a request has.
--- a/coordination/room/news.go
+++ b/coordination/room/news.go
@@ -1,6 +1,8 @@
 package room
 
 import (
+	"math"
+
 	"spanrill"
 )
 
@@ -47,15 +49,66 @@
 			continue
 		}
 		use := uses[id]
-		beyond := min(e.capacity, float64(use.Tokens)-own.tokens)
-		e.told.tokens = max(0, beyond)
-		e.told.calls = min(maxCalls, max(0, float64(use.Calls)-own.calls))
-		e.sum()
+		e.beyond = load{
+			tokens: max(0, min(e.capacity, float64(use.Tokens)-own.tokens)),
+			calls:  min(maxCalls, max(0, float64(use.Calls)-own.calls)),
+		}
 	}
+	l.setHeld()
+	l.countTold(now)
 	l.countExtra(now)
 	l.forgetEngines(now)
 }
 
+// steadyPart is the part of an engine's capacity up to which load that daemons told counts as lasting:
+// answers of the ledger's own requests that are longer than expected.
+const steadyPart = 0.05
+
+// countTold accounts what daemons told beyond the ledger's own load. What is over the lasting part
+// counts less the longer ago it was, as its requests end. Others that start meanwhile are seen in
+// what engines tell.
+func (l *Ledger) countTold(now spanrill.Millis) {
+	age := float64(max(0, now-max(l.toldAsOf, l.drainsSince)))
+	for _, e := range l.engines {
+		left := 1.0
+		if l.drainsSince > 0 && e.held > 0 {
+			left = math.Exp(-age / e.held)
+		}
+		lasting := min(e.beyond.tokens, steadyPart*e.capacity)
+		e.told.tokens = lasting + (e.beyond.tokens-lasting)*left
+		e.told.calls = 0
+		if e.beyond.tokens > 0 {
+			e.told.calls = e.beyond.calls * e.told.tokens / e.beyond.tokens
+		}
+		e.sum()
+	}
+}
+
+// SetDraining tells that those who started the load that daemons told have started none since a time,
+// or, at 0, that they may start requests.
+func (l *Ledger) SetDraining(now, since spanrill.Millis) {
+	if l.drainsSince == since {
+		return
+	}
+	l.drainsSince = since
+	l.setHeld()
+	l.countTold(now)
+	l.countExtra(now)
+}
+
+// setHeld estimates how long a request of mean size holds each engine: on the slowest of its chains.
+func (l *Ledger) setHeld() {
+	for _, e := range l.engines {
+		e.held = 0
+	}
+	for _, c := range l.chains {
+		held := l.mean.prompt*c.readMillis + l.mean.answer*c.step()
+		for _, p := range c.parts {
+			p.engine.held = max(p.engine.held, held)
+		}
+	}
+}
+
 // RecordEngineLoad implements spanrill.RoomLedger. Requests beyond the ledger's own are accounted,
 // with mean size, to the chains that begin at the engine. The news counts for two seconds at most.
 func (l *Ledger) RecordEngineLoad(now, at spanrill.Millis, id uint32, requests int) {
@@ -84,10 +137,10 @@
 	if l.told && now-l.toldAt > maxNewsAge {
 		l.told = false
 		for _, e := range l.engines {
-			e.told = load{}
-			e.sum()
+			e.beyond = load{}
 		}
 	}
+	l.countTold(now)
 	l.countExtra(now)
 }
 
