--- a/coordination/granting/roomallowance.go
+++ b/coordination/granting/roomallowance.go
@@ -34,9 +34,13 @@
 // SetStandby tells whether another daemon is preferred for giving the room and may still do so.
 func (r *Room) SetStandby(now spanrill.Millis, standby bool) {
 	now = max(r.now, now)
-	if r.allowance.standby == standby {
+	if r.standby == standby {
 		return
 	}
+	r.standby = standby
+	if r.allowance.standby == standby {
+		return // it has taken over already
+	}
 	r.allowance = granterAllowance{standby: standby, since: now}
 	r.applyAllowance(now)
 }
@@ -56,12 +60,12 @@
 // SetTold tells what the requests of all daemons held as of an earlier time.
 func (r *Room) SetTold(now, asOf spanrill.Millis, uses map[uint32]spanrill.RoomUse) {
 	now = max(r.now, now)
-	r.told = uses
-	r.ledger.SetTold(now, min(asOf, now), uses)
+	r.told, r.toldAsOf = uses, min(asOf, now)
 	if r.allowance.at(now) < 1 {
 		r.applied = 0
 	}
-	r.applyAllowance(now)
+	r.applyAllowance(now) // before the ledger is told, which counts at most the capacity of an engine
+	r.ledger.SetTold(now, r.toldAsOf, uses)
 }
 
 // applyAllowance sets the chains of the ledger if they or the allowance have changed.
--- a/coordination/room/told.go
+++ b/coordination/room/told.go
@@ -24,8 +24,7 @@
 	default:
 		e.steadyTold = beyond
 	}
-	e.told = beyond
-	e.sum()
+	e.beyond = beyond
 }
 
 // beyond returns by how much a load is over another one.
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -16,9 +16,11 @@
 	// A source of its own: the other draws of this daemon do not depend on the setting.
 	random := rng.New(xxhash.Sum64String(g.peers.name))
 	parts := granting.Parts{
-		NewLedger:  func() spanrill.RoomLedger { return ledger.NewLedger() },
-		NewLine:    func() spanrill.StartLine { return admission.NewLine() },
-		NewReturns: func() spanrill.ReturnPlanner { return returns.New(random.Float64) },
+		NewLedger: func() spanrill.RoomLedger { return ledger.NewLedger() },
+		NewLine:   func() spanrill.StartLine { return admission.NewLine() },
+		NewReturns: func() spanrill.ReturnPlanner {
+			return returns.New(random.Float64, returns.WithPart(0), returns.WithAllRecognized())
+		},
 	}
 	overload := g.settings.Overload
 	granter := granting.NewGranter(peers, source, parts, g.clock, granting.WithGranterLogger(g.log))
