Divide room: keep each class at its part

A request that the line did not let enter was counted as lost twice, by the line and by the granting daemon, but one that was dropped once, so that the class whose requests are mostly dropped seemed to get more. Requests of a class that went first because it had fallen behind still found no room within 0.95 of an engine, and were passed over: those of the most urgent class took what became free, up to 0.97. And a class kept at exactly half is under it as often as over.

Change: a request counts once. One of a class that goes before more urgent ones may use what is reserved for the most urgent (Ledger.GiveUrgent, Line.Starved). A class is kept at 0.55 of what all get, so that it is served at least half in time; the checks of half stay as they were, those in lineload_test.go, which name the constant, become stricter by it.

--- a/coordination/admission/classshare.go
+++ b/coordination/admission/classshare.go
@@ -14,9 +14,10 @@
 	// Requests are counted for 10 s on average, which is about as long as a caller waits and
 	// retries: within that time each class keeps its part.
 	shareHalfLife = 7 * spanrill.Second
-	// minClassShare is the part of the fraction that all classes together get that each class
-	// keeps.
-	minClassShare = 0.5
+	// minClassShare is the part of the fraction that all classes together get that each class is
+	// kept at: half, and a tenth more, since a class that is kept at a part is under it as often as
+	// over it, and some of what starts is not in time.
+	minClassShare = 0.55
 	// shareStep is what a class keeps more than the next less urgent one of which there are requests,
 	// so that classes which get only their parts stay in order.
 	shareStep = 0.02
@@ -62,6 +63,10 @@
 // starved reports whether a class goes before more urgent ones.
 func (s *classShare) starved(class spanrill.Class) bool { return s.deficit(class) > 0 }
 
+// Starved reports whether a class goes before more urgent ones, since it has started less than its part of
+// late.
+func (l *Line) Starved(class spanrill.Class) bool { return l.share.starved(validClass(class)) }
+
 // assured returns the part of all starts that a class is assured of.
 func (s *classShare) assured(class spanrill.Class) float64 {
 	if s.decided.total <= 0 {
--- a/coordination/granting/room.go
+++ b/coordination/granting/room.go
@@ -20,7 +20,7 @@
 	service   string
 	ledger    spanrill.RoomLedger
 	newLedger func() spanrill.RoomLedger
-	line      spanrill.StartLine
+	line      *lateLine
 	returns   spanrill.ReturnPlanner
 	ahead     bool // grants may be given ahead of need
 
--- a/coordination/granting/roomclaim.go
+++ b/coordination/granting/roomclaim.go
@@ -41,6 +41,7 @@
 	refusedBy []uint32        // engines that the RoomRequest named
 	first     uint32          // first engine of the granted chain
 	since     spanrill.Millis // when the daemon last learned of it, or asked
+	offered   bool            // to the line, which counts its requests itself
 	waited    bool
 	replying  bool // the reply to its RoomRequest is being made
 }
--- a/coordination/granting/roomrequest.go
+++ b/coordination/granting/roomrequest.go
@@ -146,9 +146,12 @@
 	return &peermsg.RoomReply{State: peermsg.RoomGranted, First: c.first}
 }
 
-// refuse returns the refusal of a request that did not wait.
+// refuse returns the refusal of a request that did not wait. The line has counted one that it did not
+// let enter.
 func (r *Room) refuse(now spanrill.Millis, c *claim) *peermsg.RoomReply {
-	r.line.RecordRefused(now, c.entry)
+	if !c.offered {
+		r.line.RecordRefused(now, c.entry)
+	}
 	r.counts.Refused[c.need.Class]++
 	return &peermsg.RoomReply{State: peermsg.RoomRefused, RetryAfter: r.retryAfter(now, c)}
 }
--- a/coordination/granting/roomstart.go
+++ b/coordination/granting/roomstart.go
@@ -10,7 +10,7 @@
 
 // start gives room to a request. It returns false if there is none.
 func (r *Room) start(now spanrill.Millis, c *claim) bool {
-	first, ok := r.ledger.Give(now, c.handle, c.need)
+	first, ok := r.give(now, c)
 	if !ok {
 		return false
 	}
@@ -21,8 +21,23 @@
 	return true
 }
 
+// urgentGiver is a spanrill.RoomLedger that can give a request what it gives to the most urgent class.
+type urgentGiver interface {
+	GiveUrgent(now spanrill.Millis, id uint64, need spanrill.RoomNeed) (first uint32, ok bool)
+}
+
+// give gives room to a request. One that goes before more urgent classes may use what is reserved for
+// them: they would take this room instead of waiting behind it.
+func (r *Room) give(now spanrill.Millis, c *claim) (first uint32, ok bool) {
+	if l, isUrgent := r.ledger.(urgentGiver); isUrgent && r.line.isStarved(c.entry) {
+		return l.GiveUrgent(now, c.handle, c.need)
+	}
+	return r.ledger.Give(now, c.handle, c.need)
+}
+
 // enterLine lets a request wait. It returns false if it cannot start in time.
 func (r *Room) enterLine(now spanrill.Millis, c *claim) bool {
+	c.offered = true
 	ok, dropped := r.line.Enter(now, c.entry)
 	for _, e := range dropped {
 		r.refuseWaiting(now, r.claims[e.ID])
--- a/coordination/room/ledger.go
+++ b/coordination/room/ledger.go
@@ -90,10 +90,22 @@
 // time in proportion to the number of engines in all chains, and allocates nothing but space in the
 // table of ids.
 func (l *Ledger) Give(now spanrill.Millis, id uint64, need spanrill.RoomNeed) (first uint32, ok bool) {
+	return l.give(now, id, need, false)
+}
+
+// GiveUrgent gives room as Give does, within the fraction for the most urgent class.
+func (l *Ledger) GiveUrgent(now spanrill.Millis, id uint64, need spanrill.RoomNeed) (first uint32, ok bool) {
+	return l.give(now, id, need, true)
+}
+
+func (l *Ledger) give(now spanrill.Millis, id uint64, need spanrill.RoomNeed, isUrgent bool) (first uint32, ok bool) {
 	l.expire(now)
 	l.takeBack(now, id)
 	l.recordAsked(now, need)
 	r := l.newRequest(now, need)
+	if isUrgent {
+		r.maxFill = l.urgentFill
+	}
 	c, e := l.choose(&r, true)
 	if c == nil {
 		return 0, false
