Divide room: tell ends after 25 ms, and uses of grants again

Cause: room that a request had left was idle until the next report, up to 100 ms: of requests that hold it for about a second that is a part of all room. And where reports go out sooner, or are lost, the use of a grant given ahead could be told in a lost report only: the granting daemon took its room back, and the complete report does not restore it.

Change: ends and refusals are told 25 ms after the last report, uses as before after 100.

The simulated fleet checks its granting daemons every 50 ms, as they do, now that it looks for reports every 25.

--- a/coordination/granting/fleetdaemon_test.go
+++ b/coordination/granting/fleetdaemon_test.go
@@ -85,7 +85,9 @@
 	if d.down > 0 || (d.sim.now+spanrill.Millis(d.index))%reportPoll != 0 {
 		return
 	}
-	d.granter.deliver(d.granter.tick())
+	if (d.sim.now+spanrill.Millis(d.index))%tickInterval == 0 {
+		d.granter.deliver(d.granter.tick())
+	}
 	d.observe(fleetInterval)
 	d.leaveSilent()
 	d.report()
--- a/coordination/granting/report.go
+++ b/coordination/granting/report.go
@@ -8,8 +8,12 @@
 )
 
 const (
-	// reportInterval is the shortest time between two reports to a granting daemon.
+	// reportInterval is the shortest time between two reports to a granting daemon that tell no change
+	// of free room.
 	reportInterval spanrill.Millis = 100
+	// freedInterval is the shortest time between two reports. Room that a request has left is idle until
+	// its end is told: of requests that hold it for a second, 100 ms would be a tenth.
+	freedInterval spanrill.Millis = 25
 	// completeInterval is the time between two reports that name all that is held. Grants lapse at
 	// the granting daemon without them.
 	completeInterval = spanrill.Second
@@ -30,6 +34,7 @@
 	ended   []uint64
 	used    []peermsg.RoomUsed
 	refused []uint32
+	repeats []repeatedUse
 
 	reportedAt spanrill.Millis // when the last report was made
 	completeAt spanrill.Millis // when the last complete report was made
@@ -54,6 +59,7 @@
 func (o *outbox) end(id uint64) {
 	delete(o.held, id)
 	o.ended = appendBounded(o.ended, id)
+	o.repeats = slices.DeleteFunc(o.repeats, func(u repeatedUse) bool { return u.use.ID == id })
 }
 
 // use records the use of a grant given ahead.
@@ -78,12 +84,17 @@
 }
 
 // hasNews reports whether something is to be told at once.
-func (o *outbox) hasNews() bool { return len(o.ended)+len(o.used)+len(o.refused) > 0 }
+func (o *outbox) hasNews() bool {
+	return len(o.ended)+len(o.used)+len(o.refused)+len(o.repeats) > 0
+}
 
 // isDue reports whether a report is to be made now.
 func (o *outbox) isDue(now spanrill.Millis) bool {
-	if now-o.reportedAt < reportInterval && !(o.isLocal() && o.hasNews()) {
-		return false
+	switch passed := now - o.reportedAt; {
+	case o.hasNews() && o.isLocal():
+		return true
+	case passed < reportInterval:
+		return passed >= freedInterval && len(o.ended)+len(o.refused) > 0
 	}
 	return o.hasNews() || now-o.completeAt >= completeInterval
 }
@@ -98,7 +109,7 @@
 // take returns a report with all that is to be told. It names all that is held if a complete report
 // is due.
 func (o *outbox) take(now spanrill.Millis) *peermsg.RoomReport {
-	report := &peermsg.RoomReport{Ended: o.ended, Used: o.used, Refused: o.refused}
+	report := &peermsg.RoomReport{Ended: o.ended, Used: o.takeUses(now), Refused: o.refused}
 	o.ended, o.used, o.refused = nil, nil, nil
 	o.reportedAt = now
 	if now-o.completeAt >= completeInterval {
--- a/coordination/granting/reportrun.go
+++ b/coordination/granting/reportrun.go
@@ -8,7 +8,7 @@
 )
 
 // reportPoll is how often the client looks for reports that have become due.
-const reportPoll = reportInterval / 2
+const reportPoll = freedInterval
 
 // Run sends reports to the granting daemons until the context ends. It also looks after the requests
 // that wait.
