Divide room: start slowly while neither fleet nor load is known

Change: a daemon that knows neither starts two requests at once and two a second, twice as many each 100 ms while engines refuse none, half as many after a refusal, and never less than one a second. What it refuses returns within 0.3 to 5 s, and within a third of what remains to the caller.

The model of the client in the simulated fleet follows the client.

--- a/coordination/granting/client.go
+++ b/coordination/granting/client.go
@@ -24,6 +24,7 @@
 //	clientahead.go      grants given ahead of need
 //	clientgrant.go      grants and their release
 //	clientshare.go      starts without a granting daemon
+//	slowstart.go        starts while neither fleet nor load is known
 //	clientretry.go      refusals and retry times
 //	clientchains.go     chains and engines that refuse
 //	clientcounts.go     counts for operators
@@ -63,6 +64,7 @@
 	outboxes map[string]*outbox // by name of the granting daemon
 	view     *chainView
 	sharing  sharing
+	slow     slowStart // while neither fleet nor load is known
 }
 
 // ClientOption changes a default of NewClient.
@@ -131,6 +133,7 @@
 	start := c.clock.Now()
 	c.observeFleet(start, fleetInterval)
 	c.recordRefusing(start, r.RefusedBy)
+	c.slowAfter(start, &r)
 	if g := c.takeAhead(start, &r); g != nil {
 		c.counts.ahead.Add(1)
 		return g, nil
@@ -154,6 +157,7 @@
 func (c *Client) RetryAfter(r spanrill.RoomRequest) spanrill.Millis {
 	now := c.clock.Now()
 	c.recordRefusing(now, r.RefusedBy)
+	c.slowAfter(now, &r)
 	c.reportRefusing(&r)
 	return c.spreadRetry(&r, maxSpreadRetry)
 }
--- a/coordination/granting/clientretry.go
+++ b/coordination/granting/clientretry.go
@@ -11,6 +11,9 @@
 	// maxShareRetry is the longest retry time of callers that this daemon refuses by itself. The
 	// granting daemon may answer again within a second.
 	maxShareRetry spanrill.Millis = 1500
+	// maxSlowRetry is the longest retry time while neither fleet nor load is known: all callers may
+	// return at once then.
+	maxSlowRetry = 5 * spanrill.Second
 	// retriesInTime is how many waits of the retry time fit into the time that a caller still waits,
 	// so that it can be refused again.
 	retriesInTime = 3
--- a/coordination/granting/clientshare.go
+++ b/coordination/granting/clientshare.go
@@ -24,8 +24,7 @@
 	s := c.service(r.Service)
 	daemons := c.fleet.largest(now)
 	if !view.known || daemons == 0 {
-		c.counts.passed.Add(1)
-		return c.newGrant(s, 0, nil, 0, sizeOf(r)), nil
+		return c.enterSlowly(now, s, r)
 	}
 	decision := share{rooms: rooms, meanSize: meanSize, daemons: daemons, rounding: c.rounding}
 	first, ok := decision.start(shareRequest{
@@ -41,6 +40,26 @@
 	return c.newGrant(s, 0, nil, first, sizeOf(r)), nil
 }
 
+// enterSlowly decides on a request while neither fleet nor load is known. The caller must hold c.mu.
+func (c *Client) enterSlowly(now spanrill.Millis, s *clientService, r *spanrill.RoomRequest) (spanrill.RoomGrant, *spanrill.Refusal) {
+	if !s.slow.start(now) {
+		c.counts.shareRefused.Add(1)
+		return nil, c.refuse(r, c.spreadRetry(r, maxSlowRetry), "this daemon has just started, and does not know yet how much room there is")
+	}
+	c.counts.passed.Add(1)
+	return c.newGrant(s, 0, nil, 0, sizeOf(r)), nil
+}
+
+// slowAfter records the engines that refused a request.
+func (c *Client) slowAfter(now spanrill.Millis, r *spanrill.RoomRequest) {
+	if len(r.RefusedBy) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.service(r.Service).slow.recordRefusal(now)
+}
+
 // runningSize returns the size of the running requests in tokens. The caller must hold c.mu.
 func (s *clientService) runningSize() float64 {
 	size := 0.0
--- a/coordination/granting/fleetdaemon_test.go
+++ b/coordination/granting/fleetdaemon_test.go
@@ -37,6 +37,7 @@
 	waiting    map[uint64]*simSend
 	running    float64 // tokens
 	rounding   float64
+	slow       slowStart
 	lastID     uint64
 	observedAt spanrill.Millis
 }
@@ -113,6 +114,7 @@
 	d.observe(fleetInterval)
 	for _, engine := range r.refusedBy {
 		d.refusing.record(now, engine)
+		d.slow.recordRefusal(now)
 	}
 	if d.takeAhead(now, r) {
 		return
--- a/coordination/granting/fleetstart_test.go
+++ b/coordination/granting/fleetstart_test.go
@@ -43,6 +43,10 @@
 	r.box = nil
 	daemons := d.fleet.largest(d.Now())
 	if !known || daemons == 0 { // the daemon chooses by itself
+		if !d.slow.start(d.Now()) {
+			d.refuse(r, 0, maxSlowRetry)
+			return
+		}
 		if first, ok := drawChain(rooms, avoid, d.sim.random.Float64()); ok {
 			d.start(r, first)
 			return
@@ -125,6 +129,9 @@
 		d.enter(r)
 		return
 	}
+	if isFull {
+		d.slow.recordRefusal(d.Now())
+	}
 	d.reportRefusing(r)
 	d.refuse(r, 0, maxSpreadRetry)
 }
