granting: Go on where the clock of the granting daemon jumps back

Cause: the time of a Room stood still until the clock had caught up, and chains and sums were not read meanwhile: nothing lapsed, no rate changed, and no waiting request was dropped.

Change: the granting daemon adds what its clock has jumped back to the time by which it decides (steadyTime). Times of sums that were read before the jump keep their ages.

--- a/coordination/granting/granter.go
+++ b/coordination/granting/granter.go
@@ -42,6 +42,7 @@
 	notice    func(*peermsg.RoomNotice) // receives the notices for this daemon
 	services  map[string]*served        // with requests in the last serviceRetention
 	fleet     fleetSize
+	steady    steadyTime
 	opened    uint64 // services added since the start
 	forgotten Counts // of services that are no longer retained
 }
@@ -87,7 +88,7 @@
 func (g *Granter) request(req *peermsg.RoomRequest) (*peermsg.RoomReply, []Notice) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
+	now := g.now()
 	s := g.serve(req.Service)
 	if s == nil || !s.grants(now, g) {
 		return &peermsg.RoomReply{State: peermsg.RoomUnknown}, nil
@@ -108,7 +109,7 @@
 	if s == nil {
 		return nil
 	}
-	now := g.clock.Now()
+	now := g.now()
 	s.refresh(now, g)
 	return s.room.Report(now, report)
 }
@@ -117,7 +118,7 @@
 func (g *Granter) HandleStatus(req *peermsg.RoomStatusRequest) *peermsg.RoomStatus {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
+	now := g.now()
 	s := g.services[req.Service]
 	if s == nil {
 		return &peermsg.RoomStatus{Granting: g.source.Divides(req.Service) && g.roleOf(now, req.Service) == rolePreferred}
@@ -139,6 +140,9 @@
 	return counts
 }
 
+// now returns the time by which room is given and lapses. The caller holds the lock.
+func (g *Granter) now() spanrill.Millis { return g.steady.at(g.clock.Now()) }
+
 // Run lets claims lapse and starts waiting requests until the context ends.
 func (g *Granter) Run(ctx context.Context) error {
 	defer close(g.done)
@@ -159,7 +163,7 @@
 func (g *Granter) tick() []Notice {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.clock.Now()
+	now := g.now()
 	g.observeFleet(now)
 	var notices []Notice
 	for _, name := range slices.Sorted(maps.Keys(g.services)) {
@@ -180,7 +184,7 @@
 	if s != nil || !g.source.Divides(name) {
 		return s
 	}
-	s = &served{name: name, requestedAt: g.clock.Now()}
+	s = &served{name: name, requestedAt: g.now()}
 	s.room = NewRoom(name, g.parts, g.roomOptions()...)
 	s.room.SetStandby(s.requestedAt, true) // until the role is known
 	g.services[name] = s
--- a/coordination/granting/granterserved.go
+++ b/coordination/granting/granterserved.go
@@ -86,7 +86,7 @@
 	}
 	if uses, asOf := g.source.Told(s.name); !s.toldSet || asOf != s.toldAsOf {
 		s.toldSet, s.toldAsOf = ok, asOf
-		s.room.SetTold(now, asOf, uses)
+		s.room.SetTold(now, g.steady.earlier(asOf), uses)
 	}
 }
 
