room: Space requests after a refusal by all load of an engine

Cause: how long requests hold an engine was taken from the ledger's own ends, and how many it has from the ledger's own grants. A ledger that has just begun has few of both: after a refusal it left an engine alone for 400 ms, and then gave it a request each 100 ms, although the load of others ended there.

Change: the time is at most that which is expected for a request of mean size, and all load counts.

Tests: TestRefusalOnLoadOfOthers fails without the change (want at least 25 in half a second).

--- a/coordination/room/news_test.go
+++ b/coordination/room/news_test.go
@@ -75,3 +75,29 @@
 		})
 	}
 }
+
+// A ledger that has just begun knows of the load of others how many requests an engine has, and of the
+// chains how long they hold it: after a refusal it soon fills the room that becomes free.
+func TestRefusalOnLoadOfOthers(t *testing.T) {
+	l := newLedger(testChain(kind{3, 100_000, 0.001, 5, 0}, 1, "a", 0))
+	need := spanrill.RoomNeed{Prompt: 900, Answer: 200, Class: 1}
+	uses := map[uint32]spanrill.RoomUse{}
+	for engine := range uint32(3) {
+		uses[1+engine] = spanrill.RoomUse{Tokens: 40_000, Calls: 40}
+	}
+	l.SetTold(start, start, uses)
+	for id := range uint64(20) {
+		l.Give(start, id+1, need)
+	}
+	l.End(start+500, 1)
+	l.RecordRefusal(start+500, 2)
+	given := 0
+	for now := start + 500; now < start+1000; now += 5 {
+		if _, ok := l.Give(now, uint64(now), need); ok {
+			given++
+		}
+	}
+	if given < 25 {
+		t.Errorf("%d requests got room in half a second after a refusal, want at least 25", given)
+	}
+}
--- a/coordination/room/refusal.go
+++ b/coordination/room/refusal.go
@@ -64,10 +64,31 @@
 		e.limit.recordRefusal(now, l.fill)
 	}
 	length, spacing := maxPause, maxSpacing
-	if perSecond := l.ends.perSecond(now); perSecond > 0 {
-		mean := float64(len(l.grants)) / perSecond * float64(spanrill.Second) // time that a request holds its room
-		length = spanrill.Millis(min(endedShare*mean, float64(maxPause)))
-		spacing = mean / float64(max(1, e.requests))
+	if held := l.heldAt(now, e); held > 0 {
+		length = spanrill.Millis(min(endedShare*held, float64(maxPause)))
+		spacing = held / max(1, l.requestsAt(e))
 	}
 	e.pause.recordRefusal(now, min(maxPause, max(minPause, length)), min(maxSpacing, max(minSpacing, spacing)))
 }
+
+// heldAt returns how long a request holds its room at an engine, in milliseconds, or 0 if that is unknown.
+// While few requests with room from this ledger have ended, the rate of ends tells too long a time.
+func (l *Ledger) heldAt(now spanrill.Millis, e *engine) float64 {
+	perSecond := l.ends.perSecond(now)
+	if perSecond <= 0 {
+		return e.held
+	}
+	held := float64(len(l.grants)) / perSecond * float64(spanrill.Second)
+	if e.held > 0 {
+		held = min(held, e.held)
+	}
+	return held
+}
+
+// requestsAt returns how many requests are accounted to an engine, those of others included.
+func (l *Ledger) requestsAt(e *engine) float64 {
+	if l.mean.tokens() <= 0 {
+		return float64(e.requests)
+	}
+	return max(float64(e.requests), e.used/l.mean.tokens())
+}
