room: Count what others held only as far as engines still tell it

Cause: a daemon that begins to grant, or grants alone again, sees the load of others by sums that are 1.25 to 2 s old. The others start none any more; what ended stayed accounted for so long, and engines fell to 0.68 of their capacity while requests were refused.

Change: where others hold more than a fifth of an engine, what the sums tell counts in proportion to the requests that the first engine of its chain has told since, if that is at most half a second old.

Tests: TestLoadOfOthersAsEnginesTell fails without the change (0.60 where 0.325 is left).

--- a/coordination/room/engine.go
+++ b/coordination/room/engine.go
@@ -22,6 +22,7 @@
 	beyond     load                     // of other requests, as daemons told last
 	held       float64                  // how long a request of mean size holds it, in milliseconds, 0 if unknown
 	told       load                     // of beyond, what is taken to be left
+	still      float64                  // part of beyond that is left, as first engines have told since
 	steadyTold load                     // beyond, when own had last been steady
 	extra      load                     // of other requests, beyond told, as engines told
 	requests   int                      // to which the ledger gave room, first engine or not
--- a/coordination/room/news.go
+++ b/coordination/room/news.go
@@ -68,10 +68,11 @@
 // what engines tell.
 func (l *Ledger) countTold(now spanrill.Millis) {
 	age := float64(max(0, now-max(l.toldAsOf, l.drainsSince)))
+	l.setStill(now)
 	for _, e := range l.engines {
-		left := 1.0
+		left := e.still
 		if l.drainsSince > 0 && e.held > 0 {
-			left = math.Exp(-age / e.held)
+			left = min(left, math.Exp(-age/e.held))
 		}
 		lasting := min(e.beyond.tokens, steadyPart*e.capacity)
 		e.told.tokens = lasting + (e.beyond.tokens-lasting)*left
