granting: Leave time for the messages between a start and its first event

Cause: the latest start of a waiting request was its objective less the time to its first event. The notice, the request to the engine and the first event back take some milliseconds more, so that the last of a class that waits for all its time started in vain and still counted as served: the fractions of class 1 and class 2, whose objectives differ, changed places.

Change: the latest start is 10 ms earlier.

Tests: a case in TestRequestsThatCannotWait.

--- a/coordination/granting/roomrequest.go
+++ b/coordination/granting/roomrequest.go
@@ -58,7 +58,7 @@
 	c.firstBy = now + need.Patient
 	c.entry = spanrill.LineEntry{
 		ID: c.handle, Class: need.Class, Account: accountOf(req.Account),
-		LatestStart: now + max(0, need.Patient-r.ledger.FirstEvent(now, need)),
+		LatestStart: now + max(0, need.Patient-r.ledger.FirstEvent(now, need)-messagesTime),
 		Returned:    req.Content != 0 && r.returns.Redeem(now, req.Content),
 	}
 	if c.entry.LatestStart == now { // its objective cannot be met any more
@@ -71,6 +71,10 @@
 	return c
 }
 
+// messagesTime is how long the reply or notice takes to the daemon, the request to the engine, and its first
+// event back: each some milliseconds between availability zones.
+const messagesTime spanrill.Millis = 10
+
 // lateWait returns how long a caller that has returned waits, 0 if it does not wait at all.
 func lateWait(req *peermsg.RoomRequest) spanrill.Millis {
 	if req.MaxWait <= 0 {
--- a/coordination/granting/roomwait_test.go
+++ b/coordination/granting/roomwait_test.go
@@ -13,7 +13,7 @@
 	for _, c := range []struct {
 		name    string
 		maxWait spanrill.Millis
-	}{{"no objective", 0}, {"objective used up", fakeFirstEvent - 1}, {"negative", -5}} {
+	}{{"no objective", 0}, {"objective used up", fakeFirstEvent - 1}, {"no time for messages", fakeFirstEvent + messagesTime - 1}, {"negative", -5}} {
 		t.Run(c.name, func(t *testing.T) {
 			p := newPlays(t, noAhead(), 100, 100)
 			hurried := func(id uint64, class int) *peermsg.RoomRequest {
