room: Let load of others end before the first sums after a request

Cause: how long requests hold an engine was known only from the sums that followed the first request. A daemon that began to grant kept the load of others for up to 250 ms, then took off all that had ended meanwhile: more than 200 waiting requests started within 50 ms, and engines refused.

Change: the time is estimated each time news is aged, every 50 ms.

Tests: TestDrainingBeforeFirstRequest fails without the change (fill 0.92, want at most 0.70).

--- a/coordination/room/news.go
+++ b/coordination/room/news.go
@@ -138,6 +138,7 @@
 			e.beyond, e.steadyTold = load{}, load{}
 		}
 	}
+	l.setHeld() // of the requests that have asked since
 	l.countTold(now)
 	l.countExtra(now)
 }
--- a/coordination/room/news_test.go
+++ b/coordination/room/news_test.go
@@ -101,3 +101,21 @@
 		t.Errorf("%d requests got room in half a second after a refusal, want at least 25", given)
 	}
 }
+
+// While load of others only ends, it ends in the ledger also if the first requests ask after the last sums.
+func TestDrainingBeforeFirstRequest(t *testing.T) {
+	l := room.NewLedger()
+	l.SetChains(start, []spanrill.RoomChain{testChain(kind{3, 100_000, 0.001, 5, 0}, 1, "a", 0)})
+	uses := map[uint32]spanrill.RoomUse{}
+	for engine := range uint32(3) {
+		uses[1+engine] = spanrill.RoomUse{Tokens: 90_000, Calls: 90}
+	}
+	l.SetTold(start, start, uses)
+	l.SetDraining(start, start)
+	for id := range uint64(2) {
+		l.Give(start+500*spanrill.Millis(id), id, spanrill.RoomNeed{Prompt: 900, Answer: 200})
+	}
+	if fill := l.Chains(start + 500)[0].Fill; fill > 0.7 {
+		t.Errorf("fill %.2f half a second later, want at most 0.70 where a request takes about a second", fill)
+	}
+}
