granting: Count load of others as ending from when this daemon is asked again

Cause: a daemon that answers again after a stop took the load that others had given to last for a second more, while nearly all asked it and nobody else started requests. A daemon that is preferred before it knows the engines counted that second from when it became preferred: others still decided until it had passed.

Change: the load of others ends from 250 ms after the daemon answers again, or first can decide.

--- a/coordination/granting/granterserved.go
+++ b/coordination/granting/granterserved.go
@@ -77,9 +77,13 @@
 	if s.read && now-s.readAt < refreshInterval {
 		return
 	}
+	wasRead := s.read
 	s.read, s.readAt = true, now
 	s.setRole(now, g)
 	chains, ok := g.source.Chains(s.name)
+	if ok && !s.known && wasRead && s.role == rolePreferred {
+		s.room.takeOverAnew(now + askedAgainTime) // others decided until now
+	}
 	s.known = ok
 	if ok {
 		s.room.SetChains(now, chains) // before the sums, which count at the engines of known chains only
--- a/coordination/granting/roomlapse.go
+++ b/coordination/granting/roomlapse.go
@@ -76,7 +76,7 @@
 	if r.told != nil {
 		r.ledger.SetTold(now, r.toldAsOf, r.told)
 	}
-	r.TakeOver(now + silentPassOver) // by then all daemons ask here again
+	r.TakeOver(now + askedAgainTime)
 }
 
 // lapseSilent ends the claims of daemons that have stopped reporting, and forgets these daemons.
--- a/coordination/granting/roomtakeover.go
+++ b/coordination/granting/roomtakeover.go
@@ -13,6 +13,16 @@
 	SetDraining(now, since spanrill.Millis)
 }
 
+// askedAgainTime is how long after a daemon answers again, or can decide, most others ask it instead of
+// its standby.
+const askedAgainTime = silentPassOver / 4
+
+// takeOverAnew tells that the daemon which has given room before did so until a later time than was told.
+func (r *Room) takeOverAnew(since spanrill.Millis) {
+	r.drainsSince = 0
+	r.TakeOver(since)
+}
+
 // TakeOver tells that the daemon which has given room before gives none from a time on.
 func (r *Room) TakeOver(since spanrill.Millis) {
 	if r.drainsSince == 0 {
