--- a/coordination/granting/fleetdaemon_test.go
+++ b/coordination/granting/fleetdaemon_test.go
@@ -37,6 +37,7 @@
 	waiting    map[uint64]*simSend
 	running    float64 // tokens
 	rounding   float64
+	slow       slowStart
 	lastID     uint64
 	observedAt spanrill.Millis
 }
@@ -85,7 +86,9 @@
 	if d.down > 0 || (d.sim.now+spanrill.Millis(d.index))%reportPoll != 0 {
 		return
 	}
-	d.granter.deliver(d.granter.tick())
+	if (d.sim.now+spanrill.Millis(d.index))%tickInterval == 0 {
+		d.granter.deliver(d.granter.tick())
+	}
 	d.observe(fleetInterval)
 	d.leaveSilent()
 	d.report()
@@ -111,6 +114,7 @@
 	d.observe(fleetInterval)
 	for _, engine := range r.refusedBy {
 		d.refusing.record(now, engine)
+		d.slow.recordRefusal(now)
 	}
 	if d.takeAhead(now, r) {
 		return
--- a/coordination/granting/granterserved.go
+++ b/coordination/granting/granterserved.go
@@ -77,16 +77,20 @@
 	if s.read && now-s.readAt < refreshInterval {
 		return
 	}
+	wasRead := s.read
 	s.read, s.readAt = true, now
 	s.setRole(now, g)
 	chains, ok := g.source.Chains(s.name)
+	if ok && !s.known && wasRead && s.role == rolePreferred {
+		s.room.takeOverAnew(now + askedAgainTime) // others decided until now
+	}
 	s.known = ok
 	if ok {
 		s.room.SetChains(now, chains) // before the sums, which count at the engines of known chains only
 	}
 	if uses, asOf := g.source.Told(s.name); !s.toldSet || asOf != s.toldAsOf {
 		s.toldSet, s.toldAsOf = ok, asOf
-		s.room.SetTold(now, asOf, uses)
+		s.room.SetTold(now, g.steady.earlier(asOf), uses)
 	}
 }
 
