relay: Spread the moves off engines that give up layers

Cause: when the layout takes layers from an engine, all requests on it move within 400 ms, and the engines that take over read their tokens one after another.

Change: where the room of a service is divided, a request's first try is delayed by a random part of 1.5 s. Elsewhere nothing changes, not even the random draws.

Result: in the test at most 30 of 100 requests move in the first quarter of a second (all before).

--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -41,7 +41,7 @@
 	pending                  *continuation   // continuation in progress, or nil
 	nextContinuationAt       spanrill.Millis // no other continuation starts before this time
 	continuations            []*continuation // all that were started; endContinuations waits for them
-	nextVacateAt             spanrill.Millis // vacate tries no move before this time
+	vacates                  vacateSchedule
 	rereadsTokens            bool            // the path has new engines that must read all tokens so far
 	nextDeliveryCheckSilence spanrill.Millis // silence after which runsUndelivered is called next
 	continuedOnSilence       bool            // a continuation was started in the current silence because of errNoEvents
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -86,20 +86,6 @@
 	return nil
 }
 
-// vacate moves the request off engines that are to give up its layers, if others in the same
-// availability zones hold them. The order to give up layers waits for running requests, and a new
-// chain may wait for that order.
-func (g *generation) vacate() {
-	if now := g.relay.Clock.Now(); now >= g.nextVacateAt {
-		g.nextVacateAt = now + vacateInterval
-		g.move(true)
-	}
-}
-
-// vacateInterval is the pause between two tries to move a request off an engine. Which engines hold
-// its layers changes every few hundred milliseconds at most.
-const vacateInterval spanrill.Millis = 400
-
 // undeliveredSilence is the silence after which a stream is also sent to another chain although all
 // its engines answer, because its connection may be broken. Callers give up a stream after 2 s
 // without an event, and the new attempt first has to read all tokens so far.
