--- a/coordination/granting/fleetfailure_test.go
+++ b/coordination/granting/fleetfailure_test.go
@@ -100,7 +100,7 @@
 func TestFleetOutlastsFailures(t *testing.T) {
 	for _, f := range simFailures {
 		t.Run(f.name, func(t *testing.T) {
-			t.Parallel()
+			parallelPlay(t)
 			s := newSim(t, 1, 86)
 			s.play(simWarmUp, simFailureLoad)
 			from := s.now
@@ -128,7 +128,7 @@
 		for _, gossip := range []bool{false, true} {
 			for _, load := range []float64{0.7, 1.0, 1.3} {
 				t.Run(fmt.Sprintf("%d daemons load %.1f heard of by others %v", daemons, load, gossip), func(t *testing.T) {
-					t.Parallel()
+					parallelPlay(t)
 					s := newSim(t, 1, daemons)
 					s.retries = 0
 					s.play(simWarmUp/2, load)
@@ -176,7 +176,7 @@
 func TestFleetRestartsWhileCallersReturn(t *testing.T) {
 	for _, load := range []float64{0.7, 1.0, 1.3} {
 		t.Run(fmt.Sprintf("load %.1f", load), func(t *testing.T) {
-			t.Parallel()
+			parallelPlay(t)
 			s := newSim(t, 1, 86)
 			s.play(simWarmUp, load)
 			from := s.now
--- a/coordination/granting/fleetload_test.go
+++ b/coordination/granting/fleetload_test.go
@@ -137,7 +137,7 @@
 	for _, c := range cases {
 		for _, retries := range []int{0, 1} {
 			t.Run(fmt.Sprintf("%d daemons load %.1f retries %d", c.daemons, c.load, retries), func(t *testing.T) {
-				t.Parallel()
+				parallelPlay(t)
 				s := newSim(t, 1, c.daemons)
 				s.retries = retries
 				s.play(simWarmUp, c.load)
--- a/coordination/granting/fleetreturns_test.go
+++ b/coordination/granting/fleetreturns_test.go
@@ -14,7 +14,7 @@
 func TestFleetServesReturnsAfterABurst(t *testing.T) {
 	for _, daemons := range []int{9, 86, 300} {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
-			t.Parallel()
+			parallelPlay(t)
 			refused, atReturn := 0, 0
 			for seed := range uint64(3) {
 				s := newSim(t, seed+1, daemons)
--- a/coordination/granting/fleetsim_test.go
+++ b/coordination/granting/fleetsim_test.go
@@ -189,3 +189,17 @@
 		s.enter(c)
 	})
 }
+
+// maxPlays is how many plays run at once. Each keeps a core busy for seconds, and with one on each core
+// the tests of other packages, which run real processes, get none in time.
+const maxPlays = 4
+
+var playSlots = make(chan struct{}, maxPlays)
+
+// parallelPlay lets a test run beside others, of which maxPlays run at once.
+func parallelPlay(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	playSlots <- struct{}{}
+	t.Cleanup(func() { <-playSlots })
+}
