--- a/state/routes/routes.go
+++ b/state/routes/routes.go
@@ -19,10 +19,11 @@
 
 // Table is one version of the configuration, indexed for lookups.
 type Table struct {
-	config   *spanrill.RouteConfig
-	byHost   map[string][]*spanrill.Route // longest prefix first
-	services map[string]*spanrill.ServiceInfo
-	accounts map[string]*spanrill.Account // by key
+	config       *spanrill.RouteConfig
+	byHost       map[string][]*spanrill.Route // longest prefix first
+	services     map[string]*spanrill.ServiceInfo
+	accounts     map[string]*spanrill.Account // by key
+	competitions map[string]competition       // by service
 }
 
 // New returns the table of a configuration.
@@ -47,6 +48,7 @@
 			t.accounts[key] = &c.Accounts[i]
 		}
 	}
+	t.competitions = findCompetitions(c)
 	return t
 }
 
