--- a/overload.go
+++ b/overload.go
@@ -128,7 +128,7 @@
 	// LatestStart is the latest time at which it is worth starting the request. A request that
 	// cannot wait has the time of its arrival.
 	LatestStart Millis
-	Returned    bool // the caller was told to return now; goes before others of its class
+	Returned    bool // the caller was refused before and was told to return now
 }
 
 // StartLine orders the requests that wait for room. More urgent classes go first, but each class
