--- a/coordination/granting/granterfakes_test.go
+++ b/coordination/granting/granterfakes_test.go
@@ -240,3 +240,12 @@
 	}
 	return chains
 }
+
+// GiveUrgent gives room as Give does: the fake keeps none for the most urgent class.
+func (l *fakeLedger) GiveUrgent(now spanrill.Millis, id uint64, need spanrill.RoomNeed) (uint32, bool) {
+	return l.Give(now, id, need)
+}
+
+func (l *fakeLedger) SetDraining(spanrill.Millis, spanrill.Millis) {}
+
+func (l *fakeLine) Starved(spanrill.Class) bool { return false }
--- a/coordination/granting/granterlog.go
+++ b/coordination/granting/granterlog.go
@@ -24,7 +24,7 @@
 func (s *served) logChanges(now spanrill.Millis, log logrus.FieldLogger) {
 	counts := s.room.Counts()
 	if s.role != s.log.role && s.log.roleLimit.allow(now) {
-		events.RoomGranterChanged.Log(log, logrus.Fields{"service": s.name, "role": s.role, "before": s.log.role})
+		events.RoomGranterChanged.Log(log, logrus.Fields{"service": s.name, "role": s.role.String(), "before": s.log.role.String()})
 		s.log.role = s.role
 	}
 	if counts.Lapsed > s.log.lapsed && s.log.lapseLimit.allow(now) {
--- a/coordination/granting/roomlate.go
+++ b/coordination/granting/roomlate.go
@@ -52,15 +52,9 @@
 	l.of(e).RecordRefused(now, e)
 }
 
-// starver is a spanrill.StartLine that tells which classes go before more urgent ones.
-type starver interface {
-	Starved(class spanrill.Class) bool
-}
-
 // isStarved reports whether a request goes before those of more urgent classes.
 func (l *lateLine) isStarved(e spanrill.LineEntry) bool {
-	line, ok := l.StartLine.(starver)
-	return ok && !e.Returned && line.Starved(e.Class)
+	return !e.Returned && l.Starved(e.Class)
 }
 
 // Wait implements spanrill.StartLine. A caller that has returned may wait until its latest start,
--- a/coordination/granting/roomstart.go
+++ b/coordination/granting/roomstart.go
@@ -21,16 +21,11 @@
 	return true
 }
 
-// urgentGiver is a spanrill.RoomLedger that can give a request what it gives to the most urgent class.
-type urgentGiver interface {
-	GiveUrgent(now spanrill.Millis, id uint64, need spanrill.RoomNeed) (first uint32, ok bool)
-}
-
 // give gives room to a request. One that goes before more urgent classes may use what is reserved for
 // them: they would take this room instead of waiting behind it.
 func (r *Room) give(now spanrill.Millis, c *claim) (first uint32, ok bool) {
-	if l, isUrgent := r.ledger.(urgentGiver); isUrgent && r.line.isStarved(c.entry) {
-		return l.GiveUrgent(now, c.handle, c.need)
+	if r.line.isStarved(c.entry) {
+		return r.ledger.GiveUrgent(now, c.handle, c.need)
 	}
 	return r.ledger.Give(now, c.handle, c.need)
 }
--- a/coordination/granting/roomtakeover.go
+++ b/coordination/granting/roomtakeover.go
@@ -6,13 +6,6 @@
 // gave is taken to end: about as long as the longest requests last.
 const takeoverTime = 4 * spanrill.Second
 
-// drainer is a spanrill.RoomLedger that can take the load of others to end.
-type drainer interface {
-	// SetDraining tells that those who started the load that daemons told have started none since a
-	// time, or, at 0, that they may start requests.
-	SetDraining(now, since spanrill.Millis)
-}
-
 // askedAgainTime is how long after a daemon answers again, or can decide, most others ask it instead of
 // its standby.
 const askedAgainTime = silentPassOver / 4
@@ -36,9 +29,7 @@
 	if now-r.drainsSince >= takeoverTime {
 		r.drainsSince = 0
 	}
-	if ledger, ok := r.ledger.(drainer); ok {
-		ledger.SetDraining(now, r.drainsSince)
-	}
+	r.ledger.SetDraining(now, r.drainsSince)
 }
 
 // desertedTime is the time within which more than half of the daemons must have asked here because
--- a/overload.go
+++ b/overload.go
@@ -84,6 +84,11 @@
 	// Give gives room to a request on the chain that serves it best, until End or Lapse. It
 	// returns false if no chain has room now.
 	Give(now Millis, id uint64, need RoomNeed) (first uint32, ok bool)
+	// GiveUrgent gives room as Give does, also what is kept for the most urgent class.
+	GiveUrgent(now Millis, id uint64, need RoomNeed) (first uint32, ok bool)
+	// SetDraining tells that those who started the load that daemons told have started none since a
+	// time, or, at 0, that they may start requests.
+	SetDraining(now, since Millis)
 	// CanEver reports whether any chain that need may use could give it room if it were empty.
 	CanEver(need RoomNeed) bool
 	// Resize accounts a request that has room by its true class and size, on the chain that it has.
@@ -158,6 +163,9 @@
 	SetRate(perSecond float64)
 	// Wait returns how long a new request would wait.
 	Wait(now Millis, e LineEntry) Millis
+	// Starved reports whether a class goes before more urgent ones, because it has started less than
+	// its part of the requests.
+	Starved(class Class) bool
 	// Len returns the number of waiting requests.
 	Len() int
 	// LenOf returns the number of waiting requests of a class.
