reach: Log and count connections to upstreams that fail

Dial failures appear only as retries of requests, by upstream.

Change: connections to upstreams are opened by reach.Dialer, which counts failures (spanrill_upstream_connect_failures_total) and logs 460 when connections to two upstreams of a service fail in a row and 461 when one succeeds again. The check whether an upstream listens uses the same dialer. What is dialed, and when, does not change.

--- a/events/events.go
+++ b/events/events.go
@@ -102,7 +102,9 @@
 
 // Connections, 450 to 499.
 var (
-	ConnectionSilent = define(450, logrus.WarnLevel, "closed an open connection that had gone silent")
+	ConnectionSilent   = define(450, logrus.WarnLevel, "closed an open connection that had gone silent")
+	UpstreamsUnreached = define(460, logrus.WarnLevel, "cannot connect to several upstreams of a service in a row")
+	UpstreamsReached   = define(461, logrus.InfoLevel, "connected to an upstream of the service again")
 )
 
 // Upstreams, 500 to 599.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"spanrill/coordination/lease"
 	"spanrill/coordination/probe"
 	"spanrill/coordination/ratelimit"
+	"spanrill/coordination/reach"
 	"spanrill/coordination/relay"
 	"spanrill/coordination/retry"
 	"spanrill/coordination/suspect"
@@ -84,6 +85,8 @@
 	adapter  Adapter
 
 	http             *httpcall.Client
+	upstreamDialer   *reach.Dialer
+	dialUpstream     reach.DialFunc // opens connections to upstreams, or nil for the network's
 	config           *routes.Current
 	fleet            *fleet.Table
 	relay            *relay.Relay
@@ -139,6 +142,11 @@
 	return func(g *Gateway) { g.clock = c }
 }
 
+// WithUpstreamDial sets the function that opens connections to upstreams.
+func WithUpstreamDial(dial reach.DialFunc) Option {
+	return func(g *Gateway) { g.dialUpstream = dial }
+}
+
 // WithDroppedLines sets the source of the number of dropped log lines.
 func WithDroppedLines(dropped func() uint64) Option {
 	return func(g *Gateway) { g.droppedLines = dropped }
@@ -200,7 +208,7 @@
 }
 
 func (g *Gateway) build(connect Connect) error {
-	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout), httpcall.WithLogger(g.log), httpcall.WithMeters(g.meters),
+	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout), httpcall.WithDial(g.wrapDial), httpcall.WithLogger(g.log), httpcall.WithMeters(g.meters),
 		httpcall.WithOnHeaders(g.handleHeaders), httpcall.WithMaxIdle(g.maxIdle),
 		httpcall.WithMaxIdleTotal(conncap.IdleTotal(g.settings.Descriptors)))
 	g.config = routes.NewCurrent(g.clock)
@@ -208,7 +216,7 @@
 	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain),
 		fleet.WithOnRestart(g.handleRestart))
 	engines := g.fleet.WrapEngines(g.adapter.Engines)
-	g.prober = probe.New(engines, g.clock, g.log, probe.WithLastHeard(g.fleet.LastHeard))
+	g.prober = probe.New(engines, g.clock, g.log, probe.WithLastHeard(g.fleet.LastHeard), probe.WithDial(g.dialAndClose))
 	g.resolver = probe.NewAddressResolver(g.adapter.Identifier, g.clock, g.log, g.healthPath)
 	b := g.settings.Bounds
 	g.budgets = retry.NewBudgets(g.clock, retry.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}, assumedDaemons,
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -80,6 +80,7 @@
 	// ConnectionsClosedAtOnce counts new connections that the other side closed before anything was
 	// sent, as an upstream does when it has reached its limit of connections.
 	ConnectionsClosedAtOnce *metrics.Counter
+	connectFailures         [2]*metrics.Counter // by whether the connection was refused
 	// FramesRefused counts frames from peers that were refused.
 	FramesRefused *metrics.Counter
 	// PeerBytesSent counts bytes sent to peers.
@@ -127,6 +128,9 @@
 	for r := range retryCount {
 		m.retries[r] = s.NewCounter(fmt.Sprintf("spanrill_retries_total{reason=%q}", r))
 	}
+	for i, reason := range []string{"no_answer", "refused"} {
+		m.connectFailures[i] = s.NewCounter(fmt.Sprintf("spanrill_upstream_connect_failures_total{reason=%q}", reason))
+	}
 	for o := range m.outcomes {
 		m.outcomes[o] = s.NewCounter(fmt.Sprintf("spanrill_outcomes_total{outcome=%q}", spanrill.Outcome(o)))
 	}
@@ -143,6 +147,15 @@
 // Refusals returns the number of refusals for the reason.
 func (m *Meters) Refusals(r spanrill.Reason) uint64 { return m.refusals[r].Get() }
 
+// CountConnectFailure counts a connection to an upstream that could not be opened.
+func (m *Meters) CountConnectFailure(refused bool) {
+	if refused {
+		m.connectFailures[1].Inc()
+		return
+	}
+	m.connectFailures[0].Inc()
+}
+
 // CountRetry counts a retry by its reason.
 func (m *Meters) CountRetry(r RetryReason) { m.retries[r].Inc() }
 
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -55,6 +55,7 @@
 	idle         *pool.Pool[string, *conn]
 	timedOutOnce sync.Map // addresses whose last call on a reused connection timed out
 	dialer       net.Dialer
+	dial         DialFunc
 	log          logrus.FieldLogger
 	meters       *meter.Meters
 	onHeaders    OnHeaders
@@ -62,6 +63,9 @@
 	maxTotal     int
 }
 
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // OnHeaders is called with the headers of an answer and the time since its call began.
 type OnHeaders func(addr string, h *fasthttp.ResponseHeader, took spanrill.Millis)
 
@@ -73,6 +77,12 @@
 	return func(c *Client) { c.dialTimeout = d }
 }
 
+// WithDial wraps the function that opens connections. The function that it is given dials directly,
+// with the client's timeouts.
+func WithDial(wrap func(direct DialFunc) DialFunc) Option {
+	return func(c *Client) { c.dial = wrap(c.dialer.DialContext) }
+}
+
 // WithAckTimeout sets how long sent bytes may stay unacknowledged before the connection fails.
 func WithAckTimeout(d spanrill.Millis) Option {
 	return func(c *Client) { c.ackTimeout = d }
@@ -125,6 +135,9 @@
 	c.idle = pool.New(poolOpts...)
 	c.dialer.Timeout = c.dialTimeout.Duration()
 	c.dialer.Control = c.setUserTimeout
+	if c.dial == nil {
+		c.dial = c.dialer.DialContext
+	}
 	return c
 }
 
@@ -233,7 +246,7 @@
 		}
 		_ = cn.Close()
 	}
-	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := c.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("connect to %s: dial: %w", addr, err)}
 	}
