--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -26,6 +26,8 @@
 type Faults struct {
 	Refuse          bool `json:"refuse"`            // close new connections at once
 	Freeze          bool `json:"freeze"`            // forward no bytes
+	FreezeRequests  bool `json:"freeze_requests"`   // forward no bytes from the client
+	FreezeAnswers   bool `json:"freeze_answers"`    // forward no bytes from the target
 	DelayMillis     int  `json:"delay_millis"`      // delay before each write of forwarded bytes
 	CutRequestAfter int  `json:"cut_request_after"` // close a connection after this many bytes from the client
 	CutAnswerAfter  int  `json:"cut_answer_after"`  // close a connection after this many bytes from the target
@@ -228,7 +230,7 @@
 		default:
 		}
 		if n > 0 {
-			f := p.awaitUnfrozen()
+			f := p.awaitUnfrozen(dir)
 			if f.DelayMillis > 0 {
 				<-time.After(time.Duration(f.DelayMillis) * time.Millisecond)
 			}
@@ -249,13 +251,23 @@
 	}
 }
 
-// awaitUnfrozen waits while the proxy is frozen and returns the faults that apply afterwards.
-func (p *Proxy) awaitUnfrozen() Faults {
+// freezes reports whether bytes in a direction are not forwarded.
+func (f Faults) freezes(dir direction) bool {
+	return f.Freeze || dir == requestBytes && f.FreezeRequests || dir == answerBytes && f.FreezeAnswers
+}
+
+// awaitUnfrozen waits while a direction is frozen and returns the faults that apply afterwards. It
+// also returns once the proxy is closed.
+func (p *Proxy) awaitUnfrozen(dir direction) Faults {
 	for {
 		f, changed := p.currentFaults()
-		if !f.Freeze {
+		if !f.freezes(dir) {
+			return f
+		}
+		select {
+		case <-changed:
+		case <-p.done:
 			return f
 		}
-		<-changed
 	}
 }
