tunnel: Carry connections to upstreams through another daemon

A daemon that has lost its network path to an upstream needs another way, and the other daemons, which it reaches, have one.

Ways weighed (docs/design/reach.md): handing the whole request to another daemon, streams inside the messages between daemons, and a connection of its own through the other daemon. The last leaves every decision about a request where the request is.

Both sides prove that they know the fleet secret, and all frames are authenticated with keys of the connection. Key derivation is shared with peernet and gives the same keys there.

Nothing uses the package yet.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -87,6 +87,16 @@
 	PeerBytesSent *metrics.Counter
 	// PeerBytesReceived counts bytes received from peers.
 	PeerBytesReceived *metrics.Counter
+	// TunnelsOpened counts connections to upstreams that this daemon opened for peers.
+	TunnelsOpened *metrics.Counter
+	// TunnelsRefused counts connections that this daemon did not open for peers.
+	TunnelsRefused *metrics.Counter
+	// TunnelBytes counts bytes that this daemon forwarded for peers, in both directions.
+	TunnelBytes *metrics.Counter
+	// HelpedConnections counts connections to upstreams that peers opened for this daemon.
+	HelpedConnections *metrics.Counter
+	// HelpRefused counts connections to upstreams that peers did not open for this daemon.
+	HelpRefused *metrics.Counter
 	// SilentConnections counts open connections that were closed because nothing more arrived.
 	SilentConnections *metrics.Counter
 	// TimeToFirstToken is the time to the first token, in seconds.
@@ -116,6 +126,11 @@
 		FramesRefused:           s.NewCounter("spanrill_peer_frames_refused_total"),
 		PeerBytesSent:           s.NewCounter("spanrill_peer_bytes_sent_total"),
 		PeerBytesReceived:       s.NewCounter("spanrill_peer_bytes_received_total"),
+		TunnelsOpened:           s.NewCounter("spanrill_tunnels_opened_total"),
+		TunnelsRefused:          s.NewCounter("spanrill_tunnels_refused_total"),
+		TunnelBytes:             s.NewCounter("spanrill_tunnel_bytes_total"),
+		HelpedConnections:       s.NewCounter("spanrill_helped_connections_total"),
+		HelpRefused:             s.NewCounter("spanrill_help_refused_total"),
 		SilentConnections:       s.NewCounter("spanrill_silent_connections_total"),
 		TimeToFirstToken:        s.NewHistogram("spanrill_first_token_seconds"),
 		TimeBetweenTokens:       s.NewHistogram("spanrill_between_tokens_seconds"),
--- a/transport/peernet/link.go
+++ b/transport/peernet/link.go
@@ -65,8 +65,11 @@
 	return l
 }
 
-// helloKey returns the key of the hello frames, which depends on the fleet secret only.
-func (n *Net) helloKey() frame.Key { return frame.DeriveKey(n.secret, []byte("hello")) }
+// protocol is the protocol of this package in the derivation of keys.
+const protocol = ""
+
+// helloKey returns the key of the hello frames.
+func (n *Net) helloKey() frame.Key { return frame.HelloKey(n.secret, protocol) }
 
 // sessionKeys returns the keys for the two directions, derived from the nonces of both sides.
 func (l *link) sessionKeys(peerNonce []byte) (send, receive frame.Key) {
@@ -74,8 +77,7 @@
 	if !l.dialed {
 		dialerNonce, listenerNonce = peerNonce, l.nonce[:]
 	}
-	dialerKey := frame.DeriveKey(l.net.secret, []byte("dialer to listener"), dialerNonce, listenerNonce)
-	listenerKey := frame.DeriveKey(l.net.secret, []byte("listener to dialer"), dialerNonce, listenerNonce)
+	dialerKey, listenerKey := frame.SessionKeys(l.net.secret, protocol, dialerNonce, listenerNonce)
 	if l.dialed {
 		return dialerKey, listenerKey
 	}
