--- a/coordination/conncap/conncap.go
+++ b/coordination/conncap/conncap.go
@@ -64,3 +64,19 @@
 	}
 	return max(1, int(idleDescriptorFraction*float64(descriptors)))
 }
+
+const (
+	// tunnelDescriptorFraction is the fraction of a daemon's file descriptors that connections for
+	// other daemons may use. Each tunnel takes two descriptors.
+	tunnelDescriptorFraction = 0.125
+	descriptorsPerTunnel     = 2
+)
+
+// Tunnels returns how many connections to upstreams a daemon with that many descriptors keeps for
+// other daemons. The number of descriptors is 0 or less if it is unknown.
+func Tunnels(descriptors int) int {
+	if descriptors <= 0 {
+		descriptors = defaultDescriptors
+	}
+	return max(1, int(tunnelDescriptorFraction*float64(descriptors))/descriptorsPerTunnel)
+}
--- a/coordination/exchange/apply.go
+++ b/coordination/exchange/apply.go
@@ -16,6 +16,7 @@
 	now := e.clock.Now()
 	for name, last := range e.newsByPeer {
 		if now-last.askedAt > newsTTL {
+			e.logLostPaths(name, last.news.LostPaths, nil)
 			delete(e.newsByPeer, name)
 		}
 	}
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -69,6 +69,9 @@
 	Suspects   *suspect.Ledger
 	// Targets returns the layers that this daemon is ordering engines to hold, by engine id.
 	Targets func() map[string]fleet.Target
+	// LostPaths returns the services to whose upstreams this daemon has lost its network path, or is
+	// nil.
+	LostPaths func() []peermsg.LostPath
 	// Decode decodes a configuration from the form in which the store holds it.
 	Decode func(value []byte) (*spanrill.RouteConfig, error)
 }
@@ -224,7 +227,9 @@
 	e.MergeSuspects(news.Suspects)
 	ratelimit.MergeLimits(e.state.Fleet, news.Limits, sentAt)
 	e.mu.Lock()
-	e.newsByPeer[cmp.Or(news.Name, member.Name)] = peerNews{news: news, askedAt: sentAt}
+	peer := cmp.Or(news.Name, member.Name)
+	e.logLostPaths(peer, e.newsByPeer[peer].news.LostPaths, news.LostPaths)
+	e.newsByPeer[peer] = peerNews{news: news, askedAt: sentAt}
 	e.mu.Unlock()
 	e.recordPeerOrders(member.Name, news.Placement)
 	if news.Placement == nil {
@@ -285,6 +290,9 @@
 	reply.StoreAvailableFor = min(e.state.Fleet.StoreAvailableFor(), maxStoreAvailable)
 	reply.Suspects = e.suspectNews(req.Suspects)
 	reply.Limits = ratelimit.LimitsIfChanged(e.state.Fleet, e.clock, req.Limits)
+	if e.state.LostPaths != nil {
+		reply.LostPaths = e.state.LostPaths()
+	}
 	e.storeChildSums(req)
 	e.mergePlacement(req.Placement, e.clock.Now())
 	reply.Fleet = e.fleetSums(req)
--- /dev/null
+++ b/coordination/exchange/lostpaths.go
@@ -0,0 +1,52 @@
+package exchange
+
+import (
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"spanrill/events"
+	"spanrill/protocol/peermsg"
+)
+
+// PeerPathLost reports whether a peer recently said that it has lost its network path to the upstreams
+// of a service, or of any service if it is "".
+func (e *Exchange) PeerPathLost(peer, service string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last, ok := e.newsByPeer[peer]
+	return ok && e.clock.Now()-last.askedAt <= newsTTL && hasLostPath(last.news.LostPaths, service)
+}
+
+// hasLostPath reports whether a list names a service, or any if it is "".
+func hasLostPath(lost []peermsg.LostPath, service string) bool {
+	return slices.ContainsFunc(lost, func(p peermsg.LostPath) bool { return service == "" || p.Service == service })
+}
+
+// PeerLostPaths returns, by peer, the services to whose upstreams it has recently said to have lost
+// its network path.
+func (e *Exchange) PeerLostPaths() map[string][]peermsg.LostPath {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now, all := e.clock.Now(), map[string][]peermsg.LostPath{}
+	for peer, last := range e.newsByPeer {
+		if len(last.news.LostPaths) > 0 && now-last.askedAt <= newsTTL {
+			all[peer] = last.news.LostPaths
+		}
+	}
+	return all
+}
+
+// logLostPaths logs which paths of a peer are lost, or work again, since its last news.
+func (e *Exchange) logLostPaths(peer string, before, after []peermsg.LostPath) {
+	for _, p := range after {
+		if !hasLostPath(before, p.Service) {
+			events.PeerPathLost.Log(e.log, logrus.Fields{"peer": peer, "service": p.Service})
+		}
+	}
+	for _, p := range before {
+		if !hasLostPath(after, p.Service) {
+			events.PeerPathRestored.Log(e.log, logrus.Fields{"peer": peer, "service": p.Service})
+		}
+	}
+}
--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -267,6 +267,9 @@
 		events.LocalResourcesExhausted.Log(p.log, logrus.Fields{"upstream": u.ID(), "addr": u.Addr(), "error": q.err})
 		return // otherwise, a daemon without file descriptors would take all engines for dead
 	}
+	if errors.Is(q.err, spanrill.ErrNoPath) {
+		return // it tells of this daemon's own path only
+	}
 	dead := q.err != nil
 	if spanrill.IsConnectionRefused(q.err) {
 		u.RecordNotListening()
--- /dev/null
+++ b/coordination/reach/help.go
@@ -0,0 +1,206 @@
+package reach
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/events"
+	"spanrill/transport/tunnel"
+)
+
+// TunnelFunc connects to the upstream at an address through a helper, and returns how many tunnels the
+// helper has open. Request is the id of the request that needs the connection, or "".
+type TunnelFunc func(ctx context.Context, helper spanrill.Helper, addr, request string) (conn net.Conn, open int, err error)
+
+type requestKey struct{}
+
+// WithRequest returns a context whose connections are for the request with that id. A helper does not
+// connect requests to upstreams that want none from it.
+func WithRequest(ctx context.Context, id string) context.Context {
+	return context.WithValue(ctx, requestKey{}, id)
+}
+
+func requestOf(ctx context.Context) string {
+	id, _ := ctx.Value(requestKey{}).(string)
+	return id
+}
+
+// helpState holds what this daemon knows about helpers, by name.
+type helpState struct {
+	mu         sync.Mutex
+	load       map[string]int             // tunnels that the helper had open when it last opened one
+	avoidUntil map[string]spanrill.Millis // it could not help until then
+}
+
+func newHelpState() *helpState {
+	return &helpState{load: map[string]int{}, avoidUntil: map[string]spanrill.Millis{}}
+}
+
+const (
+	// maxHelpers is the number of helpers that are asked for one connection.
+	maxHelpers = 3
+	// avoidTime is how long a helper that cannot help is not asked: a few checks of its own path.
+	avoidTime = 2 * checkInterval
+	// otherZoneLoad is the number of tunnels by which a helper in this daemon's availability zone may
+	// be more loaded than another before that is asked first.
+	otherZoneLoad = 4
+)
+
+// errNoHelp means that no helper has tried to connect to the upstream.
+var errNoHelp = errors.New("no other daemon helps")
+
+// isNoHelp reports whether an error means that no helper has tried.
+func isNoHelp(err error) bool { return errors.Is(err, errNoHelp) }
+
+// candidates returns the helpers to ask, the preferred one first.
+func (d *Dialer) candidates(service string) []spanrill.Helper {
+	d.help.mu.Lock()
+	defer d.help.mu.Unlock()
+	now := d.clock.Now()
+	type scored struct {
+		spanrill.Helper
+		score float64
+	}
+	var all []scored
+	for _, h := range d.helpers(service) {
+		if now < d.help.avoidUntil[h.Name] {
+			continue
+		}
+		score := float64(d.help.load[h.Name]) + d.random.Float64()
+		if h.Zone != d.zone {
+			score += otherZoneLoad
+		}
+		all = append(all, scored{h, score})
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	helpers := make([]spanrill.Helper, 0, maxHelpers)
+	for _, s := range all[:min(maxHelpers, len(all))] {
+		helpers = append(helpers, s.Helper)
+	}
+	return helpers
+}
+
+// dialThroughHelper connects through one of the helpers. The next one is also asked when one fails or
+// takes longer than usual. The error wraps spanrill.ErrNoPath if no helper has tried to connect to the
+// upstream.
+func (d *Dialer) dialThroughHelper(ctx context.Context, service, addr string) (net.Conn, error) {
+	helpers := d.candidates(service)
+	var attempts []*attempt
+	finished := make(chan *attempt, maxHelpers)
+	ask := func() {
+		a := d.startTunnel(ctx, service, helpers[len(attempts)], addr)
+		attempts = append(attempts, a)
+		d.tasks.Start(context.WithoutCancel(ctx), "await tunnel", func(context.Context) error {
+			<-a.done
+			finished <- a
+			return nil
+		})
+	}
+	var told, withheld error // the errors of helpers that could not, or must not, connect
+	for running := 0; ; {
+		if running == 0 {
+			if len(attempts) == len(helpers) || told != nil {
+				break
+			}
+			ask()
+			running++
+		}
+		select {
+		case a := <-finished:
+			running--
+			if a.err == nil {
+				d.discardOthers(attempts, a)
+				return a.conn, nil
+			}
+			switch {
+			case isUpstreamFault(a.err):
+				told = a.err
+			case errors.Is(a.err, spanrill.ErrWithheld):
+				withheld = a.err
+			}
+		case <-d.clock.After(d.helpTime.bound(d.timeout)):
+			if len(attempts) < len(helpers) {
+				ask()
+				running++
+			}
+		case <-ctx.Done():
+			d.discardOthers(attempts, nil)
+			return nil, fmt.Errorf("connect through other daemons: %w", ctx.Err())
+		}
+	}
+	if err := cmp.Or(told, withheld); err != nil {
+		return nil, err
+	}
+	return nil, fmt.Errorf("%w: %w, %d asked", spanrill.ErrNoPath, errNoHelp, len(attempts))
+}
+
+// discardOthers closes the connections of all attempts but one.
+func (d *Dialer) discardOthers(attempts []*attempt, used *attempt) {
+	for _, a := range attempts {
+		if a != used {
+			d.discard(a)
+		}
+	}
+}
+
+// startTunnel starts to connect through a helper.
+func (d *Dialer) startTunnel(ctx context.Context, service string, h spanrill.Helper, addr string) *attempt {
+	request, startedAt := requestOf(ctx), d.clock.Now()
+	return d.start(ctx, "tunnel", func(ctx context.Context) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, d.timeout.Duration())
+		defer cancel()
+		conn, open, err := d.tunnel(ctx, h, addr, request)
+		if err != nil {
+			d.recordNotHelped(h, addr, request, err)
+			return nil, err
+		}
+		d.helpTime.record(d.clock.Now() - startedAt)
+		d.meters.HelpedConnections.Inc()
+		d.paths.recordHelped(service, h.Name)
+		d.help.mu.Lock()
+		d.help.load[h.Name] = open
+		d.help.mu.Unlock()
+		d.helpLog.Log(events.TunnelUsed, d.log, func() logrus.Fields {
+			return logrus.Fields{"helper": h.Name, "addr": addr, "service": service, "request": request, "open": open}
+		})
+		return conn, nil
+	})
+}
+
+// recordNotHelped records that a helper did not connect. Unless the upstream is the cause, the helper
+// is not asked for a while.
+func (d *Dialer) recordNotHelped(h spanrill.Helper, addr, request string, err error) {
+	d.meters.HelpRefused.Inc()
+	d.helpLog.Log(events.TunnelDenied, d.log, func() logrus.Fields {
+		return logrus.Fields{"helper": h.Name, "addr": addr, "request": request, "error": err}
+	})
+	if isUpstreamFault(err) || reasonOf(err) == tunnel.ReasonUnknown || reasonOf(err) == tunnel.ReasonWithheld {
+		return
+	}
+	d.help.mu.Lock()
+	defer d.help.mu.Unlock()
+	d.help.avoidUntil[h.Name] = d.clock.Now() + avoidTime
+}
+
+// reasonOf returns the reason that a helper gave, or 0.
+func reasonOf(err error) tunnel.Reason {
+	var failure *tunnel.OpenError
+	if errors.As(err, &failure) {
+		return failure.Reason
+	}
+	return 0
+}
+
+// isUpstreamFault reports whether a helper has tried to connect to the upstream and failed.
+func isUpstreamFault(err error) bool {
+	reason := reasonOf(err)
+	return reason == tunnel.ReasonRefused || reason == tunnel.ReasonUnreachable
+}
--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -1,6 +1,8 @@
 package reach
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -9,63 +11,228 @@
 	"spanrill/events"
 )
 
-// paths holds what this daemon knows about its network paths to the upstreams of each service.
+// paths holds which upstreams this daemon has lost its own network path to.
 type paths struct {
-	clock    spanrill.Clock
-	log      logrus.FieldLogger
-	mu       sync.Mutex
-	services map[string]*servicePath
+	directory spanrill.UpstreamDirectory
+	clock     spanrill.Clock
+	log       logrus.FieldLogger
+	onLost    func(service string)
+	mu        sync.Mutex
+	services  map[string]*servicePaths
 }
 
-// servicePath is the state of the paths to the upstreams of one service.
-type servicePath struct {
-	failed map[string]bool // addresses to which connections failed since one was last opened
-	since  spanrill.Millis // when the first of them failed
-	logged bool            // their failure was logged
+// servicePaths is the state of the paths to the upstreams of one service.
+type servicePaths struct {
+	lost map[string]spanrill.Millis // addresses that helpers reach and this daemon does not, and since when
+	// Upstreams to which connections have failed since one was last opened: those that a helper
+	// reached, and the others.
+	lostInRow, failedInRow map[string]bool
+	failingSince           spanrill.Millis // when the first of failedInRow failed
+	confirming             bool            // further upstreams are being tried because of failedInRow
+	cut                    bool            // all upstreams of the service count as lost
+	cutSince               spanrill.Millis
+	helped                 map[string]int // connections since then by name of the helper
 }
 
-// minFailedUpstreams is the number of upstreams of a service that connections must fail to before
-// this daemon's own path is suspected. A single upstream can fail by itself.
-const minFailedUpstreams = 2
+const (
+	// minLostInRow is the number of upstreams of a service that helpers reach and this daemon does not,
+	// in a row, from which on the path to all of them counts as lost. A single one can have lost its
+	// own path.
+	minLostInRow = 2
+	// minFailedInRow is the same number for upstreams that nobody reaches, or for which nobody can be
+	// asked. It is larger, because several upstreams can fail together.
+	minFailedInRow = 6
+	// confirmFrom is the number of such upstreams from which on others are tried to find out.
+	confirmFrom = 2
+)
 
-func newPaths(clock spanrill.Clock, log logrus.FieldLogger) *paths {
-	return &paths{clock: clock, log: log, services: map[string]*servicePath{}}
+func newPaths(directory spanrill.UpstreamDirectory, clock spanrill.Clock, log logrus.FieldLogger) *paths {
+	return &paths{directory: directory, clock: clock, log: log, onLost: func(string) {}, services: map[string]*servicePaths{}}
 }
 
 // of returns the state of a service. The caller holds the lock.
-func (p *paths) of(service string) *servicePath {
+func (p *paths) of(service string) *servicePaths {
 	s := p.services[service]
 	if s == nil {
-		s = &servicePath{failed: map[string]bool{}}
+		s = &servicePaths{lost: map[string]spanrill.Millis{}, lostInRow: map[string]bool{}, failedInRow: map[string]bool{}, helped: map[string]int{}}
 		p.services[service] = s
 	}
 	return s
 }
 
-// recordConnected records that a connection to an upstream was opened.
+// lostSince returns since when connections to an upstream go through helpers, and whether they do.
+func (p *paths) lostSince(service, addr string) (spanrill.Millis, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[service]
+	if s == nil {
+		return 0, false
+	}
+	if s.cut {
+		return s.cutSince, true
+	}
+	since, lost := s.lost[addr]
+	return since, lost
+}
+
+// isCut reports whether the path to all upstreams of a service is lost.
+func (p *paths) isCut(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[service]
+	return s != nil && s.cut
+}
+
+// recordConnected records a direct connection.
 func (p *paths) recordConnected(service, addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.of(service)
-	if s.logged {
-		events.UpstreamsReached.Log(p.log, logrus.Fields{"service": service, "addr": addr, "after_ms": p.clock.Now() - s.since})
+	s := p.services[service]
+	if s == nil {
+		return
+	}
+	delete(s.lost, addr)
+	clear(s.lostInRow)
+	clear(s.failedInRow)
+	s.confirming = false
+	if !s.cut {
+		return
+	}
+	s.cut = false
+	clear(s.lost) // those that are still lost are found again
+	events.PathRestored.Log(p.log, logrus.Fields{"service": service, "addr": addr, "lost_ms": p.clock.Now() - s.cutSince, "helped": s.helped})
+	s.helped = map[string]int{}
+}
+
+// recordLost records that a helper reached an upstream that this daemon did not. It reports whether
+// this was the first upstream of the service in a row.
+func (p *paths) recordLost(service, addr string) (first bool) {
+	p.mu.Lock()
+	s, now := p.of(service), p.clock.Now()
+	first = len(s.lostInRow) == 0
+	if _, known := s.lost[addr]; !known {
+		s.lost[addr] = now
+	}
+	s.lostInRow[addr] = true
+	cut := !s.cut && len(s.lostInRow) >= min(minLostInRow, max(1, len(p.directory.Addrs(service))))
+	if cut {
+		p.markCut(s, service, addr)
+	}
+	p.mu.Unlock()
+	if cut {
+		p.onLost(service)
+	}
+	return first && !cut
+}
+
+// recordFailed records that neither this daemon nor a helper reached an upstream. Told is whether a
+// helper has tried. Many of these in a row mean a lost path if no upstream of any service was heard
+// meanwhile: the helpers may have lost theirs as well, or there are none. It reports whether
+// other upstreams of the service should be tried, which tell whether that is so.
+func (p *paths) recordFailed(service, addr string, told bool) (confirm bool) {
+	p.mu.Lock()
+	s, addrs := p.of(service), p.directory.Addrs(service)
+	if told {
+		delete(s.lost, addr)
+	}
+	if len(s.failedInRow) == 0 || p.directory.LastHeard() >= s.failingSince {
+		clear(s.failedInRow)
+		s.failingSince, s.confirming = p.clock.Now(), false
+	}
+	s.failedInRow[addr] = true
+	cut := !s.cut && len(s.failedInRow) >= max(confirmFrom, min(minFailedInRow, len(addrs)))
+	switch {
+	case cut:
+		p.markCut(s, service, addr)
+	case !s.cut && !s.confirming && len(s.failedInRow) >= confirmFrom:
+		s.confirming, confirm = true, true
+	}
+	p.mu.Unlock()
+	if cut {
+		p.onLost(service)
+	}
+	return confirm
+}
+
+// markCut records that the path to all upstreams of a service is lost. The caller holds the lock.
+func (p *paths) markCut(s *servicePaths, service, addr string) {
+	s.cut, s.cutSince = true, p.clock.Now()
+	clear(s.helped)
+	events.PathLost.Log(p.log, logrus.Fields{"service": service, "addr": addr, "upstreams_reached_by_helpers": len(s.lostInRow), "upstreams_reached_by_none": len(s.failedInRow)})
+}
+
+// recordHelped counts a connection through a helper.
+func (p *paths) recordHelped(service, helper string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(service).helped[helper]++
+}
+
+// LostService is a service to whose upstreams this daemon has lost its path.
+type LostService struct {
+	Service string
+	For     spanrill.Millis // how long
+	Helped  map[string]int  // connections since then by name of the helper
+}
+
+// lostServices returns the services whose paths are lost, sorted by name.
+func (p *paths) lostServices() []LostService {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []LostService
+	for name, s := range p.services {
+		if !s.cut {
+			continue
+		}
+		helped := make(map[string]int, len(s.helped))
+		for helper, n := range s.helped {
+			helped[helper] = n
+		}
+		all = append(all, LostService{Service: name, For: p.clock.Now() - s.cutSince, Helped: helped})
 	}
-	clear(s.failed)
-	s.logged = false
+	slices.SortFunc(all, func(a, b LostService) int { return cmp.Compare(a.Service, b.Service) })
+	return all
 }
 
-// recordFailed records that a connection to an upstream could not be opened.
-func (p *paths) recordFailed(service, addr string, err error) {
+// toCheck returns the addresses to which direct connections should be checked now: one for each
+// service. Random is drawn from [0, n). Upstreams that are gone are forgotten.
+func (p *paths) toCheck(random func(n int) int) map[string]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.of(service)
-	if len(s.failed) == 0 {
-		s.since = p.clock.Now()
+	check := map[string]string{}
+	for name, s := range p.services {
+		addrs := p.directory.Addrs(name)
+		s.forgetOthers(addrs)
+		candidates := addrs
+		if !s.cut {
+			candidates = slices.DeleteFunc(slices.Clone(addrs), func(addr string) bool { _, lost := s.lost[addr]; return !lost })
+		}
+		if len(candidates) > 0 && (s.cut || len(s.lost) > 0) {
+			check[name] = candidates[random(len(candidates))]
+		}
 	}
-	s.failed[addr] = true
-	if s.logged || len(s.failed) < minFailedUpstreams {
+	return check
+}
+
+// forgetOthers drops what is known about all addresses but those given.
+func (s *servicePaths) forgetOthers(addrs []string) {
+	if len(s.lost)+len(s.lostInRow)+len(s.failedInRow) == 0 {
 		return
 	}
-	s.logged = true
-	events.UpstreamsUnreached.Log(p.log, logrus.Fields{"service": service, "addr": addr, "failing_ms": p.clock.Now() - s.since, "error": err})
+	exists := make(map[string]bool, len(addrs))
+	for _, addr := range addrs {
+		exists[addr] = true
+	}
+	for addr := range s.lost {
+		if !exists[addr] {
+			delete(s.lost, addr)
+		}
+	}
+	for _, row := range []map[string]bool{s.lostInRow, s.failedInRow} {
+		for addr := range row {
+			if !exists[addr] {
+				delete(row, addr)
+			}
+		}
+	}
 }
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -1,9 +1,26 @@
-// Package reach opens the connections of a daemon to upstreams and keeps track of which upstreams
-// the daemon cannot connect to.
+// Package reach opens the connections of a daemon to upstreams: over the daemon's own network path, or
+// through another daemon where that path is lost.
+//
+// A connection is first tried directly. If that fails, or takes much longer than connections usually
+// do, a helper, which is another daemon, is asked for the same connection. An upstream that the helper
+// reaches and this daemon does not is taken as lost to this daemon; one that neither reaches is left to
+// the callers' own judgement, as before. Once this daemon has lost several upstreams of a service and
+// reached none, all connections to the service go through helpers at once. Direct connections are
+// checked meanwhile, and the first that succeeds ends this.
+//
+// A helper connects directly or not at all, so that a connection never passes two helpers.
+//
+//	reach.go   the choice between the two ways
+//	attempt.go connection attempts that outlive their callers
+//	help.go    connections through helpers
+//	paths.go   which upstreams are lost
+//	delay.go   how long a connection usually takes
+//	check.go   checks of lost upstreams
 //
 // # Usage
 //
-//	d := reach.New(serviceOf, clock, log)
+//	d := reach.New(directory, clock, log, random, reach.WithHelp(helpers, tunnel))
+//	go d.Run(ctx)
 //	conn, err := d.DialContext(ctx, "tcp", addr)
 package reach
 
@@ -11,11 +28,15 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
+	"spanrill/events"
 	"spanrill/meter"
+	"spanrill/rng"
+	"spanrill/task"
 )
 
 // DialFunc opens a connection.
@@ -23,19 +44,43 @@
 
 // Dialer opens connections to upstreams.
 type Dialer struct {
-	serviceOf func(addr string) string
-	clock     spanrill.Clock
-	meters    *meter.Meters
-	direct    DialFunc
-	paths     *paths
+	directory  spanrill.UpstreamDirectory
+	clock      spanrill.Clock
+	log        logrus.FieldLogger
+	meters     *meter.Meters
+	random     *rng.Source
+	zone       string
+	direct     DialFunc
+	timeout    spanrill.Millis // of a direct connection
+	helpers    func(service string) []spanrill.Helper
+	tunnel     TunnelFunc
+	paths      *paths
+	help       *helpState
+	directTime *delay // of direct connections
+	helpTime   *delay // of connections through helpers
+	helpLog    *events.Limiter
+	tasks      task.Group
+	done       chan struct{}
 }
 
 // Option changes a default of New.
 type Option func(*Dialer)
 
-// WithDirect sets the function that opens a connection over this daemon's own network path.
-func WithDirect(dial DialFunc) Option {
-	return func(d *Dialer) { d.direct = dial }
+// WithDirect sets the function that opens a connection over this daemon's own network path, and the
+// time that it may take.
+func WithDirect(dial DialFunc, timeout spanrill.Millis) Option {
+	return func(d *Dialer) { d.direct, d.timeout = dial, timeout }
+}
+
+// WithHelp sets the function that returns the daemons that may be asked for connections to a service,
+// and the function that opens a connection through one of them.
+func WithHelp(helpers func(service string) []spanrill.Helper, tunnel TunnelFunc) Option {
+	return func(d *Dialer) { d.helpers, d.tunnel = helpers, tunnel }
+}
+
+// WithZone sets this daemon's availability zone. Helpers in it are preferred.
+func WithZone(zone string) Option {
+	return func(d *Dialer) { d.zone = zone }
 }
 
 // WithMeters sets the counters.
@@ -43,12 +88,23 @@
 	return func(d *Dialer) { d.meters = m }
 }
 
-// New returns a Dialer. serviceOf returns the service of the upstream at an address, or "" if there
-// is no upstream at the address.
-func New(serviceOf func(addr string) string, clock spanrill.Clock, log logrus.FieldLogger, opts ...Option) *Dialer {
+// WithOnLost sets a function that is called when the path to the upstreams of a service is lost.
+func WithOnLost(f func(service string)) Option {
+	return func(d *Dialer) { d.paths.onLost = f }
+}
+
+// helpLinesPerSecond is the maximum number of log lines per second about connections through helpers.
+const helpLinesPerSecond = 40
+
+// New returns a Dialer. Without WithHelp it connects directly only.
+func New(directory spanrill.UpstreamDirectory, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source, opts ...Option) *Dialer {
 	d := &Dialer{
-		serviceOf: serviceOf, clock: clock, meters: meter.New(), direct: (&net.Dialer{}).DialContext,
-		paths: newPaths(clock, log),
+		directory: directory, clock: clock, log: log, meters: meter.New(), random: random,
+		direct: (&net.Dialer{}).DialContext, timeout: spanrill.Second,
+		helpers: func(string) []spanrill.Helper { return nil },
+		paths:   newPaths(directory, clock, log), help: newHelpState(),
+		directTime: newDelay(minDirectDelay), helpTime: newDelay(minHelpDelay),
+		helpLog: events.NewLimiter(clock, helpLinesPerSecond), done: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(d)
@@ -56,27 +112,203 @@
 	return d
 }
 
-// DialContext opens a connection to an address and records the result if an upstream has the address.
-func (d *Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	conn, err := d.direct(ctx, network, addr)
-	if service := d.serviceOf(addr); service != "" {
-		d.record(ctx, service, addr, err)
+// Done returns a channel that is closed when Run has returned and no attempt runs.
+func (d *Dialer) Done() <-chan struct{} { return d.done }
+
+// LostSince returns since when connections to an address go through helpers, and whether they do.
+func (d *Dialer) LostSince(addr string) (spanrill.Millis, bool) {
+	return d.paths.lostSince(d.directory.ServiceAt(addr), addr)
+}
+
+// LostServices returns the services to whose upstreams this daemon has lost its path.
+func (d *Dialer) LostServices() []LostService { return d.paths.lostServices() }
+
+// DialForPeer connects to the upstream at an address for another daemon, over this daemon's own path
+// only. The error wraps spanrill.ErrNoPath if that path does not work either.
+func (d *Dialer) DialForPeer(ctx context.Context, addr string) (net.Conn, error) {
+	service := d.directory.ServiceAt(addr)
+	if d.paths.isCut(service) {
+		return nil, fmt.Errorf("connect to %s: %w", addr, spanrill.ErrNoPath)
+	}
+	a := d.startDirect(ctx, service, addr)
+	select {
+	case <-a.done:
+	case <-ctx.Done():
+		d.discard(a)
+		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
+	}
+	if a.err != nil && !d.reachesOther(ctx, service, addr) {
+		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, a.err)
 	}
-	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
+	return a.conn, a.err
+}
+
+// otherUpstreams is how many other upstreams of the service, and of all services, are tried to tell a
+// lost path from a failed upstream. Several upstreams can fail together.
+const otherUpstreams = 2
+
+// reachesOther reports whether this daemon reaches another upstream, so that the failure of a
+// connection to the one at addr tells of that upstream. It does if there is no other one.
+func (d *Dialer) reachesOther(ctx context.Context, service, addr string) bool {
+	others := append(d.pickOthers(service, addr, otherUpstreams), d.pickOthers("", addr, otherUpstreams)...)
+	results := make(chan bool, len(others))
+	for _, other := range others {
+		service := d.directory.ServiceAt(other)
+		direct := d.startDirect(ctx, service, other)
+		d.discard(direct)
+		d.tasks.Start(context.WithoutCancel(ctx), "check path", func(context.Context) error {
+			<-direct.done
+			if direct.err != nil && !spanrill.IsLocalResourceError(direct.err) {
+				d.paths.recordFailed(service, other, false)
+			}
+			results <- direct.err == nil
+			return nil
+		})
 	}
-	return conn, nil
+	for range others {
+		select {
+		case reached := <-results:
+			if reached {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return len(others) == 0
 }
 
-// record records the result of a connection attempt. An attempt that its caller has given up, or that
-// failed for lack of local resources, says nothing about the path.
-func (d *Dialer) record(ctx context.Context, service, addr string, err error) {
-	switch {
-	case err == nil:
-		d.paths.recordConnected(service, addr)
-	case spanrill.IsLocalResourceError(err), ctx.Err() == context.Canceled:
-	default:
-		d.meters.CountConnectFailure(spanrill.IsConnectionRefused(err))
-		d.paths.recordFailed(service, addr, err)
+// pickOthers returns up to n random upstreams of a service, or of all services if it is "", without the
+// one at addr.
+func (d *Dialer) pickOthers(service, addr string, n int) (picked []string) {
+	others := slices.DeleteFunc(d.directory.Addrs(service), func(other string) bool { return other == addr })
+	for len(picked) < n && len(others) > 0 {
+		i := d.random.IntN(len(others))
+		picked = append(picked, others[i])
+		others = slices.Delete(others, i, i+1)
+	}
+	return picked
+}
+
+// DialContext connects to the upstream at an address. The error wraps spanrill.ErrNoPath if this
+// daemon's path is lost and no helper connects it.
+func (d *Dialer) DialContext(ctx context.Context, _, addr string) (net.Conn, error) {
+	service := d.directory.ServiceAt(addr)
+	if _, lost := d.paths.lostSince(service, addr); lost {
+		conn, err := d.dialThroughHelper(ctx, service, addr)
+		if err == nil || !isNoHelp(err) || d.paths.isCut(service) {
+			return conn, err
+		}
+	}
+	return d.race(ctx, service, addr)
+}
+
+// race connects directly and, if that fails or takes longer than usual, also through a helper. The
+// first connection is used.
+func (d *Dialer) race(ctx context.Context, service, addr string) (net.Conn, error) {
+	direct := d.startDirect(ctx, service, addr)
+	select {
+	case <-direct.done:
+		if direct.err == nil || spanrill.IsLocalResourceError(direct.err) {
+			return direct.conn, direct.err
+		}
+	case <-d.clock.After(d.directTime.bound(d.timeout)):
+	case <-ctx.Done():
+		d.discard(direct)
+		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
+	}
+	help := d.startHelp(ctx, service, addr)
+	d.tasks.Start(context.WithoutCancel(ctx), "compare paths", func(context.Context) error {
+		d.compare(service, addr, direct, help)
+		return nil
+	})
+	conn, err := d.first(ctx, addr, direct, help)
+	if err != nil && isNoHelp(help.errNow()) && !d.reachesOther(ctx, service, addr) {
+		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, err)
+	}
+	return conn, err
+}
+
+// first returns the first connection of two attempts, or an error if both fail.
+func (d *Dialer) first(ctx context.Context, addr string, direct, help *attempt) (net.Conn, error) {
+	directDone, helpDone := direct.done, help.done
+	for directDone != nil || helpDone != nil {
+		select {
+		case <-directDone:
+			if direct.err == nil {
+				d.discard(help)
+				return direct.conn, nil
+			}
+			directDone = nil
+		case <-helpDone:
+			if help.err == nil {
+				d.discard(direct)
+				return help.conn, nil
+			}
+			helpDone = nil
+		case <-ctx.Done():
+			d.discard(direct)
+			d.discard(help)
+			return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
+		}
+	}
+	return nil, fmt.Errorf("%w, and through other daemons: %v", direct.err, help.err)
+}
+
+// compare records what the results of two attempts say about this daemon's path. A direct attempt
+// that is still under way when the helper has connected counts as failed; should it succeed later,
+// startDirect records that.
+func (d *Dialer) compare(service, addr string, direct, help *attempt) {
+	<-help.done
+	if help.err == nil {
+		select {
+		case <-direct.done:
+			if direct.err == nil || spanrill.IsLocalResourceError(direct.err) {
+				return
+			}
+		default:
+		}
+		if d.paths.recordLost(service, addr) {
+			d.confirmLost(service, addr)
+		}
+		return
+	}
+	<-direct.done
+	if direct.err != nil && !spanrill.IsLocalResourceError(direct.err) {
+		d.recordFailed(service, addr, !isNoHelp(help.err))
+	}
+}
+
+// confirmLost compares the paths to other upstreams of a service after one was lost, so that the loss
+// of all is noticed before requests need them.
+func (d *Dialer) confirmLost(service, addr string) {
+	for _, other := range d.pickOthers(service, addr, otherUpstreams) {
+		d.tasks.Start(context.Background(), "confirm lost path", func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, d.timeout.Duration())
+			defer cancel()
+			if conn, err := d.race(ctx, service, other); err == nil {
+				_ = conn.Close()
+			}
+			return nil // only what the attempts record matters
+		})
+	}
+}
+
+// recordFailed records that nobody reached an upstream, and tries others if that may be because of
+// this daemon's path.
+func (d *Dialer) recordFailed(service, addr string, told bool) {
+	if !d.paths.recordFailed(service, addr, told) {
+		return
+	}
+	for _, other := range d.pickOthers(service, addr, minFailedInRow) {
+		direct := d.startDirect(context.Background(), service, other)
+		d.discard(direct)
+		d.tasks.Start(context.Background(), "confirm lost path", func(context.Context) error {
+			<-direct.done
+			if direct.err != nil && !spanrill.IsLocalResourceError(direct.err) {
+				d.paths.recordFailed(service, other, false)
+			}
+			return nil
+		})
 	}
 }
--- /dev/null
+++ b/coordination/reach/reach_test.go
@@ -0,0 +1,311 @@
+package reach
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/clock"
+	"spanrill/rng"
+	"spanrill/task"
+	"spanrill/transport/tunnel"
+)
+
+// world is a set of upstreams and helpers, and the paths to them. It is a spanrill.UpstreamDirectory.
+type world struct {
+	mu        sync.Mutex
+	upstreams []string         // addresses
+	down      map[string]bool  // upstreams that refuse all connections
+	silent    map[string]bool  // upstreams that answer no connection
+	lost      map[string]error // what direct connections to an upstream fail with; errHang hangs
+	helpers   map[string]error // what each helper answers, nil if it connects
+	heard     spanrill.Millis
+	direct    map[string]int // direct connections that were asked for by address
+	asked     map[string]int // tunnels that were asked for by helper
+}
+
+var errHang = errors.New("hangs")
+
+func newWorld(upstreams int, helpers ...string) *world {
+	w := &world{down: map[string]bool{}, silent: map[string]bool{}, lost: map[string]error{}, helpers: map[string]error{}, direct: map[string]int{}, asked: map[string]int{}}
+	for i := range upstreams {
+		w.upstreams = append(w.upstreams, fmt.Sprintf("u%d", i))
+	}
+	for _, h := range helpers {
+		w.helpers[h] = nil
+	}
+	return w
+}
+
+func (w *world) ServiceAt(string) string     { return "service" }
+func (w *world) Addrs(string) []string       { return slices.Clone(w.upstreams) }
+func (w *world) LastHeard() spanrill.Millis  { w.mu.Lock(); defer w.mu.Unlock(); return w.heard }
+func (w *world) lose(err error, a ...string) { w.set(func() { w.setLost(err, a) }) }
+
+func (w *world) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+func (w *world) setLost(err error, addrs []string) {
+	for _, addr := range addrs {
+		if err == nil {
+			delete(w.lost, addr)
+			continue
+		}
+		w.lost[addr] = err
+	}
+}
+
+// connect returns a connection, or the failure of the upstream or the path.
+func (w *world) connect(ctx context.Context, addr string, path error) (net.Conn, error) {
+	w.mu.Lock()
+	down, silent := w.down[addr], w.silent[addr]
+	w.mu.Unlock()
+	switch {
+	case silent || errors.Is(path, errHang):
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case path != nil:
+		return nil, path
+	case down:
+		return nil, syscall.ECONNREFUSED
+	}
+	conn, other := net.Pipe()
+	_ = other.Close()
+	return conn, nil
+}
+
+func (w *world) dialDirect(ctx context.Context, _, addr string) (net.Conn, error) {
+	w.mu.Lock()
+	w.direct[addr]++
+	path := w.lost[addr]
+	w.mu.Unlock()
+	return w.connect(ctx, addr, path)
+}
+
+// viaHelper is a connection that a helper made.
+type viaHelper struct{ net.Conn }
+
+func (w *world) dialTunnel(ctx context.Context, h spanrill.Helper, addr, _ string) (net.Conn, int, error) {
+	w.mu.Lock()
+	w.asked[h.Name]++
+	answer := w.helpers[h.Name]
+	w.mu.Unlock()
+	if answer != nil && !errors.Is(answer, errHang) {
+		return nil, 0, answer
+	}
+	conn, err := w.connect(ctx, addr, answer)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, 0, &tunnel.OpenError{Reason: tunnel.ReasonRefused}
+	case err != nil:
+		return nil, 0, &tunnel.OpenError{Reason: tunnel.ReasonUnreachable}
+	}
+	return viaHelper{conn}, 1, nil
+}
+
+func (w *world) listHelpers(string) (all []spanrill.Helper) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name := range w.helpers {
+		all = append(all, spanrill.Helper{Name: name, Addr: name})
+	}
+	return all
+}
+
+// testTimeout is the time that a direct connection may take.
+const testTimeout spanrill.Millis = 200
+
+// start returns a running dialer in the world.
+func (w *world) start(t *testing.T) *Dialer {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := New(w, clock.NewSystem(), log, rng.New(1), WithDirect(w.dialDirect, testTimeout), WithHelp(w.listHelpers, w.dialTunnel))
+	ctx, cancel := context.WithCancel(context.Background())
+	task.Start(ctx, "paths", d.Run)
+	t.Cleanup(func() {
+		cancel()
+		<-d.Done()
+	})
+	return d
+}
+
+// dial connects and returns how: "direct", "helper" or the error.
+func dial(d *Dialer, addr string) (string, error) {
+	conn, err := d.DialContext(context.Background(), "tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	_ = conn.Close()
+	if _, ok := conn.(viaHelper); ok {
+		return "helper", nil
+	}
+	return "direct", nil
+}
+
+func wantWay(t *testing.T, d *Dialer, addr, want string) {
+	t.Helper()
+	if got, err := dial(d, addr); got != want {
+		t.Errorf("%s was connected by %q (%v), want %q", addr, got, err, want)
+	}
+}
+
+// await waits until a condition holds that a check or a comparison of paths brings about.
+func await(t *testing.T, condition string, holds func() bool) {
+	t.Helper()
+	c := clock.NewSystem()
+	for end := c.Now() + 10*spanrill.Second; !holds(); <-c.After(1) {
+		if c.Now() > end {
+			t.Fatalf("%s: not observed", condition)
+		}
+	}
+}
+
+func isCut(d *Dialer) func() bool { return func() bool { return d.paths.isCut("service") } }
+
+// Guards against connections that fail, or that wait for the direct path each time, while a helper
+// reaches the upstreams; and against a path that stays lost when it works again.
+func TestLostPathIsBypassed(t *testing.T) {
+	for name, failure := range map[string]error{"refused": syscall.ECONNREFUSED, "hangs": errHang} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(4, "helper")
+			d := w.start(t)
+			for round := range 2 { // the cut comes twice
+				w.lose(failure, w.upstreams...)
+				wantWay(t, d, "u0", "helper")
+				wantWay(t, d, "u1", "helper")
+				await(t, "lost path", isCut(d))
+				before := 0
+				w.set(func() { before = w.direct["u3"] })
+				wantWay(t, d, "u2", "helper")
+				if lost := d.LostServices(); len(lost) != 1 || lost[0].Helped["helper"] == 0 || before > 2 && round == 0 {
+					t.Errorf("lost services %+v after %d direct connections, want one that is helped", lost, before)
+				}
+				w.lose(nil, w.upstreams...)
+				await(t, "restored path", func() bool { return len(d.LostServices()) == 0 })
+				await(t, "direct connection", func() bool { way, _ := dial(d, "u2"); return way == "direct" })
+			}
+		})
+	}
+}
+
+// Guards against a path that counts as lost because of upstreams that fail by themselves.
+func TestFailedUpstreamsAreNoLostPath(t *testing.T) {
+	for name, fail := range map[string]func(*world){
+		"one is silent":                  func(w *world) { w.silent["u0"] = true },
+		"one is down":                    func(w *world) { w.down["u0"] = true },
+		"two are down":                   func(w *world) { w.down["u0"], w.down["u1"] = true, true },
+		"one is reached by helpers only": func(w *world) { w.lost["u0"] = errHang },
+		"two are down and helpers have no way": func(w *world) {
+			w.down["u0"], w.down["u1"] = true, true
+			w.helpers["helper"] = &tunnel.OpenError{Reason: tunnel.ReasonNoPath}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(8, "helper")
+			fail(w)
+			d := w.start(t)
+			for range 3 {
+				_, _ = dial(d, "u0")
+				_, _ = dial(d, "u1")
+				wantWay(t, d, "u5", "direct")
+			}
+			if d.paths.isCut("service") {
+				t.Error("the path to the service counts as lost")
+			}
+		})
+	}
+}
+
+// Guards against a refusal by an upstream that is hidden or made up: the callers conclude from it that
+// the upstream's process has ended.
+func TestRefusalByUpstream(t *testing.T) {
+	noPath := &tunnel.OpenError{Reason: tunnel.ReasonNoPath}
+	for name, c := range map[string]struct {
+		set     func(*world)
+		refused bool
+	}{
+		"upstream is down":                     {func(w *world) { w.down["u0"] = true }, true},
+		"down, helper has no path":             {func(w *world) { w.down["u0"], w.helpers["helper"] = true, noPath }, true},
+		"down, nobody helps":                   {func(w *world) { w.down["u0"] = true; clear(w.helpers) }, true},
+		"path lost, helper has none either":    {func(w *world) { w.setLost(syscall.ECONNREFUSED, w.upstreams); w.helpers["helper"] = noPath }, false},
+		"path lost, nobody helps":              {func(w *world) { w.setLost(syscall.ECONNREFUSED, w.upstreams); clear(w.helpers) }, false},
+		"path lost, upstream is down for both": {func(w *world) { w.setLost(syscall.ECONNREFUSED, w.upstreams); w.down["u0"] = true }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(4, "helper")
+			c.set(w)
+			_, err := dial(w.start(t), "u0")
+			if err == nil || spanrill.IsConnectionRefused(err) != c.refused || errors.Is(err, spanrill.ErrNoPath) == c.refused {
+				t.Errorf("error %v, want one that says refused=%v", err, c.refused)
+			}
+		})
+	}
+}
+
+// Guards against waiting for a path that is known to be lost when nobody helps.
+func TestLostPathWithoutHelpIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(8)
+	w.lose(errHang, w.upstreams...)
+	d := w.start(t)
+	for _, addr := range w.upstreams[:2] {
+		if _, err := dial(d, addr); !errors.Is(err, spanrill.ErrNoPath) {
+			t.Fatalf("error %v, want ErrNoPath", err)
+		}
+	}
+	await(t, "lost path", isCut(d))
+	ctx, cancel := context.WithTimeout(context.Background(), (testTimeout / 2).Duration())
+	defer cancel()
+	if _, err := d.DialContext(ctx, "tcp", "u5"); !errors.Is(err, spanrill.ErrNoPath) || ctx.Err() != nil {
+		t.Errorf("error %v, want ErrNoPath before half of the time of a connection", err)
+	}
+}
+
+// Guards against a helper that asks others in turn, so that two daemons could pass a connection to each
+// other for ever.
+func TestHelperConnectsOnlyDirectly(t *testing.T) {
+	w := newWorld(4, "helper")
+	w.lose(syscall.ECONNREFUSED, w.upstreams...)
+	d := w.start(t)
+	if _, err := d.DialForPeer(context.Background(), "u0"); !errors.Is(err, spanrill.ErrNoPath) {
+		t.Errorf("error %v, want ErrNoPath", err)
+	}
+	w.set(func() { clear(w.lost); w.down["u0"] = true })
+	if _, err := d.DialForPeer(context.Background(), "u0"); !spanrill.IsConnectionRefused(err) {
+		t.Errorf("error %v, want a refused connection", err)
+	}
+	if w.asked["helper"] != 0 {
+		t.Errorf("another daemon was asked %d times, want 0", w.asked["helper"])
+	}
+}
+
+// Guards against connections that fail because the first helper that is asked cannot help.
+func TestNextHelperIsAsked(t *testing.T) {
+	for name, answer := range map[string]error{
+		"no path": &tunnel.OpenError{Reason: tunnel.ReasonNoPath}, "full": &tunnel.OpenError{Reason: tunnel.ReasonFull},
+		"leaving": &tunnel.OpenError{Reason: tunnel.ReasonLeaving}, "killed": syscall.ECONNREFUSED, "silent": errHang,
+		"withheld": &tunnel.OpenError{Reason: tunnel.ReasonWithheld},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(4, "a", "b", "c")
+			w.helpers["a"], w.helpers["b"] = answer, answer
+			w.lose(syscall.ECONNREFUSED, w.upstreams...)
+			d := w.start(t)
+			for i := range 8 {
+				wantWay(t, d, w.upstreams[i%4], "helper")
+			}
+		})
+	}
+}
--- a/coordination/relay/attempts.go
+++ b/coordination/relay/attempts.go
@@ -71,6 +71,7 @@
 		first.RecordFailure(now)
 	case failure.retryReason == meter.RetryWithheld:
 		g.avoid[first.ID()] = true
+	case isNoPath(failure):
 	case g.ctx.Err() == nil && !errors.Is(failure, errStageDead):
 		g.avoid[first.ID()] = true
 		first.RecordFailure(now)
@@ -150,6 +151,9 @@
 	if failure.outcome != spanrill.OutcomeNotRun && g.route.Repeat == spanrill.RepeatNever {
 		return false
 	}
+	if isNoPath(failure) {
+		return false // it is the same with all engines of the service
+	}
 	if failure.retryReason == meter.RetryDial || failure.retryReason == meter.RetryWithheld {
 		return len(g.avoid) <= maxDialTries
 	}
@@ -204,5 +208,8 @@
 		return spanrill.NewRefusal(spanrill.ReasonUpstreamFailed, "%v", failure.cause).
 			WithOutcome(spanrill.OutcomeUnknown)
 	}
+	if isNoPath(failure) {
+		return noPathRefusal(failure.cause)
+	}
 	return spanrill.NewRefusal(spanrill.ReasonUpstreamRefused, "%v", failure.cause).WithRetryAfter(g.plannedReturn(fullRetryAfter))
 }
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -10,6 +10,7 @@
 
 	"spanrill"
 	"spanrill/coordination/chainrouting"
+	"spanrill/coordination/reach"
 	"spanrill/meter"
 	"spanrill/state/fleet"
 	"spanrill/transport/httpcall"
@@ -293,7 +294,7 @@
 // attempts can run concurrently.
 func (g *generation) sendAttempt(ctx context.Context, path *chainrouting.Path, req *fasthttp.Request, handler silenceHandler) (*httpcall.Answer, *sendError) {
 	r := g.relay
-	answer, err := r.HTTP.DoWatched(r.withSendCheck(ctx, path.First()), path.First().Addr(), req, g.connectionReuse(), handler.checkInterval, handler.onSilence, handler.setCheckNow)
+	answer, err := r.HTTP.DoWatched(r.withSendCheck(reach.WithRequest(ctx, g.head.ID), path.First()), path.First().Addr(), req, g.connectionReuse(), handler.checkInterval, handler.onSilence, handler.setCheckNow)
 	if err != nil {
 		return nil, newCallFailure(err)
 	}
--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"spanrill"
+	"spanrill/coordination/reach"
 	"spanrill/coordination/retry"
 	"spanrill/meter"
 	"spanrill/state/fleet"
@@ -71,6 +72,9 @@
 	if failedPresendCheck(a.err) {
 		return true
 	}
+	if isNoPath(a.err) {
+		return false // it is the same with all upstreams of the service
+	}
 	if !a.reached {
 		return len(q.relay.Fleet.View().ByService(q.service.Name)) > 1
 	}
@@ -169,6 +173,9 @@
 	if a.err == nil && !a.notRun {
 		return spanrill.NewRefusal(spanrill.ReasonNoUpstream, "%s", text).WithRetryAfter(plainRetryAfter)
 	}
+	if isNoPath(a.err) {
+		return a.markMayHaveRun(noPathRefusal(a.err))
+	}
 	if a.outcome == spanrill.OutcomeNotRun {
 		return a.markMayHaveRun(spanrill.NewRefusal(spanrill.ReasonUpstreamRefused, "%s: %v", text, a.err).WithRetryAfter(plainRetryAfter))
 	}
@@ -197,11 +204,14 @@
 	defer u.End()
 	ctx, cancel := q.attemptContext(previous.sends)
 	defer cancel()
+	if previous.reached && previous.outcome == spanrill.OutcomeUnknown {
+		ctx = httpcall.WithNewConn(ctx) // idle connections may have broken together
+	}
 	req := q.upstreamRequest(spanrill.UpstreamRequest{EngineID: u.Name(), Priority: q.priority()})
 	defer fasthttp.ReleaseRequest(req)
 	q.recordSend()
 	q.logSent(u, nil, "")
-	answer, err := r.HTTP.Do(r.withSendCheck(ctx, u), u.Addr(), req, q.connectionReuse())
+	answer, err := r.HTTP.Do(r.withSendCheck(reach.WithRequest(ctx, q.head.ID), u), u.Addr(), req, q.connectionReuse())
 	if err != nil {
 		a.recordFailure(r.Clock.Now(), err)
 		if a.reached && a.outcome != spanrill.OutcomeNotRun {
@@ -258,6 +268,9 @@
 		a.retryReason = meter.RetryWithheld
 		return
 	}
+	if isNoPath(err) {
+		return
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		a.retryReason = meter.RetryStalled
 	}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -12,6 +12,7 @@
 //	relay.go          a request from its arrival to the choice of its service
 //	start.go          requests that arrive before configuration and upstreams are known
 //	refuse.go         error answers of spanrill's own
+//	lostpath.go       upstreams that this daemon has lost its network path to
 //	maysend.go        checks just before each attempt
 //	plain.go          services whose answers are read completely
 //	plainchoice.go    choice of an upstream of such a service
@@ -82,6 +83,8 @@
 	Log     logrus.FieldLogger
 	Meters  *meter.Meters
 	Random  *rng.Source
+	// Paths tells which upstreams this daemon has lost its network path to. It may be nil.
+	Paths spanrill.UpstreamPaths
 	// Room gives requests room on the chains of the services whose room the daemons divide. It is
 	// nil if they divide none.
 	Room spanrill.RoomGate
--- a/coordination/relay/rests.go
+++ b/coordination/relay/rests.go
@@ -14,7 +14,7 @@
 // upstream rests, leaves, or has exhausted its rate limit. Such a call is not a failure of the
 // upstream.
 func failedPresendCheck(err error) bool {
-	return errors.Is(err, fleet.ErrResting) || errors.Is(err, fleet.ErrLeaving) || errors.Is(err, fleet.ErrLimited)
+	return errors.Is(err, spanrill.ErrWithheld) || errors.Is(err, fleet.ErrResting) || errors.Is(err, fleet.ErrLeaving) || errors.Is(err, fleet.ErrLimited)
 }
 
 // withSendCheck returns a context with which a call checks, once it has a connection, whether the
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -70,6 +70,9 @@
 	case continuationOpening:
 		return nil
 	}
+	if silent >= g.watchGap() && g.sentBeforePathLost() && g.startContinuation(errPathLost) {
+		return nil
+	}
 	noneDead := g.probeWhenSilent(silent)
 	switch {
 	case noneDead && g.begun && silent < g.undeliveredAfter() && g.path.LosesLayers():
--- a/events/events.go
+++ b/events/events.go
@@ -102,9 +102,14 @@
 
 // Connections, 450 to 499.
 var (
-	ConnectionSilent   = define(450, logrus.WarnLevel, "closed an open connection that had gone silent")
-	UpstreamsUnreached = define(460, logrus.WarnLevel, "cannot connect to several upstreams of a service in a row")
-	UpstreamsReached   = define(461, logrus.InfoLevel, "connected to an upstream of the service again")
+	ConnectionSilent = define(450, logrus.WarnLevel, "closed an open connection that had gone silent")
+	PathLost         = define(460, logrus.WarnLevel, "lost the network path to the upstreams of a service")
+	PathRestored     = define(461, logrus.InfoLevel, "network path to the upstreams of a service works again")
+	TunnelUsed       = define(462, logrus.InfoLevel, "connected to an upstream through another daemon")
+	TunnelDenied     = define(463, logrus.InfoLevel, "another daemon did not connect this one to an upstream")
+	TunnelOpened     = define(464, logrus.InfoLevel, "connected another daemon to an upstream")
+	PeerPathLost     = define(465, logrus.WarnLevel, "another daemon has lost its network path to the upstreams of a service")
+	PeerPathRestored = define(466, logrus.InfoLevel, "another daemon's network path to the upstreams of a service works again")
 )
 
 // Upstreams, 500 to 599.
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -48,7 +48,8 @@
 }
 
 // isLeaseCandidate reports whether this daemon should try to take the placement lease. It must not
-// be stopping, must have a configuration, and no peer may report that it holds the lease.
+// be stopping, must have a configuration and a path to the engines, and no peer may report that it
+// holds the lease.
 //
 // Daemons with a rank try at once, except those that have just started and are no seeds. All others
 // try after unrankedContendDelay, when the ranked ones must be unreachable.
@@ -57,7 +58,7 @@
 	if g.exchange.PeerHoldsPlacement() || g.leaseFreeSince.Load() < 0 {
 		g.leaseFreeSince.Store(now)
 	}
-	if g.draining.Load() || g.config.Table() == nil || g.exchange.PeerHoldsPlacement() {
+	if g.draining.Load() || g.config.Table() == nil || g.exchange.PeerHoldsPlacement() || !g.mayPlaceByPath() {
 		return false
 	}
 	if g.peers.rank("placement") < rankedDaemons && (!g.isStarting() || g.isSeed()) {
@@ -71,10 +72,13 @@
 }
 
 // shouldYieldLease reports whether this daemon, as the holder of the placement lease, hands it to a
-// daemon with a larger CPU share. When all daemons start, a seed takes the lease whatever its
+// daemon with a larger CPU share, or to one that reaches the engines while this one does not. When all daemons start, a seed takes the lease whatever its
 // share. Running orders continue, and the next holder reads from the engines which layers they
 // hold.
 func (g *Gateway) shouldYieldLease() bool {
+	if !g.mayPlaceByPath() {
+		return true
+	}
 	contendedLate := g.clock.Now()-spanrill.Millis(g.lateContentionAt.Load()) < holderGrace
 	if contendedLate || g.isStarting() || !g.exchange.FleetSizeKnown() {
 		return false // the first in rank did not take the free lease, or ranks are not reliable yet
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 //	due.go       when to read the store, contend for the lease and place
 //	config.go    the configuration of routes
 //	peers.go     messages of other daemons
+//	reach.go     connections to upstreams, also for other daemons
 //	ready.go     callers' connections, readiness and metrics
 //	metrics.go   gauges
 //	room*.go     division of the room on the chains of a service
@@ -54,6 +55,7 @@
 	"spanrill/state/routes"
 	"spanrill/transport/callerhttp"
 	"spanrill/transport/httpcall"
+	"spanrill/transport/tunnel"
 )
 
 // Adapter connects a gateway to the platform.
@@ -86,6 +88,7 @@
 
 	http             *httpcall.Client
 	upstreamDialer   *reach.Dialer
+	tunnels          *tunnel.Server // for other daemons, or nil if the settings have no address for it
 	dialUpstream     reach.DialFunc // opens connections to upstreams, or nil for the network's
 	config           *routes.Current
 	fleet            *fleet.Table
@@ -109,6 +112,7 @@
 	listener        *callerhttp.Acceptor
 	readyListener   net.Listener
 	metricsListener net.Listener
+	tunnelListener  net.Listener
 	startedAt       spanrill.Millis
 	askStoreAt      spanrill.Millis // when the store is listed, unless peers have supplied its contents before
 	maxCallerWait   spanrill.Millis // how long callers wait at most before the store is listed, even before askStoreAt
@@ -209,7 +213,7 @@
 
 func (g *Gateway) build(connect Connect) error {
 	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout), httpcall.WithDial(g.wrapDial), httpcall.WithLogger(g.log), httpcall.WithMeters(g.meters),
-		httpcall.WithOnHeaders(g.handleHeaders), httpcall.WithMaxIdle(g.maxIdle),
+		httpcall.WithOnHeaders(g.handleHeaders), httpcall.WithResetOnClose(g.isPathLost), httpcall.WithMaxIdle(g.maxIdle),
 		httpcall.WithMaxIdleTotal(conncap.IdleTotal(g.settings.Descriptors)))
 	g.config = routes.NewCurrent(g.clock)
 	g.adapter = connect(g.settings.Platform, g.http, g.recordStoreCall)
@@ -228,6 +232,7 @@
 	if g.peers, err = newPeers(g); err != nil {
 		return fmt.Errorf("build peers: %w", err)
 	}
+	g.tunnels = newTunnels(g)
 	g.limiter = ratelimit.New(g.fleet, g.clock, g.peers)
 	g.lease = lease.New(g.adapter.Store, g.clock, "placement", g.peers.name, lease.WithDuration(leaseTime),
 		lease.WithLogger(g.log), lease.WithCandidate(g.isLeaseCandidate), lease.WithYield(g.shouldYieldLease), lease.WithEra(g.adapter.Era))
@@ -236,7 +241,7 @@
 	g.exchange = exchange.New(g.peers, exchange.State{
 		Name: g.peers.name, Zone: g.settings.Zone, Seeds: g.seeds(), Config: g.config, Fleet: g.fleet, Decode: g.adapter.DecodeConfig,
 		HoldsPlacement: g.holdsPlacement, Leaving: g.draining.Load, StoreSilent: g.storeSilent, LateRounds: g.lateRounds, Targets: g.targets, Budgets: g.budgets, Lease: g.lease,
-		Suspects: g.suspects,
+		Suspects: g.suspects, LostPaths: g.lostPaths,
 	}, g.clock, g.log, g.random)
 	g.placer = layoutrun.New(g.mayPlace, engines, g.fleet, g.services, g.clock, g.log, layoutrun.WithPropagationTime(g.exchange.BroadcastTime))
 	g.router = chainrouting.New(g.fleet, g.clock, g.log, g.random)
@@ -246,7 +251,7 @@
 		Engines: engines, Codec: g.adapter.Codec, HTTP: g.http, Budgets: g.budgets, Suspects: g.suspects, OnSuspected: g.peers.broadcastSuspect,
 		Permit: g.limiter.Permit, Daemons: func() int { return int(g.liveDaemons.Load()) },
 		Clock: g.clock, Log: g.log, Meters: g.meters, Random: g.random, StoreSilentAtStart: g.storeSilentAtStart,
-		Room: g.room.gate(),
+		Room: g.room.gate(), Paths: g.upstreamDialer,
 	}, relay.Options{Zone: g.settings.Zone, MaxConfigAge: g.maxConfigAge()})
 	g.callersWaitingSince = g.relay.CallersWaitingSince
 	g.registerGauges()
@@ -317,9 +322,16 @@
 	return conncap.IdlePerUpstream(limit, int(g.liveDaemons.Load()))
 }
 
-// handleHeaders records what an upstream reports about itself in the headers of any answer.
-func (g *Gateway) handleHeaders(addr string, h *fasthttp.ResponseHeader, elapsed spanrill.Millis) {
-	g.fleet.HandleNotice(addr, g.adapter.Codec.ReadNotice(h), g.clock.Now()-elapsed)
+// handleHeaders records what an upstream reports about itself in the headers of any answer. If the
+// answer came through another daemon, that is told as well: the upstream sees its address.
+func (g *Gateway) handleHeaders(addr string, h *fasthttp.ResponseHeader, elapsed spanrill.Millis, conn net.Conn) {
+	n := g.adapter.Codec.ReadNotice(h)
+	g.fleet.HandleNotice(addr, n, g.clock.Now()-elapsed)
+	if t, ok := conn.(*tunnel.Conn); ok && (n.Leaving || n.Rest > 0 || n.UnreadableRest != "") {
+		if err := t.SendNotice(n); err != nil {
+			g.log.WithError(err).WithField("helper", t.Helper()).Debug("notice of an upstream not passed on") // the tunnel is broken
+		}
+	}
 }
 
 // targets returns the layers that this daemon is ordering engines to load.
@@ -333,6 +345,11 @@
 	if g.readyListener, err = g.listenAt(g.settings.ReadyListen); err != nil {
 		return fmt.Errorf("listen for readiness checks: %w", err)
 	}
+	if g.settings.TunnelListen != "" {
+		if g.tunnelListener, err = g.listenAt(g.settings.TunnelListen); err != nil {
+			return fmt.Errorf("listen for tunnels: %w", err)
+		}
+	}
 	if g.settings.MetricsListen == "" {
 		return nil
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,8 @@
 	g.meters.Gauge("spanrill_store_era", func() float64 { return float64(max(1, g.adapter.Era())) - 1 })
 	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
 	g.meters.Gauge("spanrill_config_proof_age_seconds", func() float64 { return float64(g.config.Age()) / float64(spanrill.Second) })
+	g.meters.Gauge("spanrill_paths_lost", func() float64 { return float64(len(g.lostPaths())) })
+	g.meters.Gauge("spanrill_tunnels_open", func() float64 { return float64(g.openTunnels()) })
 	if g.room != nil {
 		g.registerRoomGauges()
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("build peer transport: %w", err)
 	}
-	self := peermsg.Member{Name: p.name, Zone: g.settings.Zone, PeerAddr: g.settings.PeerListen, MilliCores: g.settings.MilliCores()}
+	self := peermsg.Member{Name: p.name, Zone: g.settings.Zone, PeerAddr: g.settings.PeerListen, MilliCores: g.settings.MilliCores(), TunnelAddr: g.settings.TunnelListen}
 	p.list = membership.New(self, g.clock, p.gossip, membership.WithLogger(g.log),
 		membership.WithRandom(g.random), membership.WithRound(memberRound))
 	seeds := make([]spanrill.Box, 0, len(g.settings.Peers))
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -2,40 +2,67 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 
+	"github.com/sirupsen/logrus"
+
+	"spanrill"
+	"spanrill/coordination/conncap"
 	"spanrill/coordination/reach"
+	"spanrill/events"
+	"spanrill/protocol/peermsg"
+	"spanrill/state/fleet"
 	"spanrill/transport/httpcall"
+	"spanrill/transport/tunnel"
 )
 
 // wrapDial builds the dialer of upstreams on the dial function of the HTTP client, and returns the
-// dial function for all calls.
+// dial function for all calls. Only connections to upstreams may go through other daemons.
 func (g *Gateway) wrapDial(direct httpcall.DialFunc) httpcall.DialFunc {
 	toUpstreams := reach.DialFunc(direct)
 	if g.dialUpstream != nil {
 		toUpstreams = g.dialUpstream
 	}
-	g.upstreamDialer = reach.New(g.serviceAt, g.clock, g.log, reach.WithDirect(toUpstreams), reach.WithMeters(g.meters))
+	g.upstreamDialer = reach.New(upstreamDirectory{g}, g.clock, g.log, g.random, reach.WithDirect(toUpstreams, dialTimeout),
+		reach.WithHelp(g.helpers, g.openTunnel), reach.WithZone(g.settings.Zone), reach.WithMeters(g.meters), reach.WithOnLost(g.handlePathLost))
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		if g.serviceAt(addr) == "" {
+		if (upstreamDirectory{g}).ServiceAt(addr) == "" {
 			return direct(ctx, network, addr)
 		}
 		return g.upstreamDialer.DialContext(ctx, network, addr)
 	}
 }
 
-// serviceAt returns the service of the upstream at an address, or "".
-func (g *Gateway) serviceAt(addr string) string {
-	if g.fleet == nil {
-		return ""
-	}
-	if u := g.fleet.View().ByAddr(addr); u != nil {
+// upstreamDirectory is a gateway as a spanrill.UpstreamDirectory.
+type upstreamDirectory struct{ gateway *Gateway }
+
+// ServiceAt returns the service of the upstream at an address, or "" if there is none.
+func (d upstreamDirectory) ServiceAt(addr string) string {
+	if u := d.gateway.fleet.View().ByAddr(addr); u != nil {
 		return u.Service()
 	}
 	return ""
 }
 
+// Addrs returns the addresses of the upstreams of a service, or of all services if it is "".
+func (d upstreamDirectory) Addrs(service string) []string {
+	var addrs []string
+	view := d.gateway.fleet.View()
+	if service == "" {
+		view.Each(func(u *fleet.Upstream) { addrs = append(addrs, u.Addr()) })
+		return addrs
+	}
+	for _, u := range view.ByService(service) {
+		addrs = append(addrs, u.Addr())
+	}
+	return addrs
+}
+
+// LastHeard returns when any upstream last answered or produced output.
+func (d upstreamDirectory) LastHeard() spanrill.Millis { return d.gateway.fleet.LastHeard() }
+
 // dialAndClose opens a connection to an upstream and closes it.
 func (g *Gateway) dialAndClose(ctx context.Context, addr string) error {
 	conn, err := g.upstreamDialer.DialContext(ctx, "tcp", addr)
@@ -44,3 +71,130 @@
 	}
 	return conn.Close()
 }
+
+// handlePathLost closes the idle connections to the upstreams of a service, which may hang.
+func (g *Gateway) handlePathLost(service string) {
+	for _, addr := range (upstreamDirectory{g}).Addrs(service) {
+		g.http.CloseIdleTo(addr)
+	}
+}
+
+// isPathLost reports whether connections to an address go through other daemons.
+func (g *Gateway) isPathLost(addr string) bool {
+	_, lost := g.upstreamDialer.LostSince(addr)
+	return lost
+}
+
+// helpers returns the daemons that may connect this one to the upstreams of a service.
+func (g *Gateway) helpers(service string) []spanrill.Helper {
+	var helpers []spanrill.Helper
+	for _, m := range g.peers.Others() {
+		if m.TunnelAddr != "" && !g.exchange.PeerPathLost(m.Name, service) {
+			helpers = append(helpers, spanrill.Helper{Name: m.Name, Addr: m.TunnelAddr, Zone: m.Zone})
+		}
+	}
+	return helpers
+}
+
+// openTunnel connects to an upstream through another daemon.
+func (g *Gateway) openTunnel(ctx context.Context, h spanrill.Helper, addr, request string) (net.Conn, int, error) {
+	target := tunnel.Target{Addr: addr, Request: request, Daemon: g.peers.name, Timeout: dialTimeout}
+	if u := g.fleet.View().ByAddr(addr); u != nil {
+		target.Upstream = u.Name()
+	}
+	conn, err := tunnel.Dial(ctx, h.Addr, []byte(g.settings.FleetSecret), target)
+	if err != nil {
+		return nil, 0, err
+	}
+	return conn, conn.HelperLoad(), nil
+}
+
+// tunnelUpstreams connects other daemons to upstreams over this daemon's own path.
+type tunnelUpstreams struct {
+	gateway *Gateway
+	log     *events.Limiter
+}
+
+// tunnelLinesPerSecond is the maximum number of log lines per second about tunnels for other daemons.
+const tunnelLinesPerSecond = 40
+
+// newTunnels returns the server of tunnels, or nil if the settings have no address for it.
+func newTunnels(g *Gateway) *tunnel.Server {
+	if g.settings.TunnelListen == "" {
+		return nil
+	}
+	upstreams := &tunnelUpstreams{gateway: g, log: events.NewLimiter(g.clock, tunnelLinesPerSecond)}
+	return tunnel.NewServer([]byte(g.settings.FleetSecret), upstreams, g.clock, tunnel.WithLogger(g.log), tunnel.WithMeters(g.meters),
+		tunnel.WithMaxOpen(conncap.Tunnels(g.settings.Descriptors)))
+}
+
+// Connect connects to an upstream unless it is another one by now or wants no requests from this
+// daemon.
+func (t *tunnelUpstreams) Connect(ctx context.Context, target tunnel.Target) (net.Conn, error) {
+	g := t.gateway
+	u := g.fleet.View().ByAddr(target.Addr)
+	if u == nil || target.Upstream != "" && u.Name() != target.Upstream {
+		return nil, &tunnel.OpenError{Reason: tunnel.ReasonUnknown, Detail: "no such upstream at " + target.Addr}
+	}
+	if target.Request != "" {
+		if err := u.CheckSend(g.clock.Now()); err != nil {
+			return nil, &tunnel.OpenError{Reason: tunnel.ReasonWithheld, Detail: err.Error()}
+		}
+	}
+	conn, err := g.upstreamDialer.DialForPeer(ctx, target.Addr)
+	if err != nil {
+		return nil, err
+	}
+	t.log.Log(events.TunnelOpened, g.log, func() logrus.Fields {
+		return logrus.Fields{"for": target.Daemon, "upstream": u.ID(), "request": target.Request, "open": g.tunnels.Open()}
+	})
+	return conn, nil
+}
+
+// HandleNotice records what an upstream has told about itself in an answer to another daemon.
+func (t *tunnelUpstreams) HandleNotice(addr string, n spanrill.Notice, openedAt spanrill.Millis) {
+	t.gateway.fleet.HandleNotice(addr, n, openedAt)
+}
+
+// serveTunnels connects other daemons to upstreams until the context ends.
+func (g *Gateway) serveTunnels(ctx context.Context) error {
+	if g.tunnels == nil {
+		return nil
+	}
+	err := g.tunnels.Serve(ctx, g.tunnelListener)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// openTunnels returns the number of connections to upstreams that this daemon keeps for others.
+func (g *Gateway) openTunnels() int {
+	if g.tunnels == nil {
+		return 0
+	}
+	return g.tunnels.Open()
+}
+
+// lostPaths returns the services to whose upstreams this daemon has lost its path, for its peers.
+func (g *Gateway) lostPaths() []peermsg.LostPath {
+	var lost []peermsg.LostPath
+	for _, s := range g.upstreamDialer.LostServices() {
+		lost = append(lost, peermsg.LostPath{Service: s.Service, For: s.For, Helped: s.Helped})
+	}
+	return lost
+}
+
+// mayPlaceByPath reports whether this daemon may hold the placement lease as far as its paths tell: it
+// reaches the upstreams of all services itself, or no other daemon does.
+func (g *Gateway) mayPlaceByPath() bool {
+	if len(g.upstreamDialer.LostServices()) == 0 {
+		return true
+	}
+	for _, m := range g.peers.Others() {
+		if !g.exchange.PeerPathLost(m.Name, "") {
+			return false
+		}
+	}
+	return true
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -67,6 +67,8 @@
 		"placement":     g.placer.Run,
 		"suspects":      g.suspectKeeper.Run,
 		"relay":         g.relay.Run,
+		"paths":         g.upstreamDialer.Run,
+		"tunnels":       g.serveTunnels,
 		"upkeep":        g.upkeep,
 		"readiness":     g.serveReady,
 		"callers":       g.serveCallers,
--- a/gateway/startfleet_test.go
+++ b/gateway/startfleet_test.go
@@ -16,6 +16,7 @@
 	"spanrill/coordination/lease"
 	"spanrill/coordination/membership"
 	"spanrill/coordination/probe"
+	"spanrill/coordination/reach"
 	"spanrill/coordination/retry"
 	"spanrill/coordination/suspect"
 	"spanrill/protocol/peermsg"
@@ -160,6 +161,7 @@
 	}
 	g.settings.Bounds.Drain, g.settings.Bounds.Revoke = 4*spanrill.Second, 5*spanrill.Second
 	g.adapter = Adapter{ConfigName: "main", DecodeConfig: startDecode}
+	g.upstreamDialer = reach.New(upstreamDirectory{g}, d, log, g.random)
 	if f.cpuShare != nil {
 		g.settings.CPUShare, g.settings.Cores = f.cpuShare(i), 1
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net"
+
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
@@ -24,20 +26,23 @@
 	start := g.clock.Now()
 	g.draining.Store(true)
 	g.relay.CloseConnections()
-	events.DaemonDraining.Log(g.log, logrus.Fields{"in_flight": g.relay.InFlight(), "connections": g.callers.OpenConnections()})
+	if g.tunnels != nil {
+		g.tunnels.Leave()
+	}
+	events.DaemonDraining.Log(g.log, logrus.Fields{"in_flight": g.relay.InFlight(), "tunnels": g.openTunnels(), "connections": g.callers.OpenConnections()})
 	g.peers.leave()
 	deadline := start + g.settings.Bounds.Grace - graceMargin
 	for g.clock.Now() < deadline {
 		if g.clock.Now() >= start+balancerDelay {
 			g.relay.RefuseNewRequests()
 			g.callers.CloseIdle()
-			if g.relay.InFlight() == 0 {
+			if g.relay.InFlight() == 0 && g.openTunnels() == 0 {
 				return
 			}
 		}
 		<-g.clock.After(drainPoll)
 	}
-	events.DaemonDrainTimedOut.Log(g.log, logrus.Fields{"in_flight": g.relay.InFlight()})
+	events.DaemonDrainTimedOut.Log(g.log, logrus.Fields{"in_flight": g.relay.InFlight(), "tunnels": g.openTunnels()})
 }
 
 // close closes all listeners and upstream connections.
@@ -45,8 +50,10 @@
 	for _, ln := range []interface{ Close() error }{g.listener, g.readyListener} {
 		_ = ln.Close() // the process ends, so an error has no consequence
 	}
-	if g.metricsListener != nil {
-		_ = g.metricsListener.Close()
+	for _, ln := range []net.Listener{g.metricsListener, g.tunnelListener} {
+		if ln != nil {
+			_ = ln.Close()
+		}
 	}
 	g.http.Close()
 }
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -55,7 +55,8 @@
 	Heartbeat   uint64 // rises while the daemon runs
 	Revision    uint64 // revision of the configuration in force
 	Leaving     bool
-	MilliCores  int // CPU capacity in thousandths of a core, or 0 if unknown
+	MilliCores  int    // CPU capacity in thousandths of a core, or 0 if unknown
+	TunnelAddr  string // at which it connects peers to upstreams, or ""
 }
 
 // Gossip carries what a daemon knows about some members.
@@ -278,6 +279,16 @@
 	Suspects []SuspectMark
 
 	Limits []UpstreamLimit // all known rate limits, if the request has another digest
+
+	LostPaths []LostPath // services to whose upstreams the sender has lost its network path
+}
+
+// LostPath is a service to whose upstreams a daemon has lost its network path.
+type LostPath struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Service  string
+	For      spanrill.Millis // how long
+	Helped   map[string]int  // connections since then by name of the daemon that made them
 }
 
 // UpstreamLimit is the rate limit of an upstream for all daemons combined.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -26,6 +26,7 @@
 	ReadyListen   string   `json:"ready_listen"`
 	PeerListen    string   `json:"peer_listen"`
 	MetricsListen string   `json:"metrics_listen"`
+	TunnelListen  string   `json:"tunnel_listen"` // for daemons that have lost their path to upstreams, or "" to help none
 	Peers         []string `json:"peers"`
 	Platform      string   `json:"platform"`
 	FleetSecret   string   `json:"fleet_secret"`
--- a/transport/httpcall/answer.go
+++ b/transport/httpcall/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -90,8 +91,8 @@
 	}
 	a.closed = true
 	interrupted := !a.stopInterrupt()
-	if !a.complete || interrupted || a.resp.ConnectionClose() {
-		_ = a.conn.Close()
+	if !a.complete || interrupted || a.resp.ConnectionClose() || a.conn.isSingleUse() {
+		a.closeConn()
 		return
 	}
 	_ = a.resp.CloseBodyStream()
@@ -105,5 +106,13 @@
 func (a *Answer) abort() {
 	a.closed = true
 	a.stopInterrupt()
+	a.closeConn()
+}
+
+// closeConn closes the connection, with a reset if the call was given up on a lost path.
+func (a *Answer) closeConn() {
+	if tcp, ok := a.conn.Conn.(*net.TCPConn); ok && !a.complete && a.client.resetOnClose(a.addr) {
+		_ = tcp.SetLinger(0) // otherwise Close goes on delivering what was written
+	}
 	_ = a.conn.Close()
 }
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -59,6 +59,7 @@
 	log          logrus.FieldLogger
 	meters       *meter.Meters
 	onHeaders    OnHeaders
+	resetOnClose func(addr string) bool
 	maxIdle      func(addr string) int
 	maxTotal     int
 }
@@ -66,8 +67,9 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// OnHeaders is called with the headers of an answer and the time since its call began.
-type OnHeaders func(addr string, h *fasthttp.ResponseHeader, took spanrill.Millis)
+// OnHeaders is called with the headers of an answer, the time since its call began, and the connection
+// of the call.
+type OnHeaders func(addr string, h *fasthttp.ResponseHeader, took spanrill.Millis, conn net.Conn)
 
 // Option changes a default of New.
 type Option func(*Client)
@@ -104,6 +106,13 @@
 	return func(c *Client) { c.maxIdle = f }
 }
 
+// WithResetOnClose sets a function that tells for an address whether connections that are given up
+// during a call are reset. The operating system then drops bytes that it has not delivered yet, so that
+// a request given up on a lost path does not arrive when the path is back.
+func WithResetOnClose(f func(addr string) bool) Option {
+	return func(c *Client) { c.resetOnClose = f }
+}
+
 // WithMaxIdleTotal sets how many idle connections are kept in total.
 func WithMaxIdleTotal(n int) Option {
 	return func(c *Client) { c.maxTotal = n }
@@ -122,7 +131,7 @@
 
 // New returns a Client. It makes connections as calls need them.
 func New(opts ...Option) *Client {
-	c := &Client{dialTimeout: defaultDialTimeout, ackTimeout: defaultAckTimeout, log: logrus.StandardLogger(), meters: meter.New(), onHeaders: func(string, *fasthttp.ResponseHeader, spanrill.Millis) {}}
+	c := &Client{dialTimeout: defaultDialTimeout, ackTimeout: defaultAckTimeout, resetOnClose: func(string) bool { return false }, log: logrus.StandardLogger(), meters: meter.New(), onHeaders: func(string, *fasthttp.ResponseHeader, spanrill.Millis, net.Conn) {}}
 	for _, o := range opts {
 		o(c)
 	}
@@ -229,7 +238,7 @@
 	if cn.reused {
 		c.timedOutOnce.Delete(addr)
 	}
-	c.onHeaders(addr, a.Header(), spanrill.MillisOf(time.Since(start)))
+	c.onHeaders(addr, a.Header(), spanrill.MillisOf(time.Since(start)), cn.Conn)
 	return a, nil
 }
 
--- a/transport/httpcall/connstate.go
+++ b/transport/httpcall/connstate.go
@@ -12,6 +12,12 @@
 	return cn.r.Buffered() == 0 && ProbeConn(cn.Conn) == ConnIdle
 }
 
+// isSingleUse reports whether the connection serves one call only.
+func (cn *conn) isSingleUse() bool {
+	c, ok := cn.Conn.(interface{ SingleUse() bool })
+	return ok && c.SingleUse()
+}
+
 // ConnState is the state of a connection's receive side.
 type ConnState uint8
 
@@ -28,6 +34,9 @@
 
 // ProbeConn returns the state of a connection without reading from it and without blocking.
 func ProbeConn(c net.Conn) ConnState {
+	if b, ok := c.(interface{ Buffered() int }); ok && b.Buffered() > 0 {
+		return ConnReadable
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return ConnIdle
