daemon, status: Connect through other daemons on the project's own interface too, and show lost paths

Cause: the daemons of the project's own interface had the same fault as gateways. Operators of neither could see which daemon reaches no upstream and who helps it.

Change: daemon.New uses reach.Dialer and serves tunnels (settings tunnel_listen). What both kinds of daemons need for that is in reach.

--- a/cli/spanrillcmd/fleet.go
+++ b/cli/spanrillcmd/fleet.go
@@ -100,9 +100,14 @@
 		Name: "status", Usage: "show the boxes, the revision in force on each, and the upstreams",
 		Description: "spanrill status\nspanrill --json status\n" +
 			"spanrill --platform 10.200.1.7:8107 status --gateways\n\n" +
+			"spanrill --platform 10.200.1.7:8107 status --gateways --gateway 10.0.0.1:9464\n\n" +
 			"With --gateways it shows what the users' platform stores about a fleet of gateways:\n" +
-			"the configuration, the holder of the lease of placement, and the upstreams.",
-		Flags: []cli.Flag{&cli.BoolFlag{Name: flagGateways, Usage: "read the status of gateways from the users' platform"}},
+			"the configuration, the holder of the lease of placement, and the upstreams. With --gateway\n" +
+			"it also shows which gateways reach no upstream themselves, as the one named has heard.",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: flagGateways, Usage: "read the status of gateways from the users' platform"},
+			&cli.StringFlag{Name: flagGateway, Usage: "ask the gateway whose metrics address is `ADDR` for lost network paths"},
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Bool(flagGateways) {
 				return runGatewayStatus(ctx, c)
@@ -137,6 +142,11 @@
 	if last != nil {
 		showUpstreams(c, last)
 	}
+	for _, b := range statuses {
+		if b.Status != nil {
+			showLostPaths(c.Root().Writer, b.Box, b.Status.LostPaths)
+		}
+	}
 }
 
 func showUpstreams(c *cli.Command, s *daemon.Status) {
--- a/cli/spanrillcmd/gatewaystatus.go
+++ b/cli/spanrillcmd/gatewaystatus.go
@@ -8,9 +8,11 @@
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
 
 	"spanrill"
 	"spanrill/coordination/lease"
+	"spanrill/gateway"
 	"spanrill/platform"
 	"spanrill/transport/httpcall"
 )
@@ -26,7 +28,8 @@
 	Accounts  int                    `json:"accounts"`
 	Lease     lease.State            `json:"lease"` // of placement; the zero value if it was never taken
 	Upstreams []spanrill.EngineEntry `json:"upstreams"`
-	Skipped   []string               `json:"skipped"` // names of entries that cannot be decoded, each with the error
+	Skipped   []string               `json:"skipped"`         // names of entries that cannot be decoded, each with the error
+	Paths     *gateway.PathsPage     `json:"paths,omitempty"` // as the gateway tells that was named, or nil
 }
 
 // readGatewayStatus reads the configuration, the placement lease and the upstreams from the store.
@@ -127,9 +130,18 @@
 	if err != nil {
 		return err
 	}
+	if named := c.String(flagGateway); named != "" {
+		s.Paths = &gateway.PathsPage{}
+		if err := callAdmin(ctx, named, fasthttp.MethodGet, gateway.PathsPath, s.Paths); err != nil {
+			return err
+		}
+	}
 	if c.Bool(flagJSON) {
 		return printJSON(c, s)
 	}
 	s.print(c.Root().Writer)
+	if s.Paths != nil {
+		printGatewayPaths(c.Root().Writer, s.Paths)
+	}
 	return nil
 }
--- a/cli/spanrillcmd/root.go
+++ b/cli/spanrillcmd/root.go
@@ -78,6 +78,7 @@
 	flagPlatform = "platform"
 	flagJSON     = "json"
 	flagGateways = "gateways"
+	flagGateway  = "gateway"
 )
 
 func command() *cli.Command {
--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -118,7 +118,7 @@
 		d.meters.ServiceCallTime.Update((now - started).Duration().Seconds())
 		return answer, nil
 	}
-	if u.RecordFailure(now) {
+	if !errors.Is(err, spanrill.ErrNoPath) && u.RecordFailure(now) {
 		events.UpstreamEjected.Log(d.log, logrus.Fields{"upstream": u.Name(), "cause": err})
 	}
 	return nil, err
--- a/coordination/observe/observe.go
+++ b/coordination/observe/observe.go
@@ -267,6 +267,9 @@
 // recordMiss counts a missed report, and ejects the upstream after maxMisses of them or if it is
 // unreachable.
 func (o *Observer) recordMiss(u *load.Upstream, err error) {
+	if errors.Is(err, spanrill.ErrNoPath) {
+		return // it tells of this daemon's own path only
+	}
 	v, _ := o.misses.LoadOrStore(u.Name(), new(atomic.Int64))
 	count := v.(*atomic.Int64).Add(1) // atomic, because two polls of an upstream may run concurrently
 	if (count >= maxMisses || unreachable(err)) && u.RecordFailure(o.clock.Now()) {
--- a/coordination/pipeline/failure.go
+++ b/coordination/pipeline/failure.go
@@ -54,6 +54,9 @@
 }
 
 func (g *generation) eject(u *load.Upstream, cause error) {
+	if errors.Is(cause, spanrill.ErrNoPath) {
+		return // it tells of this daemon's own path only
+	}
 	if u.RecordFailure(g.runner.clock.Now()) {
 		g.runner.onEjection(u)
 		events.UpstreamEjected.Log(g.runner.log, logrus.Fields{"upstream": u.Name(), "cause": cause})
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -16,6 +16,7 @@
 //	paths.go   which upstreams are lost
 //	delay.go   how long a connection usually takes
 //	check.go   checks of lost upstreams
+//	serve.go   connections for other daemons
 //
 // # Usage
 //
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -28,6 +28,7 @@
 	Running        int              `json:"running"`                  // requests admitted
 	Waiting        int              `json:"waiting"`                  // requests in the queue
 	Peers          []string         `json:"peers"`                    // names of the live daemons, including this one
+	LostPaths      []LostPath       `json:"lost_paths"`               // services whose upstreams it reaches only through other daemons
 	Upstreams      []UpstreamStatus `json:"upstreams"`
 }
 
@@ -166,6 +167,7 @@
 	for _, m := range d.peers.list.Live() {
 		s.Peers = append(s.Peers, m.Name)
 	}
+	s.LostPaths = d.paths.lostPaths()
 	now := d.clock.Now()
 	for _, u := range d.table.Upstreams() {
 		status := UpstreamStatus{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"spanrill/coordination/lease"
 	"spanrill/coordination/observe"
 	"spanrill/coordination/pipeline"
+	"spanrill/coordination/reach"
 	"spanrill/coordination/routing"
 	"spanrill/events"
 	"spanrill/meter"
@@ -53,6 +54,7 @@
 	meters   *meter.Meters
 
 	http        *httpcall.Client
+	paths       *upstreamPaths
 	platform    *objectapi.Client
 	follower    *config.Follower
 	table       *load.Table
@@ -66,6 +68,8 @@
 	// lease is the placement lease of this daemon's site, nil until runPlacement sets it.
 	lease atomic.Pointer[lease.Lease]
 
+	dialUpstream   reach.DialFunc // opens connections to upstreams, or nil for the network's
+	tunnelListener net.Listener
 	callerListener net.Listener
 	adminListener  net.Listener
 	draining       atomic.Bool
@@ -90,6 +94,11 @@
 	return func(d *Daemon) { d.clock = c }
 }
 
+// WithUpstreamDial sets the function that opens connections to upstreams.
+func WithUpstreamDial(dial reach.DialFunc) Option {
+	return func(d *Daemon) { d.dialUpstream = dial }
+}
+
 // New returns a daemon that listens on its addresses but does not serve yet.
 func New(s settings.Settings, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
@@ -124,9 +133,12 @@
 	if err != nil {
 		return fmt.Errorf("choose routing policy: %w", err)
 	}
-	d.http = httpcall.New(httpcall.WithLogger(d.log), httpcall.WithMeters(d.meters))
-	d.platform = objectapi.New(d.settings.Platform, d.http)
 	d.table = load.NewTable(d.clock, load.WithLogger(d.log))
+	d.paths = &upstreamPaths{daemon: d}
+	d.http = httpcall.New(httpcall.WithLogger(d.log), httpcall.WithMeters(d.meters), httpcall.WithDial(d.paths.wrapDial),
+		httpcall.WithOnHeaders(d.paths.recordAnswer), httpcall.WithResetOnClose(d.paths.isLost))
+	d.paths.tunnels = d.paths.newTunnels()
+	d.platform = objectapi.New(d.settings.Platform, d.http)
 	d.router = routing.New(d.clock, routing.WithPolicy(policy))
 	if d.peers, err = newPeers(d); err != nil {
 		return fmt.Errorf("build peers: %w", err)
@@ -189,6 +201,14 @@
 		_ = d.callerListener.Close()
 		return fmt.Errorf("listen for operators: %w", err)
 	}
+	if d.settings.TunnelListen == "" {
+		return nil
+	}
+	if d.tunnelListener, err = net.Listen("tcp", d.settings.TunnelListen); err != nil {
+		_ = d.callerListener.Close()
+		_ = d.adminListener.Close()
+		return fmt.Errorf("listen for tunnels: %w", err)
+	}
 	return nil
 }
 
@@ -249,6 +269,8 @@
 		"readiness":     d.logReady,
 		"peers":         d.peers.run,
 		"placement":     d.runPlacement,
+		"paths":         d.paths.dialer.Run,
+		"tunnels":       d.paths.serve,
 	}
 }
 
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -20,12 +20,15 @@
 	if d.draining.Swap(true) {
 		return
 	}
-	events.DaemonDraining.Log(d.log, logrus.Fields{"in_flight": d.api.InFlight()})
+	if d.paths.tunnels != nil {
+		d.paths.tunnels.Leave()
+	}
+	events.DaemonDraining.Log(d.log, logrus.Fields{"in_flight": d.api.InFlight(), "tunnels": d.paths.openTunnels()})
 	d.peers.list.Leave(d.work)
 	<-d.clock.After(d.settings.Drain.Notice)
 	d.api.Drain()
 	deadline := d.clock.Now() + d.settings.Drain.Finish
-	for d.api.InFlight() > 0 {
+	for d.api.InFlight() > 0 || d.paths.openTunnels() > 0 {
 		if d.clock.Now() > deadline {
 			events.DaemonDrainTimedOut.Log(d.log, logrus.Fields{"in_flight": d.api.InFlight()})
 			return
@@ -43,5 +46,8 @@
 	_ = d.api.Shutdown(ctx)
 	_ = d.callerListener.Close()
 	_ = d.adminListener.Close()
+	if d.tunnelListener != nil {
+		_ = d.tunnelListener.Close()
+	}
 	d.http.Close()
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -44,7 +44,7 @@
 	}
 	self := peermsg.Member{
 		Name: d.settings.Name, Zone: d.settings.Zone,
-		PeerAddr: d.settings.PeerAddr(), AdminAddr: d.settings.AdminListen,
+		PeerAddr: d.settings.PeerAddr(), AdminAddr: d.settings.AdminListen, TunnelAddr: d.settings.TunnelListen,
 	}
 	p.list = membership.New(self, d.clock, p.gossip, membership.WithLogger(d.log),
 		membership.WithRandom(d.random), membership.WithRevision(d.revision, p.fetchNewerConfig))
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -6,12 +6,9 @@
 	"fmt"
 	"net"
 
-	"github.com/sirupsen/logrus"
-
 	"spanrill"
 	"spanrill/coordination/conncap"
 	"spanrill/coordination/reach"
-	"spanrill/events"
 	"spanrill/protocol/peermsg"
 	"spanrill/state/fleet"
 	"spanrill/transport/httpcall"
@@ -26,7 +23,7 @@
 		toUpstreams = g.dialUpstream
 	}
 	g.upstreamDialer = reach.New(upstreamDirectory{g}, g.clock, g.log, g.random, reach.WithDirect(toUpstreams, dialTimeout),
-		reach.WithHelp(g.helpers, g.openTunnel), reach.WithZone(g.settings.Zone), reach.WithMeters(g.meters), reach.WithOnLost(g.handlePathLost))
+		reach.WithHelp(g.helpers, g.tunnel), reach.WithZone(g.settings.Zone), reach.WithMeters(g.meters), reach.WithOnLost(g.handlePathLost))
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if (upstreamDirectory{g}).ServiceAt(addr) == "" {
 			return direct(ctx, network, addr)
@@ -87,73 +84,44 @@
 
 // helpers returns the daemons that may connect this one to the upstreams of a service.
 func (g *Gateway) helpers(service string) []spanrill.Helper {
-	var helpers []spanrill.Helper
-	for _, m := range g.peers.Others() {
-		if m.TunnelAddr != "" && !g.exchange.PeerPathLost(m.Name, service) {
-			helpers = append(helpers, spanrill.Helper{Name: m.Name, Addr: m.TunnelAddr, Zone: m.Zone})
-		}
-	}
-	return helpers
+	return reach.Helpers(g.peers.Others(), func(name string) bool { return g.exchange.PeerPathLost(name, service) })
 }
 
-// openTunnel connects to an upstream through another daemon.
-func (g *Gateway) openTunnel(ctx context.Context, h spanrill.Helper, addr, request string) (net.Conn, int, error) {
-	target := tunnel.Target{Addr: addr, Request: request, Daemon: g.peers.name, Timeout: dialTimeout}
-	if u := g.fleet.View().ByAddr(addr); u != nil {
-		target.Upstream = u.Name()
-	}
-	conn, err := tunnel.Dial(ctx, h.Addr, []byte(g.settings.FleetSecret), target)
-	if err != nil {
-		return nil, 0, err
-	}
-	return conn, conn.HelperLoad(), nil
+// tunnel connects to an upstream through another daemon.
+func (g *Gateway) tunnel(ctx context.Context, h spanrill.Helper, addr, request string) (net.Conn, int, error) {
+	return reach.Tunnel(g.peers.name, g.settings.FleetSecret, dialTimeout, g.upstreamAt)(ctx, h, addr, request)
 }
 
-// tunnelUpstreams connects other daemons to upstreams over this daemon's own path.
-type tunnelUpstreams struct {
-	gateway *Gateway
-	log     *events.Limiter
+// upstreamAt returns the name of the upstream at an address, or "".
+func (g *Gateway) upstreamAt(addr string) string {
+	if u := g.fleet.View().ByAddr(addr); u != nil {
+		return u.Name()
+	}
+	return ""
 }
 
-// tunnelLinesPerSecond is the maximum number of log lines per second about tunnels for other daemons.
-const tunnelLinesPerSecond = 40
-
 // newTunnels returns the server of tunnels, or nil if the settings have no address for it.
 func newTunnels(g *Gateway) *tunnel.Server {
 	if g.settings.TunnelListen == "" {
 		return nil
 	}
-	upstreams := &tunnelUpstreams{gateway: g, log: events.NewLimiter(g.clock, tunnelLinesPerSecond)}
-	return tunnel.NewServer([]byte(g.settings.FleetSecret), upstreams, g.clock, tunnel.WithLogger(g.log), tunnel.WithMeters(g.meters),
-		tunnel.WithMaxOpen(conncap.Tunnels(g.settings.Descriptors)))
+	return tunnel.NewServer([]byte(g.settings.FleetSecret), reach.NewServer(g.upstreamDialer, g.checkTunnel, g.fleet.HandleNotice), g.clock,
+		tunnel.WithLogger(g.log), tunnel.WithMeters(g.meters), tunnel.WithMaxOpen(conncap.Tunnels(g.settings.Descriptors)))
 }
 
-// Connect connects to an upstream unless it is another one by now or wants no requests from this
-// daemon.
-func (t *tunnelUpstreams) Connect(ctx context.Context, target tunnel.Target) (net.Conn, error) {
-	g := t.gateway
+// checkTunnel returns why another daemon may not be connected to an upstream, or nil.
+func (g *Gateway) checkTunnel(target tunnel.Target) error {
 	u := g.fleet.View().ByAddr(target.Addr)
 	if u == nil || target.Upstream != "" && u.Name() != target.Upstream {
-		return nil, &tunnel.OpenError{Reason: tunnel.ReasonUnknown, Detail: "no such upstream at " + target.Addr}
+		return &tunnel.OpenError{Reason: tunnel.ReasonUnknown, Detail: "no such upstream at " + target.Addr}
 	}
-	if target.Request != "" {
-		if err := u.CheckSend(g.clock.Now()); err != nil {
-			return nil, &tunnel.OpenError{Reason: tunnel.ReasonWithheld, Detail: err.Error()}
-		}
+	if target.Request == "" {
+		return nil
 	}
-	conn, err := g.upstreamDialer.DialForPeer(ctx, target.Addr)
-	if err != nil {
-		return nil, err
+	if err := u.CheckSend(g.clock.Now()); err != nil {
+		return &tunnel.OpenError{Reason: tunnel.ReasonWithheld, Detail: err.Error()}
 	}
-	t.log.Log(events.TunnelOpened, g.log, func() logrus.Fields {
-		return logrus.Fields{"for": target.Daemon, "upstream": u.ID(), "request": target.Request, "open": g.tunnels.Open()}
-	})
-	return conn, nil
-}
-
-// HandleNotice records what an upstream has told about itself in an answer to another daemon.
-func (t *tunnelUpstreams) HandleNotice(addr string, n spanrill.Notice, openedAt spanrill.Millis) {
-	t.gateway.fleet.HandleNotice(addr, n, openedAt)
+	return nil
 }
 
 // serveTunnels connects other daemons to upstreams until the context ends.
--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -75,15 +75,20 @@
 	})
 }
 
-// serveMetrics serves metrics to scrapers, and the state of divided room to operators.
+// serveMetrics serves metrics to scrapers, and the states of divided room and of network paths to
+// operators.
 func (g *Gateway) serveMetrics(ctx context.Context) error {
 	if g.metricsListener == nil {
 		return nil
 	}
 	return serveHTTP(ctx, g.metricsListener, func(c *fasthttp.RequestCtx) {
-		if string(c.Path()) == RoomPath {
+		switch string(c.Path()) {
+		case RoomPath:
 			g.serveRoomPage(ctx, c)
 			return
+		case PathsPath:
+			g.servePathsPage(c)
+			return
 		}
 		c.SetContentType("text/plain; version=0.0.4")
 		g.meters.Write(c)
--- a/scene/scene.go
+++ b/scene/scene.go
@@ -24,6 +24,7 @@
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
+	"spanrill/coordination/reach"
 	"spanrill/daemon"
 	"spanrill/protocol/objectapi"
 	"spanrill/settings"
@@ -73,7 +74,10 @@
 	LinkDelay func(from, to EngineSpec) time.Duration
 	// ChangeSettings, if set, changes the settings of each daemon before it starts.
 	ChangeSettings func(*settings.Settings)
-	Log            *logrus.Logger
+	// UpstreamDial, if set, returns the function with which a daemon, counted from 0, connects to
+	// upstreams.
+	UpstreamDial func(daemon int) reach.DialFunc
+	Log          *logrus.Logger
 }
 
 // Site is the name of the only site in a scene's configuration.
@@ -189,6 +193,7 @@
 	v.Listen = fmt.Sprintf("%s:%d", s.ip, 9001+i)
 	v.AdminListen = fmt.Sprintf("%s:%d", s.ip, 10001+i)
 	v.PeerListen = fmt.Sprintf("%s:%d", s.ip, 11001+i)
+	v.TunnelListen = fmt.Sprintf("%s:%d", s.ip, 12001+i)
 	v.Platform, v.FleetSecret = s.platformAddr(), "secret-of-the-scene"
 	v.Seed = s.spec.Seed + uint64(i) + 1
 	v.Drain.Notice = 100
@@ -217,7 +222,11 @@
 		log = logrus.New()
 		log.SetLevel(logrus.PanicLevel)
 	}
-	d, err := daemon.New(v, daemon.WithLogger(log))
+	options := []daemon.Option{daemon.WithLogger(log)}
+	if s.spec.UpstreamDial != nil {
+		options = append(options, daemon.WithUpstreamDial(s.spec.UpstreamDial(i)))
+	}
+	d, err := daemon.New(v, options...)
 	if err != nil {
 		return fmt.Errorf("start daemon: %w", err)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,7 @@
 	AdminListen   string   `json:"admin_listen"`
 	PeerListen    string   `json:"peer_listen"`
 	PeerAdvertise string   `json:"peer_advertise"`
+	TunnelListen  string   `json:"tunnel_listen"` // for daemons that have lost their path to upstreams, or "" to help none
 	Platform      string   `json:"platform"`
 	FleetSecret   string   `json:"fleet_secret"`
 	Peers         []string `json:"peers"`
@@ -110,6 +111,7 @@
 	s := Default()
 	s.Name, s.Zone = "entry-1", "hall-un"
 	s.Listen, s.AdminListen, s.PeerListen = "10.0.0.1:8080", "10.0.0.1:8081", "10.0.0.1:8082"
+	s.TunnelListen = "10.0.0.1:8083"
 	s.Platform = "10.0.9.1:7000"
 	s.FleetSecret = "replace-this-secret"
 	return s
--- a/state/load/table.go
+++ b/state/load/table.go
@@ -29,6 +29,7 @@
 	clock spanrill.Clock
 	log   logrus.FieldLogger
 	view  atomic.Pointer[View]
+	addrs atomic.Pointer[map[string]*Upstream] // all upstreams by address
 
 	mu        sync.Mutex
 	upstreams map[string]*Upstream
@@ -56,12 +57,16 @@
 		o(t)
 	}
 	t.view.Store(&View{})
+	t.addrs.Store(&map[string]*Upstream{})
 	return t
 }
 
 // View returns the current index of the upstreams that may get new work.
 func (t *Table) View() *View { return t.view.Load() }
 
+// ByAddr returns the upstream at an address, also one that gets no new work, or nil.
+func (t *Table) ByAddr(addr string) *Upstream { return (*t.addrs.Load())[addr] }
+
 // SetSites sets which site each availability zone belongs to.
 func (t *Table) SetSites(siteOf func(zone string) string) {
 	t.mu.Lock()
@@ -94,6 +99,11 @@
 		}
 	}
 	t.boxes = byName
+	addrs := make(map[string]*Upstream, len(t.upstreams))
+	for _, u := range t.upstreams {
+		addrs[u.addr] = u
+	}
+	t.addrs.Store(&addrs)
 	t.rebuildView()
 }
 
