soak: Cut daemons off from all upstreams, and check that others help

Cause: no run could cut one daemon from the upstreams. A link stood before each upstream, and all daemons used it.

Change: the soak's daemons are built with connections that go through a link of their own (soak/soakdaemon), which a step cuts: connections hang, are reset, live on while new ones are refused, or lose their answers. The steps come from a random source of their own, so that the other steps of a seed stay the same.

--- a/cli/spanrilldcmd/gateway.go
+++ b/cli/spanrilldcmd/gateway.go
@@ -19,7 +19,7 @@
 	"spanrill/settings"
 )
 
-func gatewayCommand() *cli.Command {
+func gatewayCommand(opts []gateway.Option) *cli.Command {
 	return &cli.Command{
 		Name:  "gateway",
 		Usage: "route requests on the users' platform",
@@ -29,7 +29,7 @@
 			&cli.StringFlag{Name: "settings", Required: true, Usage: "read settings from `FILE`", Sources: cli.EnvVars(platform.SettingsPathVariable)},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		Action: runGateway,
+		Action: func(ctx context.Context, c *cli.Command) error { return runGateway(ctx, c, opts) },
 	}
 }
 
@@ -42,7 +42,7 @@
 	logFlushTimeout = 300 * time.Millisecond
 )
 
-func runGateway(ctx context.Context, c *cli.Command) error {
+func runGateway(ctx context.Context, c *cli.Command, opts []gateway.Option) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT) // before all else, so that a signal during startup does not kill the process
 	defer stop()
 	hangups := make(chan os.Signal, 1)
@@ -70,7 +70,7 @@
 		return cli.Exit(err.Error(), exitBadSettings)
 	}
 	log.SetOutput(writer)
-	g, err := gateway.New(s, platform.New, gateway.WithLogger(log), gateway.WithDroppedLines(writer.Dropped))
+	g, err := gateway.New(s, platform.New, append([]gateway.Option{gateway.WithLogger(log), gateway.WithDroppedLines(writer.Dropped)}, opts...)...)
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
--- a/cli/spanrilldcmd/main.go
+++ b/cli/spanrilldcmd/main.go
@@ -18,6 +18,7 @@
 	"github.com/urfave/cli/v3"
 
 	"spanrill/daemon"
+	"spanrill/gateway"
 	"spanrill/settings"
 )
 
@@ -27,9 +28,9 @@
 	exitBadSettings = 2
 )
 
-// Main runs spanrilld with os.Args and returns its exit code.
-func Main() int {
-	err := command().Run(context.Background(), os.Args)
+// Main runs spanrilld with os.Args and returns its exit code. The options apply to gateways.
+func Main(opts ...gateway.Option) int {
+	err := command(opts).Run(context.Background(), os.Args)
 	if err == nil {
 		return 0
 	}
@@ -40,7 +41,7 @@
 	return exitFailed
 }
 
-func command() *cli.Command {
+func command(opts []gateway.Option) *cli.Command {
 	return &cli.Command{
 		Name:  "spanrilld",
 		Usage: "route inference pipelines and plain services",
@@ -53,7 +54,7 @@
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Action:         run,
-		Commands:       []*cli.Command{gatewayCommand()},
+		Commands:       []*cli.Command{gatewayCommand(opts)},
 	}
 }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -123,6 +123,7 @@
 		}
 		p.mu.Unlock()
 	}
+	all = append(all, r.helpedViolations()...)
 	return append(all, r.recoveryViolations...)
 }
 
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -28,6 +28,12 @@
 	faults platformtest.EngineFaults
 }
 
+// upstreamLink is the path of one daemon to all upstreams.
+type upstreamLink struct {
+	*faultproxy.Link
+	control string // address at which the daemon's process asks for connections
+}
+
 // environment holds the stand-ins for the store and the upstreams, and the links to them.
 type environment struct {
 	shape     Shape
@@ -39,6 +45,7 @@
 	upstreams     []*upstream         // by slot; an ended upstream is replaced in its slot
 	upstreamCount int                 // upstreams started so far
 	storeLinks    []*faultproxy.Proxy // from each daemon to the store
+	upstreamLinks []upstreamLink      // from each daemon to the upstreams
 	version       int
 	routeTimeout  int // timeout of routes in ms
 	keys          []string
@@ -75,6 +82,11 @@
 			return nil, fmt.Errorf("start link to the store: %w", err)
 		}
 		env.storeLinks = append(env.storeLinks, link)
+		paths := upstreamLink{Link: faultproxy.NewLink()}
+		if paths.control, err = paths.ListenControl("127.0.0.1:0"); err != nil {
+			return nil, fmt.Errorf("start link to the upstreams: %w", err)
+		}
+		env.upstreamLinks = append(env.upstreamLinks, paths)
 	}
 	env.writeConfig()
 	return env, nil
@@ -195,5 +207,8 @@
 	for _, l := range env.storeLinks {
 		l.Close()
 	}
+	for _, l := range env.upstreamLinks {
+		l.Close()
+	}
 	env.store.Close()
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -43,6 +43,8 @@
 		return r.upstreamFault
 	case StoreRestored:
 		return r.restoreStore
+	case DaemonPathCut:
+		return r.pathFault
 	case UpstreamLimits:
 		return r.upstreamLimitFault
 	case ConfigChanges, KeyWithdrawn:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -34,7 +34,8 @@
 	UpstreamReportsMuted Kind = "upstream reports muted"  // leaves report calls unanswered but serves requests
 	UpstreamLimits       Kind = "upstream sets limit"     // sets a limit on its request rate, changes and removes it
 	ConfigChanges        Kind = "configuration changes"
-	KeyWithdrawn         Kind = "key withdrawn" // and a new one issued
+	KeyWithdrawn         Kind = "key withdrawn"               // and a new one issued
+	DaemonPathCut        Kind = "path of daemon to upstreams" // cut to all upstreams, in several ways
 )
 
 // weights lists the relative frequency of each kind.
@@ -69,6 +70,12 @@
 	{StoreRestored, 1},
 }
 
+// pathWeights lists the kinds that concern the paths of daemons. They too are drawn from a random
+// source of their own.
+var pathWeights = []weightedKind{
+	{DaemonPathCut, 1},
+}
+
 type weightedKind struct {
 	kind   Kind
 	weight int
@@ -93,6 +100,10 @@
 	independentGap = 3 * time.Second
 	// independentSeedOffset is added to the seed of the random source for independentWeights.
 	independentSeedOffset = 1 << 32
+	// pathGap is the mean pause between two faults of pathWeights, and pathSeedOffset is added to the
+	// seed of their random source.
+	pathGap        = 4 * time.Second
+	pathSeedOffset = 1 << 33
 	// shortestFault and longestFault bound the duration of a fault: from less than one round of
 	// exchange with peers to almost as long as a daemon accepts keys without proof that its
 	// configuration is current, which is a little less than revokeTime.
@@ -109,6 +120,7 @@
 // Plan returns the faults of a run in order. The result depends on the seed and the length alone.
 func Plan(seed uint64, length time.Duration) []Step {
 	steps := append(drawSteps(rng.New(seed), weights, stepGap, length), drawSteps(rng.New(seed+independentSeedOffset), independentWeights, independentGap, length)...)
+	steps = append(steps, drawSteps(rng.New(seed+pathSeedOffset), pathWeights, pathGap, length)...)
 	sort.SliceStable(steps, func(i, j int) bool { return steps[i].At < steps[j].At })
 	return steps
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"spanrill/standin/faultproxy"
 )
 
 // process is one daemon process, which can be killed and restarted under its name.
@@ -20,6 +22,7 @@
 	readyAddr    string
 	command      []string // without the --settings flag
 	settingsFile string
+	linkAddr     string // control address of its link to the upstreams
 	logs         *os.File
 
 	mu       sync.Mutex
@@ -51,6 +54,7 @@
 	defer p.mu.Unlock()
 	args := append(append([]string(nil), p.command[1:]...), "--settings", p.settingsFile)
 	cmd := exec.Command(p.command[0], args...)
+	cmd.Env = append(os.Environ(), faultproxy.RemoteLinkVariable+"="+p.linkAddr)
 	cmd.Stdout, cmd.Stderr = p.logs, p.logs
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -134,11 +138,11 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// BuildDaemon builds the daemon from the module in the current directory and returns the path of the
-// program.
+// BuildDaemon builds the daemon, with connections to upstreams that a run can cut, from the module in
+// the current directory and returns the path of the program.
 func BuildDaemon(ctx context.Context, dir string) (string, error) {
-	file := filepath.Join(dir, "spanrilld")
-	out, err := exec.CommandContext(ctx, "go", "build", "-o", file, "spanrill/cmd/spanrilld").CombinedOutput()
+	file := filepath.Join(dir, "soakdaemon")
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", file, "spanrill/soak/soakdaemon").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build the daemon: %w: %s", err, out)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -67,6 +67,7 @@
 	disturbances      map[*process][]time.Time // start times of daemon faults
 	cutOffs           map[string][]time.Time   // start times of link faults, by upstream ID
 	storeDisturbances []interval               // faults of the store and of the links to it
+	pathCuts          map[*process][]interval  // when a daemon had no path to the upstreams
 }
 
 // interval is the period during which a fault may be in effect.
@@ -127,7 +128,7 @@
 
 // Run executes one run. Violations are in the report; an error means that the run itself failed.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	r := &run{options: o, restartLocks: map[*process]*sync.Mutex{}, killed: map[*upstream]bool{}, disturbances: map[*process][]time.Time{}, cutOffs: map[string][]time.Time{}}
+	r := &run{options: o, restartLocks: map[*process]*sync.Mutex{}, killed: map[*upstream]bool{}, disturbances: map[*process][]time.Time{}, cutOffs: map[string][]time.Time{}, pathCuts: map[*process][]interval{}}
 	var err error
 	if r.env, err = newEnvironment(o.Shape); err != nil {
 		return nil, fmt.Errorf("start the environment: %w", err)
@@ -158,7 +159,7 @@
 		name := fmt.Sprintf("daemon-%d", i)
 		p, err := newProcess(r.options.Dir, r.options.Daemon, name, addrs[0], addrs[1], map[string]any{
 			"name": name, "availability_zone": fmt.Sprintf("zone-%d", i%r.options.Shape.Zones), "listen": addrs[0], "ready_listen": addrs[1],
-			"peer_listen": addrs[2], "metrics_listen": addrs[3], "peers": append([]string{}, peers...), "platform": r.env.storeLinkAddr(i),
+			"peer_listen": addrs[2], "metrics_listen": addrs[3], "tunnel_listen": addrs[4], "peers": append([]string{}, peers...), "platform": r.env.storeLinkAddr(i),
 			"fleet_secret": "a secret for this run alone",
 			"bounds": map[string]any{
 				"revoke_ms": revokeTime.Milliseconds(), "grace_ms": graceTime.Milliseconds(), "drain_ms": drainTime.Milliseconds(),
@@ -168,6 +169,7 @@
 		if err != nil {
 			return err
 		}
+		p.linkAddr = r.env.upstreamLinks[i].control
 		peers = append(peers, addrs[2])
 		r.daemons, r.restartLocks[p] = append(r.daemons, p), &sync.Mutex{}
 		if err := p.start(); err != nil {
@@ -184,7 +186,7 @@
 	// firstPort is below the ephemeral port range of the operating system.
 	firstPort = 20000
 	// portsPerDaemon is the number of addresses that a daemon listens on.
-	portsPerDaemon = 4
+	portsPerDaemon = 5
 )
 
 // listenAddrs returns the listen addresses of a daemon. The loopback address is derived from the
--- a/standin/faultproxy/link.go
+++ b/standin/faultproxy/link.go
@@ -71,6 +71,19 @@
 
 // DialContext opens a connection to a target unless the path to it is cut.
 func (l *Link) DialContext(ctx context.Context, network, target string) (net.Conn, error) {
+	proxy, err := l.resolve(ctx, network, target)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, proxy)
+	if err != nil {
+		return nil, fmt.Errorf("connect to the proxy: %w", err)
+	}
+	return conn, nil
+}
+
+// resolve returns the address of the proxy to a target, once and if the path to it is not cut.
+func (l *Link) resolve(ctx context.Context, network, target string) (string, error) {
 	l.mu.Lock()
 	l.dials[target]++
 	l.mu.Unlock()
@@ -78,14 +91,14 @@
 		c, changed := l.cutOf(target)
 		switch c {
 		case CutNone:
-			return l.dialProxy(ctx, network, target)
+			return l.proxyAddr(ctx, network, target)
 		case CutReset, CutNewOnly:
-			return nil, fmt.Errorf("link is cut: %w", syscall.ECONNREFUSED)
+			return "", fmt.Errorf("link is cut: %w", syscall.ECONNREFUSED)
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, fmt.Errorf("link is cut: %w", ctx.Err())
+			return "", fmt.Errorf("link is cut: %w", ctx.Err())
 		}
 	}
 }
@@ -109,23 +122,19 @@
 	return l.cut, l.changed
 }
 
-// dialProxy opens a connection to a target through its proxy. It is refused if the target refuses
-// connections.
-func (l *Link) dialProxy(ctx context.Context, network, target string) (net.Conn, error) {
+// proxyAddr returns the address of the proxy to a target. It fails if the target refuses connections,
+// which a proxy does not.
+func (l *Link) proxyAddr(ctx context.Context, network, target string) (string, error) {
 	test, err := (&net.Dialer{}).DialContext(ctx, network, target)
 	if err != nil {
-		return nil, fmt.Errorf("connect to the target: %w", err)
+		return "", fmt.Errorf("connect to the target: %w", err)
 	}
 	_ = test.Close()
 	p, err := l.proxyTo(target)
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, p.Addr())
-	if err != nil {
-		return nil, fmt.Errorf("connect to the proxy: %w", err)
-	}
-	return conn, nil
+	return p.Addr(), nil
 }
 
 func (l *Link) proxyTo(target string) (*Proxy, error) {
