faultproxy: Let the test of links establish its connection before the cut

The test cut the link while the proxy was still accepting its connection, which survives a reset then (seen once in two runs under load). It now waits for an answer first.

--- a/standin/faultproxy/link_test.go
+++ b/standin/faultproxy/link_test.go
@@ -56,8 +56,8 @@
 			t.Cleanup(l.Close)
 			dial := dialer(l)
 			conn, err := dial(context.Background(), "tcp", target)
-			if err != nil {
-				t.Fatal(err)
+			if err != nil || !answers(conn) {
+				t.Fatalf("%s, cut %d: no connection before the cut: %v", name, cut, err)
 			}
 			l.SetCut(cut)
 			if got := answers(conn); got != want.open {
