--- a/coordination/reach/help.go
+++ b/coordination/reach/help.go
@@ -169,7 +169,11 @@
 		d.help.load[h.Name] = open
 		d.help.mu.Unlock()
 		d.helpLog.Log(events.TunnelUsed, d.log, func() logrus.Fields {
-			return logrus.Fields{"helper": h.Name, "addr": addr, "service": service, "request": request, "open": open}
+			f := logrus.Fields{"helper": h.Name, "addr": addr, "service": service, "request": request, "open": open}
+			if since, lost := d.paths.lostSince(service, addr); lost {
+				f["lost_ms"] = d.clock.Now() - since
+			}
+			return f
 		})
 		return conn, nil
 	})
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -15,6 +15,7 @@
 //	help.go    connections through helpers
 //	paths.go   which upstreams are lost
 //	delay.go   how long a connection usually takes
+//	budget.go  how often helpers are asked beside the direct path
 //	check.go   checks of lost upstreams
 //	serve.go   connections for other daemons
 //
@@ -57,6 +58,7 @@
 	tunnel     TunnelFunc
 	paths      *paths
 	help       *helpState
+	budget     *helpBudget
 	directTime *delay // of direct connections
 	helpTime   *delay // of connections through helpers
 	helpLog    *events.Limiter
@@ -103,7 +105,7 @@
 		directory: directory, clock: clock, log: log, meters: meter.New(), random: random,
 		direct: (&net.Dialer{}).DialContext, timeout: spanrill.Second,
 		helpers: func(string) []spanrill.Helper { return nil },
-		paths:   newPaths(directory, clock, log), help: newHelpState(),
+		paths:   newPaths(directory, clock, log), help: newHelpState(), budget: newHelpBudget(clock),
 		directTime: newDelay(minDirectDelay), helpTime: newDelay(minHelpDelay),
 		helpLog: events.NewLimiter(clock, helpLinesPerSecond), done: make(chan struct{}),
 	}
@@ -131,17 +133,11 @@
 	if d.paths.isCut(service) {
 		return nil, fmt.Errorf("connect to %s: %w", addr, spanrill.ErrNoPath)
 	}
-	a := d.startDirect(ctx, service, addr)
-	select {
-	case <-a.done:
-	case <-ctx.Done():
-		d.discard(a)
-		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
-	}
-	if a.err != nil && !d.reachesOther(ctx, service, addr) {
-		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, a.err)
+	conn, err := d.await(ctx, addr, d.startDirect(ctx, service, addr))
+	if err != nil && ctx.Err() == nil && !d.reachesOther(ctx, service, addr) {
+		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, err)
 	}
-	return a.conn, a.err
+	return conn, err
 }
 
 // otherUpstreams is how many other upstreams of the service, and of all services, are tried to tell a
@@ -218,6 +214,9 @@
 		d.discard(direct)
 		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
 	}
+	if !d.budget.take() {
+		return d.await(ctx, addr, direct)
+	}
 	help := d.startHelp(ctx, service, addr)
 	d.tasks.Start(context.WithoutCancel(ctx), "compare paths", func(context.Context) error {
 		d.compare(service, addr, direct, help)
@@ -230,6 +229,17 @@
 	return conn, err
 }
 
+// await returns the result of an attempt.
+func (d *Dialer) await(ctx context.Context, addr string, a *attempt) (net.Conn, error) {
+	select {
+	case <-a.done:
+		return a.conn, a.err
+	case <-ctx.Done():
+		d.discard(a)
+		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
+	}
+}
+
 // first returns the first connection of two attempts, or an error if both fail.
 func (d *Dialer) first(ctx context.Context, addr string, direct, help *attempt) (net.Conn, error) {
 	directDone, helpDone := direct.done, help.done
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -309,3 +309,22 @@
 		})
 	}
 }
+
+// Guards against attempts at upstreams that multiply because helpers are asked for each of them.
+func TestHelpersAreAskedWithinBudget(t *testing.T) {
+	const attempts = 100
+	w := newWorld(8, "a", "b", "c")
+	for _, addr := range w.upstreams[1:] {
+		w.down[addr] = true
+	}
+	d := w.start(t)
+	for i := range attempts {
+		_, _ = dial(d, w.upstreams[1+i%7])
+		wantWay(t, d, "u0", "direct")
+	}
+	asked := 0
+	w.set(func() { asked = w.asked["a"] + w.asked["b"] + w.asked["c"] })
+	if most := attempts / 2; asked > most {
+		t.Errorf("helpers were asked %d times for %d attempts, want at most %d", asked, attempts, most)
+	}
+}
