--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -44,7 +44,7 @@
 const testSecret = "a secret for the tests"
 
 // startServer starts a helper and returns its server and address.
-func startServer(t *testing.T, upstreams *testUpstreams, opts ...ServerOption) (*Server, string) {
+func startServer(t testing.TB, upstreams *testUpstreams, opts ...ServerOption) (*Server, string) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -60,7 +60,7 @@
 	return s, ln.Addr().String()
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -71,7 +71,7 @@
 }
 
 // startUpstream serves each connection with a function and returns the address.
-func startUpstream(t *testing.T, serve func(net.Conn)) string {
+func startUpstream(t testing.TB, serve func(net.Conn)) string {
 	t.Helper()
 	ln := listen(t)
 	go func() {
@@ -91,7 +91,7 @@
 	_, _ = io.Copy(conn, conn)
 }
 
-func dial(t *testing.T, helper, upstream string) *Conn {
+func dial(t testing.TB, helper, upstream string) *Conn {
 	t.Helper()
 	conn, err := Dial(context.Background(), helper, []byte(testSecret), Target{Addr: upstream})
 	if err != nil {
@@ -275,3 +275,48 @@
 		t.Errorf("error %v, want context.Canceled", err)
 	}
 }
+
+// reportProcessorTime reports the processor time of the whole process, both sides and the upstream
+// included, for each operation.
+func reportProcessorTime(b *testing.B, before syscall.Rusage) {
+	var after syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &after); err != nil {
+		b.Fatal(err)
+	}
+	spent := time.Duration(after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano())
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+func BenchmarkOpen(b *testing.B) {
+	_, helper := startServer(b, &testUpstreams{})
+	upstream := startUpstream(b, echo)
+	var before syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+	for b.Loop() {
+		conn, err := Dial(context.Background(), helper, []byte(testSecret), Target{Addr: upstream})
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = conn.Close()
+	}
+	reportProcessorTime(b, before)
+}
+
+// BenchmarkForward forwards messages of the size of a stream's event there and back.
+func BenchmarkForward(b *testing.B) {
+	const eventSize = 256
+	_, helper := startServer(b, &testUpstreams{})
+	conn := dial(b, helper, startUpstream(b, echo))
+	event := make([]byte, eventSize)
+	var before syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+	for b.Loop() {
+		if _, err := conn.Write(event); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.ReadFull(conn, event); err != nil {
+			b.Fatal(err)
+		}
+	}
+	reportProcessorTime(b, before)
+}
