relay, probe: Judge streams and engines anew when a path is lost

Change: a stream over a lost path is continued after the usual silence only if no event has come over such a path since; else after four times that. When a path is found to be lost, verdicts of probes that began since it failed are dropped.

Result: tests of probe, reach and relay pass with the race detector.

--- a/coordination/probe/probe.go
+++ b/coordination/probe/probe.go
@@ -61,8 +61,9 @@
 	dial      func(ctx context.Context, addr string) error // opens a connection and closes it
 
 	mu         sync.Mutex
-	queries    map[string]*query     // latest query of each engine, by id
-	dialChecks map[string]*dialCheck // latest check of each upstream, by id
+	queries    map[string]*query          // latest query of each engine, by id
+	dialChecks map[string]*dialCheck      // latest check of each upstream, by id
+	deadSince  map[string]spanrill.Millis // when the query began that found an engine dead, by id
 }
 
 // query is a request for a report. Its result is set when done is closed.
@@ -144,7 +145,7 @@
 
 // New returns a prober.
 func New(engines spanrill.LayerEngines, clock spanrill.Clock, log logrus.FieldLogger, opts ...Option) *Prober {
-	p := &Prober{engines: engines, clock: clock, log: log, queries: map[string]*query{}, dialChecks: map[string]*dialCheck{}, lastHeard: clock.Now, dial: dialAndClose}
+	p := &Prober{engines: engines, clock: clock, log: log, queries: map[string]*query{}, dialChecks: map[string]*dialCheck{}, deadSince: map[string]spanrill.Millis{}, lastHeard: clock.Now, dial: dialAndClose}
 	for _, o := range opts {
 		o(p)
 	}
@@ -271,6 +272,9 @@
 		return // it tells of this daemon's own path only
 	}
 	dead := q.err != nil
+	if dead && p.isForgotten(u, q) {
+		return
+	}
 	if spanrill.IsConnectionRefused(q.err) {
 		u.RecordNotListening()
 	}
@@ -281,6 +285,9 @@
 	if !u.SetDead(dead) {
 		return
 	}
+	p.mu.Lock()
+	p.deadSince[u.ID()] = q.startedAt
+	p.mu.Unlock()
 	event, fields := events.UpstreamRecovered, logrus.Fields{"upstream": u.ID(), "addr": u.Addr()}
 	if dead {
 		event = events.UpstreamEjected
@@ -289,6 +296,29 @@
 	event.Log(p.log, fields)
 }
 
+// Forget makes engines count as alive again that queries begun since a time have found dead, because
+// this daemon's network path to them was lost then. Their next silence is judged anew.
+func (p *Prober) Forget(upstreams []*fleet.Upstream, since spanrill.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range upstreams {
+		if p.queries[u.ID()] == nil || p.queries[u.ID()].startedAt < since-answerTimeout {
+			continue
+		}
+		delete(p.queries, u.ID())
+		if p.deadSince[u.ID()] >= since-answerTimeout && u.SetDead(false) {
+			events.UpstreamRecovered.Log(p.log, logrus.Fields{"upstream": u.ID(), "addr": u.Addr(), "why": "the path to it was lost"})
+		}
+	}
+}
+
+// isForgotten reports whether Forget has dropped a query while it ran.
+func (p *Prober) isForgotten(u *fleet.Upstream, q *query) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queries[u.ID()] != q
+}
+
 // Recheck queries dead engines again, and drops the results of engines that are gone. It should
 // be called a few times a second.
 func (p *Prober) Recheck(ctx context.Context, table *fleet.Table) {
@@ -303,6 +333,7 @@
 	for id := range p.queries {
 		if view.ByID(id) == nil {
 			delete(p.queries, id)
+			delete(p.deadSince, id)
 		}
 	}
 	for id := range p.dialChecks {
--- a/coordination/probe/probe_test.go
+++ b/coordination/probe/probe_test.go
@@ -122,3 +122,36 @@
 		})
 	}
 }
+
+// Guards against engines that stay dead because of queries over a network path that was lost, and
+// against engines that come alive although they were found dead before.
+func TestForgetVerdictsOverLostPath(t *testing.T) {
+	for name, c := range map[string]struct {
+		since spanrill.Millis // when the path was lost; the query began at one second
+		dead  bool
+	}{
+		"the path was lost before the query": {since: 900, dead: false},
+		"the path was lost with the query":   {since: spanrill.Second, dead: false},
+		"the path was lost later":            {since: 2 * spanrill.Second, dead: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clk := frozenClock{clock.NewSystem()}
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			table := fleet.New(clk, func(spanrill.Item) (spanrill.EngineEntry, error) {
+				return spanrill.EngineEntry{ID: "e", Service: "advice", Addr: "10.0.0.1:1"}, nil
+			}, fleet.WithLogger(log))
+			table.HandleList([]spanrill.Item{{Name: "e"}}, 1, 0)
+			u := table.View().ByID("e")
+			p := New(&fakeEngine{refusesConnections: true}, clk, log)
+			p.Check(context.Background(), []*fleet.Upstream{u})
+			if !u.Dead() {
+				t.Fatal("an engine that refuses connections is not dead")
+			}
+			p.Forget([]*fleet.Upstream{u}, c.since)
+			if u.Dead() != c.dead {
+				t.Errorf("dead %v, want %v", u.Dead(), c.dead)
+			}
+		})
+	}
+}
--- a/coordination/reach/attempt.go
+++ b/coordination/reach/attempt.go
@@ -11,9 +11,10 @@
 // attempt is a connection attempt. It goes on when its caller gives up, because its result tells
 // whether a path works.
 type attempt struct {
-	done chan struct{} // closed once conn or err is set
-	conn net.Conn
-	err  error
+	begunAt spanrill.Millis
+	done    chan struct{} // closed once conn or err is set
+	conn    net.Conn
+	err     error
 }
 
 // errNow returns the error of the attempt if it has ended.
@@ -28,7 +29,7 @@
 
 // start runs an attempt on a goroutine of its own.
 func (d *Dialer) start(ctx context.Context, name string, dial func(context.Context) (net.Conn, error)) *attempt {
-	a := &attempt{done: make(chan struct{})}
+	a := &attempt{begunAt: d.clock.Now(), done: make(chan struct{})}
 	d.tasks.Start(context.WithoutCancel(ctx), name, func(ctx context.Context) error {
 		defer close(a.done)
 		a.conn, a.err = dial(ctx)
--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -16,7 +17,8 @@
 	directory spanrill.UpstreamDirectory
 	clock     spanrill.Clock
 	log       logrus.FieldLogger
-	onLost    func(service string)
+	onLost    func(service string, since spanrill.Millis)
+	anyLost   atomic.Bool // whether any upstream is lost, so that most calls need no lock
 	mu        sync.Mutex
 	services  map[string]*servicePaths
 }
@@ -27,6 +29,7 @@
 	// Upstreams to which connections have failed since one was last opened: those that a helper
 	// reached, and the others.
 	lostInRow, failedInRow map[string]bool
+	firstLostAt            spanrill.Millis // when the attempt at the first of lostInRow began
 	failingSince           spanrill.Millis // when the first of failedInRow failed
 	confirming             bool            // further upstreams are being tried because of failedInRow
 	cut                    bool            // all upstreams of the service count as lost
@@ -47,7 +50,7 @@
 )
 
 func newPaths(directory spanrill.UpstreamDirectory, clock spanrill.Clock, log logrus.FieldLogger) *paths {
-	return &paths{directory: directory, clock: clock, log: log, onLost: func(string) {}, services: map[string]*servicePaths{}}
+	return &paths{directory: directory, clock: clock, log: log, onLost: func(string, spanrill.Millis) {}, services: map[string]*servicePaths{}}
 }
 
 // of returns the state of a service. The caller holds the lock.
@@ -62,6 +65,9 @@
 
 // lostSince returns since when connections to an upstream go through helpers, and whether they do.
 func (p *paths) lostSince(service, addr string) (spanrill.Millis, bool) {
+	if !p.anyLost.Load() {
+		return 0, false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.services[service]
@@ -83,10 +89,22 @@
 	return s != nil && s.cut
 }
 
+// updateAnyLost sets anyLost. The caller holds the lock.
+func (p *paths) updateAnyLost() {
+	for _, s := range p.services {
+		if s.cut || len(s.lost) > 0 {
+			p.anyLost.Store(true)
+			return
+		}
+	}
+	p.anyLost.Store(false)
+}
+
 // recordConnected records a direct connection.
 func (p *paths) recordConnected(service, addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.updateAnyLost()
 	s := p.services[service]
 	if s == nil {
 		return
@@ -104,23 +122,29 @@
 	s.helped = map[string]int{}
 }
 
-// recordLost records that a helper reached an upstream that this daemon did not. It reports whether
-// this was the first upstream of the service in a row.
-func (p *paths) recordLost(service, addr string) (first bool) {
+// recordLost records that a helper reached an upstream that this daemon did not, in an attempt that
+// began at a time. It reports whether this was the first upstream of the service in a row.
+func (p *paths) recordLost(service, addr string, begunAt spanrill.Millis) (first bool) {
 	p.mu.Lock()
 	s, now := p.of(service), p.clock.Now()
 	first = len(s.lostInRow) == 0
+	if first {
+		s.firstLostAt = begunAt
+	}
+	s.firstLostAt = min(s.firstLostAt, begunAt)
 	if _, known := s.lost[addr]; !known {
 		s.lost[addr] = now
 	}
 	s.lostInRow[addr] = true
+	p.anyLost.Store(true)
 	cut := !s.cut && len(s.lostInRow) >= min(minLostInRow, max(1, len(p.directory.Addrs(service))))
 	if cut {
 		p.markCut(s, service, addr)
 	}
+	begunAt = s.firstLostAt
 	p.mu.Unlock()
 	if cut {
-		p.onLost(service)
+		p.onLost(service, begunAt)
 	}
 	return first && !cut
 }
@@ -147,9 +171,10 @@
 	case !s.cut && !s.confirming && len(s.failedInRow) >= confirmFrom:
 		s.confirming, confirm = true, true
 	}
+	since := s.failingSince
 	p.mu.Unlock()
 	if cut {
-		p.onLost(service)
+		p.onLost(service, since)
 	}
 	return confirm
 }
@@ -157,6 +182,7 @@
 // markCut records that the path to all upstreams of a service is lost. The caller holds the lock.
 func (p *paths) markCut(s *servicePaths, service, addr string) {
 	s.cut, s.cutSince = true, p.clock.Now()
+	p.anyLost.Store(true)
 	clear(s.helped)
 	events.PathLost.Log(p.log, logrus.Fields{"service": service, "addr": addr, "upstreams_reached_by_helpers": len(s.lostInRow), "upstreams_reached_by_none": len(s.failedInRow)})
 }
@@ -199,6 +225,7 @@
 func (p *paths) toCheck(random func(n int) int) map[string]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.updateAnyLost()
 	check := map[string]string{}
 	for name, s := range p.services {
 		addrs := p.directory.Addrs(name)
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -91,8 +91,9 @@
 	return func(d *Dialer) { d.meters = m }
 }
 
-// WithOnLost sets a function that is called when the path to the upstreams of a service is lost.
-func WithOnLost(f func(service string)) Option {
+// WithOnLost sets a function that is called when the path to the upstreams of a service is found to be
+// lost, with the time since which connections have failed.
+func WithOnLost(f func(service string, since spanrill.Millis)) Option {
 	return func(d *Dialer) { d.paths.onLost = f }
 }
 
@@ -279,7 +280,7 @@
 			}
 		default:
 		}
-		if d.paths.recordLost(service, addr) {
+		if d.paths.recordLost(service, addr, direct.begunAt) {
 			d.confirmLost(service, addr)
 		}
 		return
--- a/coordination/relay/lostpath.go
+++ b/coordination/relay/lostpath.go
@@ -25,11 +25,34 @@
 var errPathLost = errors.New("network path to the first engine was lost")
 
 // sentBeforePathLost reports whether the running attempt was sent before this daemon lost its path to
-// the first engine, so that its connection may hang.
-func (g *generation) sentBeforePathLost() bool {
+// the first engine, and since when that is lost.
+func (g *generation) sentBeforePathLost() (since spanrill.Millis, lost bool) {
 	if g.relay.Paths == nil || g.firstEngine == nil {
+		return 0, false
+	}
+	since, lost = g.relay.Paths.LostSince(g.firstEngine.Addr())
+	return since, lost && g.sentAt <= since
+}
+
+// patientGaps is after how many watch gaps of silence a connection over a lost path counts as hanging
+// although events have come over that path since.
+const patientGaps = 4
+
+// hangsOnLostPath reports whether the attempt's connection probably hangs: it was made before the path
+// was lost, and nothing comes. Connections may also live on while only new ones fail.
+func (g *generation) hangsOnLostPath(silent spanrill.Millis) bool {
+	if silent < g.watchGap() {
 		return false
 	}
-	since, lost := g.relay.Paths.LostSince(g.firstEngine.Addr())
-	return lost && g.sentAt <= since
+	since, lost := g.sentBeforePathLost()
+	livesOn := spanrill.Millis(g.relay.heardOverLostPath.Load()) > since
+	return lost && (!livesOn || silent >= patientGaps*g.watchGap())
+}
+
+// recordOverLostPath records that an event has come over a path on which connections can no longer be
+// opened.
+func (g *generation) recordOverLostPath(now spanrill.Millis) {
+	if _, lost := g.sentBeforePathLost(); lost {
+		g.relay.heardOverLostPath.Store(int64(now))
+	}
 }
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -112,10 +112,13 @@
 	eventTokens    *eventTokenEstimator
 	roomCounts     roomCounts
 	inFlight       atomic.Int64
-	closing        atomic.Bool // answers close their connections
-	refusing       atomic.Bool // new requests are refused
-	routineLog     *events.Limiter
-	failureLog     *events.Limiter
+	// heardOverLostPath is when an event last came over a connection that was opened before its path
+	// was lost.
+	heardOverLostPath atomic.Int64
+	closing           atomic.Bool // answers close their connections
+	refusing          atomic.Bool // new requests are refused
+	routineLog        *events.Limiter
+	failureLog        *events.Limiter
 }
 
 // Maximum log lines per second about requests. A daemon gets about ten requests per second.
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -101,6 +101,7 @@
 	if g.firstEventAt == 0 {
 		g.firstEventAt = now
 	}
+	g.recordOverLostPath(now)
 	g.abandonContinuation() // an event has shown that the running attempt works
 	g.lastEventID = b.framer.lastID
 	b.lastEventAt, g.lastEventAt, g.nextProbeSilence, g.nextDeliveryCheckSilence = now, now, 0, 0
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -70,7 +70,7 @@
 	case continuationOpening:
 		return nil
 	}
-	if silent >= g.watchGap() && g.sentBeforePathLost() && g.startContinuation(errPathLost) {
+	if g.hangsOnLostPath(silent) && g.startContinuation(errPathLost) {
 		return nil
 	}
 	noneDead := g.probeWhenSilent(silent)
--- a/daemon/reach.go
+++ b/daemon/reach.go
@@ -138,7 +138,7 @@
 }
 
 // closeIdle closes the idle connections to the upstreams of a service, which may hang.
-func (p *upstreamPaths) closeIdle(service string) {
+func (p *upstreamPaths) closeIdle(service string, _ spanrill.Millis) {
 	for _, addr := range p.Addrs(service) {
 		p.daemon.http.CloseIdleTo(addr)
 	}
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -69,11 +69,14 @@
 	return conn.Close()
 }
 
-// handlePathLost closes the idle connections to the upstreams of a service, which may hang.
-func (g *Gateway) handlePathLost(service string) {
-	for _, addr := range (upstreamDirectory{g}).Addrs(service) {
-		g.http.CloseIdleTo(addr)
-	}
+// handlePathLost closes the idle connections to the upstreams of a service, which may hang, and drops
+// what probes have concluded from silence since the path was lost.
+func (g *Gateway) handlePathLost(service string, since spanrill.Millis) {
+	upstreams := g.fleet.View().ByService(service)
+	for _, u := range upstreams {
+		g.http.CloseIdleTo(u.Addr())
+	}
+	g.prober.Forget(upstreams, since)
 }
 
 // isPathLost reports whether connections to an address go through other daemons.
