reach: Spread tunnels that are opened at once, and close connections of a call that was not made

Change: tunnels that are being opened count; connections that serve one call are closed when the call is not made.

Result: TestSingleUseConnectionIsClosed; go test -race of httpcall and reach pass.

--- a/coordination/reach/help.go
+++ b/coordination/reach/help.go
@@ -37,11 +37,21 @@
 type helpState struct {
 	mu         sync.Mutex
 	load       map[string]int             // tunnels that the helper had open when it last opened one
+	opening    map[string]int             // tunnels that are being opened
 	avoidUntil map[string]spanrill.Millis // it could not help until then
 }
 
 func newHelpState() *helpState {
-	return &helpState{load: map[string]int{}, avoidUntil: map[string]spanrill.Millis{}}
+	return &helpState{load: map[string]int{}, opening: map[string]int{}, avoidUntil: map[string]spanrill.Millis{}}
+}
+
+// addOpening changes the number of tunnels that are being opened through a helper.
+func (s *helpState) addOpening(helper string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.opening[helper] += n; s.opening[helper] == 0 {
+		delete(s.opening, helper)
+	}
 }
 
 const (
@@ -60,27 +70,48 @@
 // isNoHelp reports whether an error means that no helper has tried.
 func isNoHelp(err error) bool { return errors.Is(err, errNoHelp) }
 
+// scoredHelper is a helper with the load by which it is chosen.
+type scoredHelper struct {
+	spanrill.Helper
+	score float64
+}
+
+// maxKnownHelpers is the number of helpers above which what is known about those that are gone is
+// dropped. Daemons have another name after each start.
+const maxKnownHelpers = 1024
+
+// forgetOthers drops what is known about helpers that are not in the list, if it has become much. The
+// caller holds the lock.
+func (s *helpState) forgetOthers(listed []scoredHelper) {
+	if len(s.load) <= maxKnownHelpers && len(s.avoidUntil) <= maxKnownHelpers {
+		return
+	}
+	load := make(map[string]int, len(listed))
+	for _, h := range listed {
+		load[h.Name] = s.load[h.Name]
+	}
+	s.load = load
+	clear(s.avoidUntil)
+}
+
 // candidates returns the helpers to ask, the preferred one first.
 func (d *Dialer) candidates(service string) []spanrill.Helper {
 	d.help.mu.Lock()
 	defer d.help.mu.Unlock()
 	now := d.clock.Now()
-	type scored struct {
-		spanrill.Helper
-		score float64
-	}
-	var all []scored
+	var all []scoredHelper
 	for _, h := range d.helpers(service) {
 		if now < d.help.avoidUntil[h.Name] {
 			continue
 		}
-		score := float64(d.help.load[h.Name]) + d.random.Float64()
+		score := float64(d.help.load[h.Name]+d.help.opening[h.Name]) + d.random.Float64()
 		if h.Zone != d.zone {
 			score += otherZoneLoad
 		}
-		all = append(all, scored{h, score})
+		all = append(all, scoredHelper{h, score})
 	}
-	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	d.help.forgetOthers(all)
+	slices.SortFunc(all, func(a, b scoredHelper) int { return cmp.Compare(a.score, b.score) })
 	helpers := make([]spanrill.Helper, 0, maxHelpers)
 	for _, s := range all[:min(maxHelpers, len(all))] {
 		helpers = append(helpers, s.Helper)
@@ -154,9 +185,11 @@
 // startTunnel starts to connect through a helper.
 func (d *Dialer) startTunnel(ctx context.Context, service string, h spanrill.Helper, addr string) *attempt {
 	request, startedAt := requestOf(ctx), d.clock.Now()
+	d.help.addOpening(h.Name, 1)
 	return d.start(ctx, "tunnel", func(ctx context.Context) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, d.timeout.Duration())
 		defer cancel()
+		defer d.help.addOpening(h.Name, -1)
 		conn, open, err := d.tunnel(ctx, h, addr, request)
 		if err != nil {
 			d.recordNotHelped(h, addr, request, err)
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -193,7 +193,7 @@
 		return nil, err
 	}
 	if err := runPresendCheck(ctx); err != nil {
-		c.idle.Put(addr, cn)
+		c.release(addr, cn)
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("before sending to %s: %w", addr, err)}
 	}
 	if !cn.reused && hasPresendCheck(ctx) && !cn.isOpenAndIdle() {
@@ -210,6 +210,15 @@
 	return c.exchange(ctx, addr, cn, req)
 }
 
+// release keeps a connection without a call for later calls, or closes it if it serves one only.
+func (c *Client) release(addr string, cn *conn) {
+	if cn.isSingleUse() {
+		_ = cn.Close()
+		return
+	}
+	c.idle.Put(addr, cn)
+}
+
 // errClosedAtOnce means that the upstream closed a new connection before anything was sent on it,
 // as it does with connections beyond its limit. No request can have run, so that even one that
 // must not be repeated may be sent elsewhere.
--- a/transport/httpcall/presend_test.go
+++ b/transport/httpcall/presend_test.go
@@ -57,6 +57,46 @@
 	}
 }
 
+// singleUseConn is a connection that serves one call.
+type singleUseConn struct{ net.Conn }
+
+func (singleUseConn) SingleUse() bool { return true }
+
+// A connection that serves one call is closed with it, also if a pre-send check fails.
+func TestSingleUseConnectionIsClosed(t *testing.T) {
+	for name, check := range map[string]error{"complete answer": nil, "failed check": errors.New("check failed")} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{})
+			addr := serve(t, func(conn net.Conn) {
+				if check == nil {
+					_, _ = conn.Read(make([]byte, 4096))
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+				_, _ = io.Copy(io.Discard, conn)
+				close(closed)
+			})
+			client := New(WithDial(func(direct DialFunc) DialFunc {
+				return func(ctx context.Context, network, addr string) (net.Conn, error) {
+					conn, err := direct(ctx, network, addr)
+					return singleUseConn{conn}, err
+				}
+			}))
+			t.Cleanup(client.Close)
+			req := fasthttp.AcquireRequest()
+			defer fasthttp.ReleaseRequest(req)
+			req.SetRequestURI("http://" + addr + "/")
+			answer, err := client.Do(WithPresendCheck(context.Background(), func() error { return check }), addr, req, ReuseAllowed)
+			if err == nil {
+				_, err = answer.ReadAll(100)
+			}
+			if !errors.Is(err, check) {
+				t.Fatalf("error %v, want %v", err, check)
+			}
+			<-closed
+		})
+	}
+}
+
 // A call on a connection that the upstream resets has the outcome not-run only if nothing was sent
 // on it.
 func TestOutcomeOfResetConnection(t *testing.T) {
