--- a/coordination/reach/budget.go
+++ b/coordination/reach/budget.go
@@ -1,6 +1,9 @@
 package reach
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"sync"
 
 	"spanrill"
@@ -49,3 +52,44 @@
 	b.tokens--
 	return true
 }
+
+// comparisons holds the comparisons that are running for each service.
+type comparisons struct {
+	mu      sync.Mutex
+	running map[string]map[chan struct{}]bool // channels that are closed at the end, by service
+}
+
+func newComparisons() *comparisons {
+	return &comparisons{running: map[string]map[chan struct{}]bool{}}
+}
+
+// begin records that a comparison begins, and returns the function that records its end.
+func (c *comparisons) begin(service string) (finish func()) {
+	done := make(chan struct{})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running[service] == nil {
+		c.running[service] = map[chan struct{}]bool{}
+	}
+	c.running[service][done] = true
+	return func() {
+		close(done)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.running[service], done)
+	}
+}
+
+// await waits until the comparisons that are running for a service have ended, or the context has.
+func (c *comparisons) await(ctx context.Context, service string) {
+	c.mu.Lock()
+	running := slices.Collect(maps.Keys(c.running[service]))
+	c.mu.Unlock()
+	for _, done := range running {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/coordination/reach/help.go
+++ b/coordination/reach/help.go
@@ -38,11 +38,12 @@
 	mu         sync.Mutex
 	load       map[string]int             // tunnels that the helper had open when it last opened one
 	opening    map[string]int             // tunnels that are being opened
-	avoidUntil map[string]spanrill.Millis // it could not help until then
+	avoidUntil map[string]spanrill.Millis // it has said that it cannot help until then
+	lateUntil  map[string]spanrill.Millis // it did not answer, and others are preferred until then
 }
 
 func newHelpState() *helpState {
-	return &helpState{load: map[string]int{}, opening: map[string]int{}, avoidUntil: map[string]spanrill.Millis{}}
+	return &helpState{load: map[string]int{}, opening: map[string]int{}, avoidUntil: map[string]spanrill.Millis{}, lateUntil: map[string]spanrill.Millis{}}
 }
 
 // addOpening changes the number of tunnels that are being opened through a helper.
@@ -57,8 +58,11 @@
 const (
 	// maxHelpers is the number of helpers that are asked for one connection.
 	maxHelpers = 3
-	// avoidTime is how long a helper that cannot help is not asked: a few checks of its own path.
+	// avoidTime is how long a helper that cannot help is not asked, and one that did not answer is asked
+	// last: a few checks of its own path.
 	avoidTime = 2 * checkInterval
+	// lateLoad is the number of tunnels that count for a helper that did not answer.
+	lateLoad = 1000
 	// otherZoneLoad is the number of tunnels by which a helper in this daemon's availability zone may
 	// be more loaded than another before that is asked first.
 	otherZoneLoad = 4
@@ -83,7 +87,7 @@
 // forgetOthers drops what is known about helpers that are not in the list, if it has become much. The
 // caller holds the lock.
 func (s *helpState) forgetOthers(listed []scoredHelper) {
-	if len(s.load) <= maxKnownHelpers && len(s.avoidUntil) <= maxKnownHelpers {
+	if len(s.load)+len(s.avoidUntil)+len(s.lateUntil) <= maxKnownHelpers {
 		return
 	}
 	load := make(map[string]int, len(listed))
@@ -92,6 +96,7 @@
 	}
 	s.load = load
 	clear(s.avoidUntil)
+	clear(s.lateUntil)
 }
 
 // candidates returns the helpers to ask, the preferred one first.
@@ -108,6 +113,9 @@
 		if h.Zone != d.zone {
 			score += otherZoneLoad
 		}
+		if now < d.help.lateUntil[h.Name] {
+			score += lateLoad
+		}
 		all = append(all, scoredHelper{h, score})
 	}
 	d.help.forgetOthers(all)
@@ -197,7 +205,7 @@
 		}
 		d.helpTime.record(d.clock.Now() - startedAt)
 		d.meters.HelpedConnections.Inc()
-		d.paths.recordHelped(service, h.Name)
+		d.paths.recordHelped(service, h.Name, addr)
 		d.help.mu.Lock()
 		d.help.load[h.Name] = open
 		d.help.mu.Unlock()
@@ -213,7 +221,7 @@
 }
 
 // recordNotHelped records that a helper did not connect. Unless the upstream is the cause, the helper
-// is not asked for a while.
+// is not asked for a while, or asked last if it has not answered.
 func (d *Dialer) recordNotHelped(h spanrill.Helper, addr, request string, err error) {
 	d.meters.HelpRefused.Inc()
 	d.helpLog.Log(events.TunnelDenied, d.log, func() logrus.Fields {
@@ -224,7 +232,12 @@
 	}
 	d.help.mu.Lock()
 	defer d.help.mu.Unlock()
-	d.help.avoidUntil[h.Name] = d.clock.Now() + avoidTime
+	until := d.clock.Now() + avoidTime
+	if reasonOf(err) == 0 {
+		d.help.lateUntil[h.Name] = until
+		return
+	}
+	d.help.avoidUntil[h.Name] = until
 }
 
 // reasonOf returns the reason that a helper gave, or 0.
--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -35,6 +35,7 @@
 	cut                    bool            // all upstreams of the service count as lost
 	cutSince               spanrill.Millis
 	helped                 map[string]int // connections since then by name of the helper
+	helpedAddr             string         // upstream that a helper connected last
 }
 
 const (
@@ -187,11 +188,13 @@
 	events.PathLost.Log(p.log, logrus.Fields{"service": service, "addr": addr, "upstreams_reached_by_helpers": len(s.lostInRow), "upstreams_reached_by_none": len(s.failedInRow)})
 }
 
-// recordHelped counts a connection through a helper.
-func (p *paths) recordHelped(service, helper string) {
+// recordHelped records a connection through a helper.
+func (p *paths) recordHelped(service, helper, addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.of(service).helped[helper]++
+	s := p.of(service)
+	s.helped[helper]++
+	s.helpedAddr = addr
 }
 
 // LostService is a service to whose upstreams this daemon has lost its path.
@@ -221,7 +224,8 @@
 }
 
 // toCheck returns the addresses to which direct connections should be checked now: one for each
-// service. Random is drawn from [0, n). Upstreams that are gone are forgotten.
+// service, in turn a random one and the one that a helper reached last. Random is drawn from [0, n).
+// Upstreams that are gone are forgotten.
 func (p *paths) toCheck(random func(n int) int) map[string]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -236,6 +240,9 @@
 		}
 		if len(candidates) > 0 && (s.cut || len(s.lost) > 0) {
 			check[name] = candidates[random(len(candidates))]
+			if slices.Contains(candidates, s.helpedAddr) {
+				check[name], s.helpedAddr = s.helpedAddr, ""
+			}
 		}
 	}
 	return check
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -46,24 +46,26 @@
 
 // Dialer opens connections to upstreams.
 type Dialer struct {
-	directory  spanrill.UpstreamDirectory
-	clock      spanrill.Clock
-	log        logrus.FieldLogger
-	meters     *meter.Meters
-	random     *rng.Source
-	zone       string
-	direct     DialFunc
-	timeout    spanrill.Millis // of a direct connection
-	helpers    func(service string) []spanrill.Helper
-	tunnel     TunnelFunc
-	paths      *paths
-	help       *helpState
-	budget     *helpBudget
-	directTime *delay // of direct connections
-	helpTime   *delay // of connections through helpers
-	helpLog    *events.Limiter
-	tasks      task.Group
-	done       chan struct{}
+	directory spanrill.UpstreamDirectory
+	clock     spanrill.Clock
+	log       logrus.FieldLogger
+	meters    *meter.Meters
+	random    *rng.Source
+	zone      string
+	direct    DialFunc
+	timeout   spanrill.Millis // of a direct connection
+	helpers   func(service string) []spanrill.Helper
+	tunnel    TunnelFunc
+	paths     *paths
+	help      *helpState
+	budget    *helpBudget
+	// comparisons are the comparisons of the direct path with a helper that are running.
+	comparisons *comparisons
+	directTime  *delay // of direct connections
+	helpTime    *delay // of connections through helpers
+	helpLog     *events.Limiter
+	tasks       task.Group
+	done        chan struct{}
 }
 
 // Option changes a default of New.
@@ -106,7 +108,7 @@
 		directory: directory, clock: clock, log: log, meters: meter.New(), random: random,
 		direct: (&net.Dialer{}).DialContext, timeout: spanrill.Second,
 		helpers: func(string) []spanrill.Helper { return nil },
-		paths:   newPaths(directory, clock, log), help: newHelpState(), budget: newHelpBudget(clock),
+		paths:   newPaths(directory, clock, log), help: newHelpState(), budget: newHelpBudget(clock), comparisons: newComparisons(),
 		directTime: newDelay(minDirectDelay), helpTime: newDelay(minHelpDelay),
 		helpLog: events.NewLimiter(clock, helpLinesPerSecond), done: make(chan struct{}),
 	}
@@ -216,10 +218,12 @@
 		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
 	}
 	if !d.budget.take() {
-		return d.await(ctx, addr, direct)
+		return d.awaitComparison(ctx, service, addr, direct)
 	}
 	help := d.startHelp(ctx, service, addr)
+	finish := d.comparisons.begin(service)
 	d.tasks.Start(context.WithoutCancel(ctx), "compare paths", func(context.Context) error {
+		defer finish()
 		d.compare(service, addr, direct, help)
 		return nil
 	})
@@ -241,6 +245,20 @@
 	}
 }
 
+// awaitComparison returns the result of a direct attempt. If it fails, it waits for the comparisons that
+// are running for the service, and connects through a helper if they have found the path lost.
+func (d *Dialer) awaitComparison(ctx context.Context, service, addr string, direct *attempt) (net.Conn, error) {
+	conn, err := d.await(ctx, addr, direct)
+	if err == nil || ctx.Err() != nil || spanrill.IsLocalResourceError(err) {
+		return conn, err
+	}
+	d.comparisons.await(ctx, service)
+	if _, lost := d.paths.lostSince(service, addr); lost {
+		return d.dialThroughHelper(ctx, service, addr)
+	}
+	return nil, err
+}
+
 // first returns the first connection of two attempts, or an error if both fail.
 func (d *Dialer) first(ctx context.Context, addr string, direct, help *attempt) (net.Conn, error) {
 	directDone, helpDone := direct.done, help.done
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -28,15 +28,16 @@
 	silent    map[string]bool  // upstreams that answer no connection
 	lost      map[string]error // what direct connections to an upstream fail with; errHang hangs
 	helpers   map[string]error // what each helper answers, nil if it connects
-	heard     spanrill.Millis
-	direct    map[string]int // direct connections that were asked for by address
-	asked     map[string]int // tunnels that were asked for by helper
+	clock     spanrill.Clock
+	heard     spanrill.Millis // when a direct connection was last opened
+	direct    map[string]int  // direct connections that were asked for by address
+	asked     map[string]int  // tunnels that were asked for by helper
 }
 
 var errHang = errors.New("hangs")
 
 func newWorld(upstreams int, helpers ...string) *world {
-	w := &world{down: map[string]bool{}, silent: map[string]bool{}, lost: map[string]error{}, helpers: map[string]error{}, direct: map[string]int{}, asked: map[string]int{}}
+	w := &world{clock: clock.NewSystem(), down: map[string]bool{}, silent: map[string]bool{}, lost: map[string]error{}, helpers: map[string]error{}, direct: map[string]int{}, asked: map[string]int{}}
 	for i := range upstreams {
 		w.upstreams = append(w.upstreams, fmt.Sprintf("u%d", i))
 	}
@@ -91,7 +92,11 @@
 	w.direct[addr]++
 	path := w.lost[addr]
 	w.mu.Unlock()
-	return w.connect(ctx, addr, path)
+	conn, err := w.connect(ctx, addr, path)
+	if err == nil {
+		w.set(func() { w.heard = w.clock.Now() })
+	}
+	return conn, err
 }
 
 // viaHelper is a connection that a helper made.
@@ -132,7 +137,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d := New(w, clock.NewSystem(), log, rng.New(1), WithDirect(w.dialDirect, testTimeout), WithHelp(w.listHelpers, w.dialTunnel))
+	d := New(w, w.clock, log, rng.New(1), WithDirect(w.dialDirect, testTimeout), WithHelp(w.listHelpers, w.dialTunnel))
 	ctx, cancel := context.WithCancel(context.Background())
 	task.Start(ctx, "paths", d.Run)
 	t.Cleanup(func() {
@@ -328,3 +333,29 @@
 		t.Errorf("helpers were asked %d times for %d attempts, want at most %d", asked, attempts, most)
 	}
 }
+
+// Guards against refusals that are taken for true because too many connections fail at the moment at
+// which a path is lost.
+func TestConnectionsThatFailTogether(t *testing.T) {
+	const connections = 200
+	w := newWorld(8, "helper")
+	d := w.start(t)
+	w.lose(syscall.ECONNREFUSED, w.upstreams...)
+	errs := make(chan error, connections)
+	for i := range connections {
+		go func() {
+			_, err := dial(d, w.upstreams[i%8])
+			errs <- err
+		}()
+	}
+	failed := 0
+	for range connections {
+		if err := <-errs; err != nil {
+			failed++
+			t.Logf("error %v", err)
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d of %d connections failed, want none", failed, connections)
+	}
+}
