--- a/coordination/conncap/conncap.go
+++ b/coordination/conncap/conncap.go
@@ -59,10 +59,15 @@
 // IdleTotal returns how many idle connections a daemon with that many descriptors keeps to all
 // upstreams together. The number of descriptors is 0 or less if it is unknown.
 func IdleTotal(descriptors int) int {
+	return max(1, int(fractionOf(descriptors, idleDescriptorFraction)))
+}
+
+// fractionOf returns a fraction of the descriptors of a daemon, or of the default if they are unknown.
+func fractionOf(descriptors int, fraction float64) float64 {
 	if descriptors <= 0 {
 		descriptors = defaultDescriptors
 	}
-	return max(1, int(idleDescriptorFraction*float64(descriptors)))
+	return fraction * float64(descriptors)
 }
 
 const (
@@ -75,8 +80,5 @@
 // Tunnels returns how many connections to upstreams a daemon with that many descriptors keeps for
 // other daemons. The number of descriptors is 0 or less if it is unknown.
 func Tunnels(descriptors int) int {
-	if descriptors <= 0 {
-		descriptors = defaultDescriptors
-	}
-	return max(1, int(tunnelDescriptorFraction*float64(descriptors))/descriptorsPerTunnel)
+	return max(1, int(fractionOf(descriptors, tunnelDescriptorFraction))/descriptorsPerTunnel)
 }
--- a/coordination/conncap/conncap_test.go
+++ b/coordination/conncap/conncap_test.go
@@ -36,3 +36,11 @@
 		}
 	}
 }
+
+func TestTunnels(t *testing.T) {
+	for _, c := range []struct{ descriptors, want int }{{4100, 256}, {0, 64}, {-3, 64}, {1, 1}, {16, 1}, {1 << 20, 1 << 16}} {
+		if got := Tunnels(c.descriptors); got != c.want {
+			t.Errorf("with %d descriptors: %d tunnels, want %d", c.descriptors, got, c.want)
+		}
+	}
+}
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -12,6 +12,8 @@
 //
 //	reach.go   the choice between the two ways
 //	attempt.go connection attempts that outlive their callers
+//	compare.go what the results of both ways tell
+//	others.go  other upstreams that tell a lost path from a failed upstream
 //	help.go    connections through helpers
 //	paths.go   which upstreams are lost
 //	delay.go   how long a connection usually takes
@@ -30,7 +32,6 @@
 	"context"
 	"fmt"
 	"net"
-	"slices"
 
 	"github.com/sirupsen/logrus"
 
@@ -129,67 +130,6 @@
 // LostServices returns the services to whose upstreams this daemon has lost its path.
 func (d *Dialer) LostServices() []LostService { return d.paths.lostServices() }
 
-// DialForPeer connects to the upstream at an address for another daemon, over this daemon's own path
-// only. The error wraps spanrill.ErrNoPath if that path does not work either.
-func (d *Dialer) DialForPeer(ctx context.Context, addr string) (net.Conn, error) {
-	service := d.directory.ServiceAt(addr)
-	if d.paths.isCut(service) {
-		return nil, fmt.Errorf("connect to %s: %w", addr, spanrill.ErrNoPath)
-	}
-	conn, err := d.await(ctx, addr, d.startDirect(ctx, service, addr))
-	if err != nil && ctx.Err() == nil && !d.reachesOther(ctx, service, addr) {
-		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, err)
-	}
-	return conn, err
-}
-
-// otherUpstreams is how many other upstreams of the service, and of all services, are tried to tell a
-// lost path from a failed upstream. Several upstreams can fail together.
-const otherUpstreams = 2
-
-// reachesOther reports whether this daemon reaches another upstream, so that the failure of a
-// connection to the one at addr tells of that upstream. It does if there is no other one.
-func (d *Dialer) reachesOther(ctx context.Context, service, addr string) bool {
-	others := append(d.pickOthers(service, addr, otherUpstreams), d.pickOthers("", addr, otherUpstreams)...)
-	results := make(chan bool, len(others))
-	for _, other := range others {
-		service := d.directory.ServiceAt(other)
-		direct := d.startDirect(ctx, service, other)
-		d.discard(direct)
-		d.tasks.Start(context.WithoutCancel(ctx), "check path", func(context.Context) error {
-			<-direct.done
-			if direct.err != nil && !spanrill.IsLocalResourceError(direct.err) {
-				d.paths.recordFailed(service, other, false)
-			}
-			results <- direct.err == nil
-			return nil
-		})
-	}
-	for range others {
-		select {
-		case reached := <-results:
-			if reached {
-				return true
-			}
-		case <-ctx.Done():
-			return false
-		}
-	}
-	return len(others) == 0
-}
-
-// pickOthers returns up to n random upstreams of a service, or of all services if it is "", without the
-// one at addr.
-func (d *Dialer) pickOthers(service, addr string, n int) (picked []string) {
-	others := slices.DeleteFunc(d.directory.Addrs(service), func(other string) bool { return other == addr })
-	for len(picked) < n && len(others) > 0 {
-		i := d.random.IntN(len(others))
-		picked = append(picked, others[i])
-		others = slices.Delete(others, i, i+1)
-	}
-	return picked
-}
-
 // DialContext connects to the upstream at an address. The error wraps spanrill.ErrNoPath if this
 // daemon's path is lost and no helper connects it.
 func (d *Dialer) DialContext(ctx context.Context, _, addr string) (net.Conn, error) {
@@ -244,101 +184,3 @@
 		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
 	}
 }
-
-// awaitComparison returns the result of a direct attempt. If it fails, it waits for the comparisons that
-// are running for the service, and connects through a helper if they have found the path lost.
-func (d *Dialer) awaitComparison(ctx context.Context, service, addr string, direct *attempt) (net.Conn, error) {
-	conn, err := d.await(ctx, addr, direct)
-	if err == nil || ctx.Err() != nil || spanrill.IsLocalResourceError(err) {
-		return conn, err
-	}
-	d.comparisons.await(ctx, service)
-	if _, lost := d.paths.lostSince(service, addr); lost {
-		return d.dialThroughHelper(ctx, service, addr)
-	}
-	return nil, err
-}
-
-// first returns the first connection of two attempts, or an error if both fail.
-func (d *Dialer) first(ctx context.Context, addr string, direct, help *attempt) (net.Conn, error) {
-	directDone, helpDone := direct.done, help.done
-	for directDone != nil || helpDone != nil {
-		select {
-		case <-directDone:
-			if direct.err == nil {
-				d.discard(help)
-				return direct.conn, nil
-			}
-			directDone = nil
-		case <-helpDone:
-			if help.err == nil {
-				d.discard(direct)
-				return help.conn, nil
-			}
-			helpDone = nil
-		case <-ctx.Done():
-			d.discard(direct)
-			d.discard(help)
-			return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
-		}
-	}
-	return nil, fmt.Errorf("%w, and through other daemons: %v", direct.err, help.err)
-}
-
-// compare records what the results of two attempts say about this daemon's path. A direct attempt
-// that is still under way when the helper has connected counts as failed; should it succeed later,
-// startDirect records that.
-func (d *Dialer) compare(service, addr string, direct, help *attempt) {
-	<-help.done
-	if help.err == nil {
-		select {
-		case <-direct.done:
-			if direct.err == nil || spanrill.IsLocalResourceError(direct.err) {
-				return
-			}
-		default:
-		}
-		if d.paths.recordLost(service, addr, direct.begunAt) {
-			d.confirmLost(service, addr)
-		}
-		return
-	}
-	<-direct.done
-	if direct.err != nil && !spanrill.IsLocalResourceError(direct.err) {
-		d.recordFailed(service, addr, !isNoHelp(help.err))
-	}
-}
-
-// confirmLost compares the paths to other upstreams of a service after one was lost, so that the loss
-// of all is noticed before requests need them.
-func (d *Dialer) confirmLost(service, addr string) {
-	for _, other := range d.pickOthers(service, addr, otherUpstreams) {
-		d.tasks.Start(context.Background(), "confirm lost path", func(ctx context.Context) error {
-			ctx, cancel := context.WithTimeout(ctx, d.timeout.Duration())
-			defer cancel()
-			if conn, err := d.race(ctx, service, other); err == nil {
-				_ = conn.Close()
-			}
-			return nil // only what the attempts record matters
-		})
-	}
-}
-
-// recordFailed records that nobody reached an upstream, and tries others if that may be because of
-// this daemon's path.
-func (d *Dialer) recordFailed(service, addr string, told bool) {
-	if !d.paths.recordFailed(service, addr, told) {
-		return
-	}
-	for _, other := range d.pickOthers(service, addr, minFailedInRow) {
-		direct := d.startDirect(context.Background(), service, other)
-		d.discard(direct)
-		d.tasks.Start(context.Background(), "confirm lost path", func(context.Context) error {
-			<-direct.done
-			if direct.err != nil && !spanrill.IsLocalResourceError(direct.err) {
-				d.paths.recordFailed(service, other, false)
-			}
-			return nil
-		})
-	}
-}
--- a/standin/faultproxy/link_test.go
+++ b/standin/faultproxy/link_test.go
@@ -12,26 +12,6 @@
 	"github.com/pkg/errors"
 )
 
-// startLineEcho starts a target that sends back each line.
-func startLineEcho(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() { _, _ = io.Copy(conn, conn) }()
-		}
-	}()
-	return ln.Addr().String()
-}
-
 // A link, also one in another process, carries connections and cuts them in each way.
 func TestLinkCuts(t *testing.T) {
 	dialers := map[string]func(*Link) func(context.Context, string, string) (net.Conn, error){
@@ -52,7 +32,7 @@
 			CutNone: {open: true}, CutSilent: {dialing: context.DeadlineExceeded}, CutReset: {dialing: syscall.ECONNREFUSED},
 			CutNewOnly: {open: true, dialing: syscall.ECONNREFUSED}, CutRequests: {dialing: context.DeadlineExceeded}, CutAnswers: {dialing: context.DeadlineExceeded},
 		} {
-			l, target := NewLink(), startLineEcho(t)
+			l, target := NewLink(), startEcho(t)
 			t.Cleanup(l.Close)
 			dial := dialer(l)
 			conn, err := dial(context.Background(), "tcp", target)
