--- a/coordination/conncap/conncap.go
+++ b/coordination/conncap/conncap.go
@@ -59,8 +59,26 @@
 // IdleTotal returns how many idle connections a daemon with that many descriptors keeps to all
 // upstreams together. The number of descriptors is 0 or less if it is unknown.
 func IdleTotal(descriptors int) int {
+	return max(1, int(fractionOf(descriptors, idleDescriptorFraction)))
+}
+
+// fractionOf returns a fraction of the descriptors of a daemon, or of the default if they are unknown.
+func fractionOf(descriptors int, fraction float64) float64 {
 	if descriptors <= 0 {
 		descriptors = defaultDescriptors
 	}
-	return max(1, int(idleDescriptorFraction*float64(descriptors)))
+	return fraction * float64(descriptors)
+}
+
+const (
+	// tunnelDescriptorFraction is the fraction of a daemon's file descriptors that connections for
+	// other daemons may use. Each tunnel takes two descriptors.
+	tunnelDescriptorFraction = 0.125
+	descriptorsPerTunnel     = 2
+)
+
+// Tunnels returns how many connections to upstreams a daemon with that many descriptors keeps for
+// other daemons. The number of descriptors is 0 or less if it is unknown.
+func Tunnels(descriptors int) int {
+	return max(1, int(fractionOf(descriptors, tunnelDescriptorFraction))/descriptorsPerTunnel)
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -80,12 +80,23 @@
 	// ConnectionsClosedAtOnce counts new connections that the other side closed before anything was
 	// sent, as an upstream does when it has reached its limit of connections.
 	ConnectionsClosedAtOnce *metrics.Counter
+	connectFailures         [2]*metrics.Counter // by whether the connection was refused
 	// FramesRefused counts frames from peers that were refused.
 	FramesRefused *metrics.Counter
 	// PeerBytesSent counts bytes sent to peers.
 	PeerBytesSent *metrics.Counter
 	// PeerBytesReceived counts bytes received from peers.
 	PeerBytesReceived *metrics.Counter
+	// TunnelsOpened counts connections to upstreams that this daemon opened for peers.
+	TunnelsOpened *metrics.Counter
+	// TunnelsRefused counts connections that this daemon did not open for peers.
+	TunnelsRefused *metrics.Counter
+	// TunnelBytes counts bytes that this daemon forwarded for peers, in both directions.
+	TunnelBytes *metrics.Counter
+	// HelpedConnections counts connections to upstreams that peers opened for this daemon.
+	HelpedConnections *metrics.Counter
+	// HelpRefused counts connections to upstreams that peers did not open for this daemon.
+	HelpRefused *metrics.Counter
 	// SilentConnections counts open connections that were closed because nothing more arrived.
 	SilentConnections *metrics.Counter
 	// TimeToFirstToken is the time to the first token, in seconds.
@@ -115,6 +126,11 @@
 		FramesRefused:           s.NewCounter("spanrill_peer_frames_refused_total"),
 		PeerBytesSent:           s.NewCounter("spanrill_peer_bytes_sent_total"),
 		PeerBytesReceived:       s.NewCounter("spanrill_peer_bytes_received_total"),
+		TunnelsOpened:           s.NewCounter("spanrill_tunnels_opened_total"),
+		TunnelsRefused:          s.NewCounter("spanrill_tunnels_refused_total"),
+		TunnelBytes:             s.NewCounter("spanrill_tunnel_bytes_total"),
+		HelpedConnections:       s.NewCounter("spanrill_helped_connections_total"),
+		HelpRefused:             s.NewCounter("spanrill_help_refused_total"),
 		SilentConnections:       s.NewCounter("spanrill_silent_connections_total"),
 		TimeToFirstToken:        s.NewHistogram("spanrill_first_token_seconds"),
 		TimeBetweenTokens:       s.NewHistogram("spanrill_between_tokens_seconds"),
@@ -127,6 +143,9 @@
 	for r := range retryCount {
 		m.retries[r] = s.NewCounter(fmt.Sprintf("spanrill_retries_total{reason=%q}", r))
 	}
+	for i, reason := range []string{"no_answer", "refused"} {
+		m.connectFailures[i] = s.NewCounter(fmt.Sprintf("spanrill_upstream_connect_failures_total{reason=%q}", reason))
+	}
 	for o := range m.outcomes {
 		m.outcomes[o] = s.NewCounter(fmt.Sprintf("spanrill_outcomes_total{outcome=%q}", spanrill.Outcome(o)))
 	}
@@ -143,6 +162,15 @@
 // Refusals returns the number of refusals for the reason.
 func (m *Meters) Refusals(r spanrill.Reason) uint64 { return m.refusals[r].Get() }
 
+// CountConnectFailure counts a connection to an upstream that could not be opened.
+func (m *Meters) CountConnectFailure(refused bool) {
+	if refused {
+		m.connectFailures[1].Inc()
+		return
+	}
+	m.connectFailures[0].Inc()
+}
+
 // CountRetry counts a retry by its reason.
 func (m *Meters) CountRetry(r RetryReason) { m.retries[r].Inc() }
 
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -55,15 +55,21 @@
 	idle         *pool.Pool[string, *conn]
 	timedOutOnce sync.Map // addresses whose last call on a reused connection timed out
 	dialer       net.Dialer
+	dial         DialFunc
 	log          logrus.FieldLogger
 	meters       *meter.Meters
 	onHeaders    OnHeaders
+	resetOnClose func(addr string) bool
 	maxIdle      func(addr string) int
 	maxTotal     int
 }
 
-// OnHeaders is called with the headers of an answer and the time since its call began.
-type OnHeaders func(addr string, h *fasthttp.ResponseHeader, took spanrill.Millis)
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// OnHeaders is called with the headers of an answer, the time since its call began, and the connection
+// of the call.
+type OnHeaders func(addr string, h *fasthttp.ResponseHeader, took spanrill.Millis, conn net.Conn)
 
 // Option changes a default of New.
 type Option func(*Client)
@@ -73,6 +79,12 @@
 	return func(c *Client) { c.dialTimeout = d }
 }
 
+// WithDial wraps the function that opens connections. The function that it is given dials directly,
+// with the client's timeouts.
+func WithDial(wrap func(direct DialFunc) DialFunc) Option {
+	return func(c *Client) { c.dial = wrap(c.dialer.DialContext) }
+}
+
 // WithAckTimeout sets how long sent bytes may stay unacknowledged before the connection fails.
 func WithAckTimeout(d spanrill.Millis) Option {
 	return func(c *Client) { c.ackTimeout = d }
@@ -94,6 +106,13 @@
 	return func(c *Client) { c.maxIdle = f }
 }
 
+// WithResetOnClose sets a function that tells for an address whether connections that are given up
+// during a call are reset. The operating system then drops bytes that it has not delivered yet, so that
+// a request given up on a lost path does not arrive when the path is back.
+func WithResetOnClose(f func(addr string) bool) Option {
+	return func(c *Client) { c.resetOnClose = f }
+}
+
 // WithMaxIdleTotal sets how many idle connections are kept in total.
 func WithMaxIdleTotal(n int) Option {
 	return func(c *Client) { c.maxTotal = n }
@@ -112,7 +131,7 @@
 
 // New returns a Client. It makes connections as calls need them.
 func New(opts ...Option) *Client {
-	c := &Client{dialTimeout: defaultDialTimeout, ackTimeout: defaultAckTimeout, log: logrus.StandardLogger(), meters: meter.New(), onHeaders: func(string, *fasthttp.ResponseHeader, spanrill.Millis) {}}
+	c := &Client{dialTimeout: defaultDialTimeout, ackTimeout: defaultAckTimeout, resetOnClose: func(string) bool { return false }, log: logrus.StandardLogger(), meters: meter.New(), onHeaders: func(string, *fasthttp.ResponseHeader, spanrill.Millis, net.Conn) {}}
 	for _, o := range opts {
 		o(c)
 	}
@@ -125,6 +144,9 @@
 	c.idle = pool.New(poolOpts...)
 	c.dialer.Timeout = c.dialTimeout.Duration()
 	c.dialer.Control = c.setUserTimeout
+	if c.dial == nil {
+		c.dial = c.dialer.DialContext
+	}
 	return c
 }
 
@@ -171,7 +193,7 @@
 		return nil, err
 	}
 	if err := runPresendCheck(ctx); err != nil {
-		c.idle.Put(addr, cn)
+		c.release(addr, cn)
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("before sending to %s: %w", addr, err)}
 	}
 	if !cn.reused && hasPresendCheck(ctx) && !cn.isOpenAndIdle() {
@@ -188,6 +210,15 @@
 	return c.exchange(ctx, addr, cn, req)
 }
 
+// release keeps a connection without a call for later calls, or closes it if it serves one only.
+func (c *Client) release(addr string, cn *conn) {
+	if cn.isSingleUse() {
+		_ = cn.Close()
+		return
+	}
+	c.idle.Put(addr, cn)
+}
+
 // errClosedAtOnce means that the upstream closed a new connection before anything was sent on it,
 // as it does with connections beyond its limit. No request can have run, so that even one that
 // must not be repeated may be sent elsewhere.
@@ -216,7 +247,7 @@
 	if cn.reused {
 		c.timedOutOnce.Delete(addr)
 	}
-	c.onHeaders(addr, a.Header(), spanrill.MillisOf(time.Since(start)))
+	c.onHeaders(addr, a.Header(), spanrill.MillisOf(time.Since(start)), cn.Conn)
 	return a, nil
 }
 
@@ -233,7 +264,7 @@
 		}
 		_ = cn.Close()
 	}
-	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := c.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseDial, Cause: fmt.Errorf("connect to %s: dial: %w", addr, err)}
 	}
