--- a/coordination/reach/help.go
+++ b/coordination/reach/help.go
@@ -178,6 +178,9 @@
 	if err := cmp.Or(told, withheld); err != nil {
 		return nil, err
 	}
+	d.helpLog.Log(events.NoHelperFound, d.log, func() logrus.Fields {
+		return logrus.Fields{"service": service, "addr": addr, "request": requestOf(ctx), "asked": len(attempts), "listed": len(d.helpers(service))}
+	})
 	return nil, fmt.Errorf("%w: %w, %d asked", spanrill.ErrNoPath, errNoHelp, len(attempts))
 }
 
@@ -223,7 +226,11 @@
 // recordNotHelped records that a helper did not connect. Unless the upstream is the cause, the helper
 // is not asked for a while, or asked last if it has not answered.
 func (d *Dialer) recordNotHelped(h spanrill.Helper, addr, request string, err error) {
-	d.meters.HelpRefused.Inc()
+	if reason := reasonOf(err); reason != 0 {
+		d.meters.CountHelpDenied(reason.String())
+	} else {
+		d.meters.HelpFailed.Inc()
+	}
 	d.helpLog.Log(events.TunnelDenied, d.log, func() logrus.Fields {
 		return logrus.Fields{"helper": h.Name, "addr": addr, "request": request, "error": err}
 	})
--- a/events/events.go
+++ b/events/events.go
@@ -110,6 +110,7 @@
 	TunnelOpened     = define(464, logrus.InfoLevel, "connected another daemon to an upstream")
 	PeerPathLost     = define(465, logrus.WarnLevel, "another daemon has lost its network path to the upstreams of a service")
 	PeerPathRestored = define(466, logrus.InfoLevel, "another daemon's network path to the upstreams of a service works again")
+	NoHelperFound    = define(467, logrus.WarnLevel, "found no daemon that reaches an upstream")
 )
 
 // Upstreams, 500 to 599.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -97,8 +97,8 @@
 	TunnelBytes *metrics.Counter
 	// HelpedConnections counts connections to upstreams that peers opened for this daemon.
 	HelpedConnections *metrics.Counter
-	// HelpRefused counts connections to upstreams that peers did not open for this daemon.
-	HelpRefused *metrics.Counter
+	// HelpFailed counts connections to upstreams for which a peer was asked that did not answer.
+	HelpFailed *metrics.Counter
 	// SilentConnections counts open connections that were closed because nothing more arrived.
 	SilentConnections *metrics.Counter
 	// TimeToFirstToken is the time to the first token, in seconds.
@@ -133,7 +133,7 @@
 		TunnelsRefused:          s.NewCounter("spanrill_tunnels_refused_total"),
 		TunnelBytes:             s.NewCounter("spanrill_tunnel_bytes_total"),
 		HelpedConnections:       s.NewCounter("spanrill_helped_connections_total"),
-		HelpRefused:             s.NewCounter("spanrill_help_refused_total"),
+		HelpFailed:              s.NewCounter("spanrill_help_failed_total"),
 		SilentConnections:       s.NewCounter("spanrill_silent_connections_total"),
 		TimeToFirstToken:        s.NewHistogram("spanrill_first_token_seconds"),
 		TimeBetweenTokens:       s.NewHistogram("spanrill_between_tokens_seconds"),
@@ -165,6 +165,12 @@
 // Refusals returns the number of refusals for the reason.
 func (m *Meters) Refusals(r spanrill.Reason) uint64 { return m.refusals[r].Get() }
 
+// CountHelpDenied counts a connection to an upstream that a peer did not open for this daemon, by the
+// reason that it gave.
+func (m *Meters) CountHelpDenied(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("spanrill_help_denied_total{reason=%q}", reason)).Inc()
+}
+
 // CountConnectFailure counts a connection to an upstream that could not be opened.
 func (m *Meters) CountConnectFailure(refused bool) {
 	if refused {
