reach: Daemons tell each other which of them reach the upstreams of a service

A box asked three others and knew of few which of them had lost their path themselves: those whose news it gets, of its own zone first. In a fleet of 83 with 40 cut off three random ones often cannot help.

A request for a tunnel and its answer now name up to four daemons that reach the service, with the age of that knowledge and their room. A box that is denied goes on with those, then with unknown ones, up to 32 for a connection; unknown ones are limited to 64 at once and 32 a second.

--- a/coordination/reach/attempt.go
+++ b/coordination/reach/attempt.go
@@ -64,7 +64,7 @@
 			return nil, fmt.Errorf("dial: %w", err)
 		}
 		d.directTime.record(d.clock.Now() - startedAt)
-		d.budget.recordConnection()
+		d.compareBudget.add(compareTokensPerConnection)
 		d.paths.recordConnected(service, addr)
 		return conn, nil
 	})
--- a/coordination/reach/budget.go
+++ b/coordination/reach/budget.go
@@ -9,42 +9,49 @@
 	"spanrill"
 )
 
-// helpBudget limits how often helpers are asked beside the direct path. Without a limit, upstreams that
-// fail or are too busy to accept connections would get several times as many attempts.
-type helpBudget struct {
-	mu     sync.Mutex
-	clock  spanrill.Clock
-	tokens float64
-	asOf   spanrill.Millis
+// budget is a token bucket.
+type budget struct {
+	mu        sync.Mutex
+	clock     spanrill.Clock
+	max       float64
+	perSecond float64
+	tokens    float64
+	asOf      spanrill.Millis
 }
 
 const (
-	// maxHelpTokens is the number of comparisons with a helper that may be made at once. Finding out
-	// that a path is lost takes a few.
-	maxHelpTokens = 10
-	// helpTokensPerSecond and helpTokensPerConnection refill the budget with time and with direct
+	// maxCompareTokens is the number of comparisons with a helper that may be made at once. Finding out
+	// that a path is lost takes a few. Without a limit, upstreams that fail or are too busy to accept
+	// connections would get several times as many attempts.
+	maxCompareTokens = 10
+	// compareTokensPerSecond and compareTokensPerConnection refill that budget with time and with direct
 	// connections.
-	helpTokensPerSecond     = 2
-	helpTokensPerConnection = 0.1
+	compareTokensPerSecond     = 2
+	compareTokensPerConnection = 0.1
+	// maxAskTokens is the number of daemons that may be asked at once without knowing whether they can
+	// help: two searches. If hardly any daemon can, all others ask each other.
+	maxAskTokens       = 2 * maxAsked
+	askTokensPerSecond = maxAsked
 )
 
-func newHelpBudget(clock spanrill.Clock) *helpBudget {
-	return &helpBudget{clock: clock, tokens: maxHelpTokens, asOf: clock.Now()}
+// newBudget returns a full budget.
+func newBudget(clock spanrill.Clock, limit, perSecond float64) *budget {
+	return &budget{clock: clock, max: limit, perSecond: perSecond, tokens: limit, asOf: clock.Now()}
 }
 
-// recordConnection adds what a direct connection earns.
-func (b *helpBudget) recordConnection() {
+// add adds tokens.
+func (b *budget) add(tokens float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(maxHelpTokens, b.tokens+helpTokensPerConnection)
+	b.tokens = min(b.max, b.tokens+tokens)
 }
 
 // take takes a token and reports whether there was one.
-func (b *helpBudget) take() bool {
+func (b *budget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	b.tokens = min(maxHelpTokens, b.tokens+helpTokensPerSecond*float64(now-b.asOf)/float64(spanrill.Second))
+	b.tokens = min(b.max, b.tokens+b.perSecond*float64(now-b.asOf)/float64(spanrill.Second))
 	b.asOf = now
 	if b.tokens < 1 {
 		return false
--- a/coordination/reach/others.go
+++ b/coordination/reach/others.go
@@ -10,17 +10,45 @@
 )
 
 // DialForPeer connects to the upstream at an address for another daemon, over this daemon's own path
-// only. The error wraps spanrill.ErrNoPath if that path does not work either.
+// only. The error wraps spanrill.ErrNoPath if that path does not work either. While the connection is
+// late, other upstreams tell whether it does.
 func (d *Dialer) DialForPeer(ctx context.Context, addr string) (net.Conn, error) {
 	service := d.directory.ServiceAt(addr)
 	if d.paths.isCut(service) {
 		return nil, fmt.Errorf("connect to %s: %w", addr, spanrill.ErrNoPath)
 	}
-	conn, err := d.await(ctx, addr, d.startDirect(ctx, service, addr))
-	if err != nil && ctx.Err() == nil && !d.reachesOther(ctx, service, addr) {
-		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, err)
+	direct := d.startDirect(ctx, service, addr)
+	select {
+	case <-direct.done:
+		if direct.err == nil || spanrill.IsLocalResourceError(direct.err) {
+			return direct.conn, direct.err
+		}
+	case <-d.clock.After(d.directTime.bound(d.timeout)):
+	case <-ctx.Done():
+		d.discard(direct)
+		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
+	}
+	if !d.reachesOtherSoon(ctx, service, addr, direct) {
+		d.discard(direct)
+		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, direct.errNow())
+	}
+	return d.await(ctx, addr, direct)
+}
+
+// reachesOtherSoon reports whether this daemon reaches the upstream of an attempt, or another one, within
+// the time that a connection usually takes.
+func (d *Dialer) reachesOtherSoon(ctx context.Context, service, addr string, direct *attempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, d.directTime.bound(d.timeout).Duration())
+	defer cancel()
+	if d.reachesOther(ctx, service, addr) {
+		return true
+	}
+	select {
+	case <-direct.done:
+		return direct.err == nil
+	default:
+		return false
 	}
-	return conn, err
 }
 
 // otherUpstreams is how many other upstreams of the service, and of all services, are tried to tell a
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -14,10 +14,12 @@
 //	attempt.go connection attempts that outlive their callers
 //	compare.go what the results of both ways tell
 //	others.go  other upstreams that tell a lost path from a failed upstream
+//	search.go  the search for a helper that reaches an upstream
+//	known.go   what is known about helpers
 //	help.go    connections through helpers
 //	paths.go   which upstreams are lost
 //	delay.go   how long a connection usually takes
-//	budget.go  how often helpers are asked beside the direct path
+//	budget.go  how often helpers are asked
 //	check.go   checks of lost upstreams
 //	serve.go   connections for other daemons
 //
@@ -58,8 +60,10 @@
 	helpers   func(service string) []spanrill.Helper
 	tunnel    TunnelFunc
 	paths     *paths
-	help      *helpState
-	budget    *helpBudget
+	known     *knownHelpers
+	asks      *budget // of daemons that may not be able to help
+	// compareBudget limits how often helpers are asked beside the direct path.
+	compareBudget *budget
 	// comparisons are the comparisons of the direct path with a helper that are running.
 	comparisons *comparisons
 	directTime  *delay // of direct connections
@@ -86,7 +90,7 @@
 
 // WithZone sets this daemon's availability zone. Helpers in it are preferred.
 func WithZone(zone string) Option {
-	return func(d *Dialer) { d.zone = zone }
+	return func(d *Dialer) { d.zone, d.known.zone = zone, zone }
 }
 
 // WithMeters sets the counters.
@@ -109,7 +113,8 @@
 		directory: directory, clock: clock, log: log, meters: meter.New(), random: random,
 		direct: (&net.Dialer{}).DialContext, timeout: spanrill.Second,
 		helpers: func(string) []spanrill.Helper { return nil },
-		paths:   newPaths(directory, clock, log), help: newHelpState(), budget: newHelpBudget(clock), comparisons: newComparisons(),
+		paths:   newPaths(directory, clock, log), known: newKnownHelpers(clock, random), asks: newBudget(clock, maxAskTokens, askTokensPerSecond),
+		compareBudget: newBudget(clock, maxCompareTokens, compareTokensPerSecond), comparisons: newComparisons(),
 		directTime: newDelay(minDirectDelay), helpTime: newDelay(minHelpDelay),
 		helpLog: events.NewLimiter(clock, helpLinesPerSecond), done: make(chan struct{}),
 	}
@@ -157,7 +162,7 @@
 		d.discard(direct)
 		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
 	}
-	if !d.budget.take() {
+	if !d.compareBudget.take() {
 		return d.awaitComparison(ctx, service, addr, direct)
 	}
 	help := d.startHelp(ctx, service, addr)
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -102,22 +102,22 @@
 // viaHelper is a connection that a helper made.
 type viaHelper struct{ net.Conn }
 
-func (w *world) dialTunnel(ctx context.Context, h spanrill.Helper, addr, _ string) (net.Conn, int, error) {
+func (w *world) dialTunnel(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
 	w.mu.Lock()
 	w.asked[h.Name]++
 	answer := w.helpers[h.Name]
 	w.mu.Unlock()
 	if answer != nil && !errors.Is(answer, errHang) {
-		return nil, 0, answer
+		return nil, tunnel.Answer{}, answer
 	}
-	conn, err := w.connect(ctx, addr, answer)
+	conn, err := w.connect(ctx, target.Addr, answer)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return nil, 0, &tunnel.OpenError{Reason: tunnel.ReasonRefused}
+		return nil, tunnel.Answer{}, &tunnel.OpenError{Reason: tunnel.ReasonRefused}
 	case err != nil:
-		return nil, 0, &tunnel.OpenError{Reason: tunnel.ReasonUnreachable}
+		return nil, tunnel.Answer{}, &tunnel.OpenError{Reason: tunnel.ReasonUnreachable}
 	}
-	return viaHelper{conn}, 1, nil
+	return viaHelper{conn}, tunnel.Answer{Open: 1, Room: 1}, nil
 }
 
 func (w *world) listHelpers(string) (all []spanrill.Helper) {
--- a/coordination/reach/serve.go
+++ b/coordination/reach/serve.go
@@ -29,8 +29,14 @@
 	return &Server{dialer: d, check: check, onNotice: onNotice, lines: events.NewLimiter(d.clock, serveLinesPerSecond)}
 }
 
-// Connect connects to an upstream for another daemon.
+// Connect connects to an upstream for another daemon, and records what that daemon has told.
 func (s *Server) Connect(ctx context.Context, target tunnel.Target) (net.Conn, error) {
+	d := s.dialer
+	service := d.directory.ServiceAt(target.Addr)
+	d.known.merge(service, target.Helpers)
+	if target.Lost {
+		d.known.recordDenied(service, spanrill.Helper{Name: target.Daemon}, d.clock.Now())
+	}
 	if err := s.check(target); err != nil {
 		return nil, err
 	}
@@ -44,6 +50,11 @@
 	return conn, nil
 }
 
+// Helpers returns daemons that reach the service of a target, for the daemon that asks.
+func (s *Server) Helpers(target tunnel.Target) []tunnel.Helper {
+	return s.dialer.known.tell(s.dialer.directory.ServiceAt(target.Addr), target.Daemon, target.Zone)
+}
+
 // HandleNotice handles what an upstream has told about itself in an answer to another daemon.
 func (s *Server) HandleNotice(addr string, n spanrill.Notice, openedAt spanrill.Millis) {
 	s.onNotice(addr, n, openedAt)
@@ -63,12 +74,12 @@
 // Tunnel returns the TunnelFunc of the daemon with that name. upstreamAt returns the name of the
 // upstream at an address, or "", and timeout bounds the helper's connection.
 func Tunnel(daemon, secret string, timeout spanrill.Millis, upstreamAt func(addr string) string) TunnelFunc {
-	return func(ctx context.Context, h spanrill.Helper, addr, request string) (net.Conn, int, error) {
-		target := tunnel.Target{Addr: addr, Upstream: upstreamAt(addr), Request: request, Daemon: daemon, Timeout: timeout}
+	return func(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
+		target.Upstream, target.Daemon, target.Timeout = upstreamAt(target.Addr), daemon, timeout
 		conn, err := tunnel.Dial(ctx, h.Addr, []byte(secret), target)
 		if err != nil {
-			return nil, 0, err
+			return nil, tunnel.Answer{}, err
 		}
-		return conn, conn.HelperLoad(), nil
+		return conn, conn.Answer(), nil
 	}
 }
--- a/coordination/reach/simfleet_test.go
+++ b/coordination/reach/simfleet_test.go
@@ -292,27 +292,28 @@
 }
 
 // tunnel connects to an upstream through a helper.
-func (d *simDaemon) tunnel(ctx context.Context, h spanrill.Helper, addr, request string) (net.Conn, int, error) {
+func (d *simDaemon) tunnel(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
 	to := d.daemon(h.Name)
 	for range 3 { // connection, handshake, request
 		if err := d.reach(ctx, to); err != nil {
-			return nil, 0, err
+			return nil, tunnel.Answer{}, err
 		}
 	}
+	target.Daemon, target.Timeout = d.name, simDialTimeout
 	open, err := to.acceptTunnel()
 	if err != nil {
-		return nil, 0, err
+		return nil, tunnel.Answer{}, to.openError(target, err)
 	}
-	conn, err := to.server.Connect(ctx, tunnel.Target{Addr: addr, Request: request, Daemon: d.name, Timeout: simDialTimeout})
+	conn, err := to.server.Connect(ctx, target)
 	if err != nil {
 		to.set(func() { to.open-- })
-		return nil, 0, asOpenError(err)
+		return nil, tunnel.Answer{}, to.openError(target, err)
 	}
 	to.set(func() { to.served++ })
 	return newSimConn(func() {
 		_ = conn.Close()
 		to.set(func() { to.open-- })
-	}), open, nil
+	}), tunnel.Answer{Open: open, Room: to.maxOpen - open, Helpers: to.server.Helpers(target)}, nil
 }
 
 // acceptTunnel counts a tunnel, or refuses it.
@@ -331,18 +332,19 @@
 	return d.open, nil
 }
 
-// asOpenError returns the answer of a helper that has failed to connect.
-func asOpenError(err error) error {
+// openError returns the answer of a helper that has failed to connect.
+func (d *simDaemon) openError(target tunnel.Target, err error) error {
+	answer := &tunnel.OpenError{Reason: tunnel.ReasonUnreachable, Helpers: d.server.Helpers(target)}
 	var failure *tunnel.OpenError
 	switch {
 	case errors.As(err, &failure):
-		return failure
+		answer.Reason = failure.Reason
 	case errors.Is(err, spanrill.ErrNoPath):
-		return &tunnel.OpenError{Reason: tunnel.ReasonNoPath}
+		answer.Reason = tunnel.ReasonNoPath
 	case spanrill.IsConnectionRefused(err):
-		return &tunnel.OpenError{Reason: tunnel.ReasonRefused}
+		answer.Reason = tunnel.ReasonRefused
 	}
-	return &tunnel.OpenError{Reason: tunnel.ReasonUnreachable}
+	return answer
 }
 
 // exchangeNews asks a few others in rounds which paths they have lost.
@@ -473,4 +475,3 @@
 	n := int(share*float64(len(all)) + 0.5)
 	return all[:n], all[n:]
 }
-
--- a/coordination/relay/lostpath.go
+++ b/coordination/relay/lostpath.go
@@ -17,7 +17,11 @@
 
 // noPathRefusal returns the refusal of a request that was not sent for lack of a path.
 func noPathRefusal(err error) *spanrill.Refusal {
-	return spanrill.NewRefusal(spanrill.ReasonNoPath, "%v", err).WithRetryAfter(noPathRetryAfter)
+	reason := spanrill.ReasonNoPath
+	if errors.Is(err, spanrill.ErrHelpersFull) {
+		reason = spanrill.ReasonHelpersFull
+	}
+	return spanrill.NewRefusal(reason, "%v", err).WithRetryAfter(noPathRetryAfter)
 }
 
 // errPathLost means that an attempt was sent over this daemon's own path to the upstream, which was
--- a/daemon/reach.go
+++ b/daemon/reach.go
@@ -87,9 +87,9 @@
 	return err
 }
 
-func (p *upstreamPaths) tunnel(ctx context.Context, h spanrill.Helper, addr, request string) (net.Conn, int, error) {
+func (p *upstreamPaths) tunnel(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
 	s := p.daemon.settings
-	return reach.Tunnel(s.Name, s.FleetSecret, upstreamDialTimeout, p.upstreamAt)(ctx, h, addr, request)
+	return reach.Tunnel(s.Name, s.FleetSecret, upstreamDialTimeout, p.upstreamAt)(ctx, h, target)
 }
 
 func (p *upstreamPaths) helpers(string) []spanrill.Helper {
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -91,8 +91,8 @@
 }
 
 // tunnel connects to an upstream through another daemon.
-func (g *Gateway) tunnel(ctx context.Context, h spanrill.Helper, addr, request string) (net.Conn, int, error) {
-	return reach.Tunnel(g.peers.name, g.settings.FleetSecret, dialTimeout, g.upstreamAt)(ctx, h, addr, request)
+func (g *Gateway) tunnel(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
+	return reach.Tunnel(g.peers.name, g.settings.FleetSecret, dialTimeout, g.upstreamAt)(ctx, h, target)
 }
 
 // upstreamAt returns the name of the upstream at an address, or "".
--- a/reach.go
+++ b/reach.go
@@ -30,6 +30,9 @@
 // connects it. It says nothing about the upstream.
 var ErrNoPath = errors.New("no network path to the upstream")
 
+// ErrHelpersFull means that other daemons reach the upstream and have no room for a connection.
+var ErrHelpersFull = errors.New("daemons that reach the upstream have no room")
+
 // ErrWithheld means that the daemon that would connect this one to an upstream must not send it
 // requests now, because the upstream has asked that daemon for rest or is leaving.
 var ErrWithheld = errors.New("the upstream wants no requests")
--- a/refusal.go
+++ b/refusal.go
@@ -52,6 +52,7 @@
 	ReasonPartSuspected    // a part of the prompt may crash engines, and one request with it is being tried
 	ReasonPartWithheld     // engines crashed under requests with a part of the prompt
 	ReasonNoPath           // no network path to the upstreams, from this daemon or through another
+	ReasonHelpersFull      // daemons that reach the upstreams have no room for another connection of this one
 	ReasonInternal         // an internal error of this daemon
 	reasonCount
 )
@@ -110,6 +111,7 @@
 	ReasonPartSuspected:    {"part_suspected", 503, kindUnavailable},
 	ReasonPartWithheld:     {"part_withheld", 503, kindUnavailable},
 	ReasonNoPath:           {"no_path", 503, kindUnavailable},
+	ReasonHelpersFull:      {"helpers_full", 503, kindUnavailable},
 	ReasonInternal:         {"internal_error", 500, kindServer},
 }
 
--- a/transport/tunnel/conn.go
+++ b/transport/tunnel/conn.go
@@ -15,10 +15,10 @@
 // Conn is a connection to an upstream through a helper. It implements net.Conn.
 type Conn struct {
 	*session
-	helper     string
-	helperLoad int
-	pending    []byte // bytes of the upstream that were received and not read yet
-	ended      error  // result of further reads, or nil
+	helper  string
+	answer  Answer
+	pending []byte // bytes of the upstream that were received and not read yet
+	ended   error  // result of further reads, or nil
 }
 
 // errBroken means that the helper or the path to it failed, or the helper lost the upstream.
@@ -27,8 +27,8 @@
 // Helper returns the address of the helper.
 func (c *Conn) Helper() string { return c.helper }
 
-// HelperLoad returns how many tunnels the helper had open when it opened this one.
-func (c *Conn) HelperLoad() int { return c.helperLoad }
+// Answer returns what the helper answered when it opened the tunnel.
+func (c *Conn) Answer() Answer { return c.answer }
 
 // SingleUse returns true: the helper decides for each connection whether the upstream may get it.
 func (c *Conn) SingleUse() bool { return true }
--- a/transport/tunnel/dial.go
+++ b/transport/tunnel/dial.go
@@ -51,11 +51,11 @@
 	}
 	switch f.Kind {
 	case kindOpened:
-		var reply opened
-		if err := msgpack.Unmarshal(f.Payload, &reply); err != nil {
+		conn := &Conn{session: s, helper: helper}
+		if err := msgpack.Unmarshal(f.Payload, &conn.answer); err != nil {
 			return nil, fmt.Errorf("decode reply: %w", err)
 		}
-		return &Conn{session: s, helper: helper, helperLoad: reply.Open}, nil
+		return conn, nil
 	case kindFailed:
 		failure := &OpenError{}
 		if err := msgpack.Unmarshal(f.Payload, failure); err != nil {
--- a/transport/tunnel/server.go
+++ b/transport/tunnel/server.go
@@ -23,6 +23,8 @@
 	// Connect opens a connection to the target over the helper's own path, never through another
 	// daemon. Its error may be an *OpenError.
 	Connect(ctx context.Context, target Target) (net.Conn, error)
+	// Helpers returns other daemons that reach the service of the target.
+	Helpers(target Target) []Helper
 	// HandleNotice handles what an upstream has told in an answer that came through a tunnel opened
 	// at a time.
 	HandleNotice(addr string, n spanrill.Notice, openedAt spanrill.Millis)
@@ -138,11 +140,12 @@
 	upstream, err := s.connect(ctx, &target)
 	if err != nil {
 		s.meters.TunnelsRefused.Inc()
-		return ses.writeMessage(kindFailed, openError(err))
+		return ses.writeMessage(kindFailed, s.openError(&target, err))
 	}
 	defer s.open.Add(-1)
 	defer func() { _ = upstream.Close() }()
-	if err := ses.writeMessage(kindOpened, &opened{Open: s.Open()}); err != nil {
+	answer := &Answer{Open: s.Open(), Room: max(0, s.max-s.Open()), Helpers: s.upstreams.Helpers(target)}
+	if err := ses.writeMessage(kindOpened, answer); err != nil {
 		return err
 	}
 	s.meters.TunnelsOpened.Inc()
@@ -194,18 +197,19 @@
 	return conn, nil
 }
 
-// openError returns the answer for an error of Upstreams.Connect.
-func openError(err error) *OpenError {
+// openError returns the answer to a target for an error of connect.
+func (s *Server) openError(target *Target, err error) *OpenError {
+	answer := &OpenError{Reason: ReasonUnreachable, Detail: err.Error(), Helpers: s.upstreams.Helpers(*target)}
 	var failure *OpenError
 	switch {
 	case errors.As(err, &failure):
-		return failure
+		answer.Reason, answer.Detail = failure.Reason, failure.Detail
 	case errors.Is(err, spanrill.ErrNoPath):
-		return &OpenError{Reason: ReasonNoPath, Detail: err.Error()}
+		answer.Reason = ReasonNoPath
 	case spanrill.IsConnectionRefused(err):
-		return &OpenError{Reason: ReasonRefused, Detail: err.Error()}
+		answer.Reason = ReasonRefused
 	}
-	return &OpenError{Reason: ReasonUnreachable, Detail: err.Error()}
+	return answer
 }
 
 // forward copies bytes in both directions until the daemon closes the tunnel or one of the sides
--- a/transport/tunnel/tunnel.go
+++ b/transport/tunnel/tunnel.go
@@ -32,7 +32,7 @@
 const (
 	kindHello  uint8 = iota
 	kindOpen         // Target, from the dialer
-	kindOpened       // opened, from the helper
+	kindOpened       // Answer, from the helper
 	kindFailed       // OpenError, from the helper
 	kindData         // bytes of the connection
 	kindEnd          // the upstream sends no more bytes
@@ -48,12 +48,28 @@
 	Request  string // id of the request that needs the connection, for logs, or ""
 	Daemon   string // name of the dialer
 	Timeout  spanrill.Millis
+	Zone     string   // availability zone of the dialer
+	Lost     bool     // the dialer has lost its path to all upstreams of the service
+	Helpers  []Helper // that the dialer knows to reach the service
 }
 
-// opened answers a Target.
-type opened struct {
+// Answer answers a Target to which the helper has connected.
+type Answer struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Open     int      // tunnels that the helper has open, with this one
+	Room     int      // tunnels that it could open besides
+	Helpers  []Helper // others that the helper knows to reach the service
+}
+
+// Helper is a daemon that reaches the upstreams of a service.
+type Helper struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Name     string
+	Addr     string          // at which it accepts tunnels
+	Zone     string          // availability zone
+	Age      spanrill.Millis // time since it last reached an upstream for another daemon, when the message was made
+	Open     int             // tunnels that it had open then
+	Room     int             // tunnels that it could open besides
 }
 
 // Notice is what the upstream has told about itself in its answer. It concerns the helper, from whose
@@ -101,6 +117,7 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Reason   Reason
 	Detail   string
+	Helpers  []Helper // others that the helper knows to reach the service
 }
 
 // Error returns the reason and the detail.
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -34,6 +34,8 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp", target.Addr)
 }
 
+func (u *testUpstreams) Helpers(Target) []Helper { return nil }
+
 func (u *testUpstreams) HandleNotice(_ string, n spanrill.Notice, _ spanrill.Millis) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -153,7 +155,7 @@
 			s, err := handshake(conn, []byte(testSecret), false)
 			if err == nil {
 				_, _ = s.readFrame()
-				_ = s.writeMessage(kindOpened, &opened{})
+				_ = s.writeMessage(kindOpened, &Answer{})
 				_ = s.writeFrame(kindData, []byte("part"))
 			}
 			_ = conn.Close()
