--- a/coordination/reach/attempt.go
+++ b/coordination/reach/attempt.go
@@ -17,14 +17,22 @@
 	err     error
 }
 
-// errNow returns the error of the attempt if it has ended.
-func (a *attempt) errNow() error {
+// isDone reports whether the attempt has ended.
+func (a *attempt) isDone() bool {
 	select {
 	case <-a.done:
-		return a.err
+		return true
 	default:
-		return nil
+		return false
+	}
+}
+
+// errNow returns the error of the attempt if it has ended.
+func (a *attempt) errNow() error {
+	if a.isDone() {
+		return a.err
 	}
+	return nil
 }
 
 // start runs an attempt on a goroutine of its own.
--- a/coordination/reach/budget.go
+++ b/coordination/reach/budget.go
@@ -31,7 +31,7 @@
 	// maxAskTokens is the number of daemons that may be asked at once without knowing whether they can
 	// help: two searches. If hardly any daemon can, all others ask each other.
 	maxAskTokens       = 2 * maxAsked
-	askTokensPerSecond = maxAsked
+	askTokensPerSecond = maxAsked / 2
 )
 
 // newBudget returns a full budget.
@@ -50,16 +50,28 @@
 func (b *budget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.clock.Now()
-	b.tokens = min(b.max, b.tokens+b.perSecond*float64(now-b.asOf)/float64(spanrill.Second))
-	b.asOf = now
-	if b.tokens < 1 {
+	if b.refill(); b.tokens < 1 {
 		return false
 	}
 	b.tokens--
 	return true
 }
 
+// has reports whether there is a token.
+func (b *budget) has() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill()
+	return b.tokens >= 1
+}
+
+// refill adds the tokens of the time that has passed. The caller holds the lock.
+func (b *budget) refill() {
+	now := b.clock.Now()
+	b.tokens = min(b.max, b.tokens+b.perSecond*float64(now-b.asOf)/float64(spanrill.Second))
+	b.asOf = now
+}
+
 // comparisons holds the comparisons that are running for each service.
 type comparisons struct {
 	mu      sync.Mutex
--- a/coordination/reach/help.go
+++ b/coordination/reach/help.go
@@ -12,10 +12,14 @@
 	"spanrill/transport/tunnel"
 )
 
-// TunnelFunc connects to an upstream through a helper, and returns what the helper answered. The error
-// is a *tunnel.OpenError if the helper answered that it does not connect. TunnelFunc sets the fields of
-// the target that are the same for all connections of a daemon.
-type TunnelFunc func(ctx context.Context, helper spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error)
+// Tunnels opens connections through other daemons and asks them for helpers.
+type Tunnels interface {
+	// Open connects to an upstream through a helper, and returns what the helper answered. The error is
+	// a *tunnel.OpenError if the helper answered that it does not connect.
+	Open(ctx context.Context, helper spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error)
+	// Ask asks a helper what it knows about helpers for a service.
+	Ask(ctx context.Context, helper spanrill.Helper, question tunnel.Question) (tunnel.Told, error)
+}
 
 type requestKey struct{}
 
@@ -39,7 +43,7 @@
 		defer cancel()
 		defer d.known.addOpening(h.Name, -1)
 		target := tunnel.Target{Addr: addr, Request: request, Zone: d.zone, Lost: d.paths.isCut(service), Helpers: d.known.tell(service, h.Name, h.Zone)}
-		conn, answer, err := d.tunnel(ctx, h, target)
+		conn, answer, err := d.tunnels.Open(ctx, h, target)
 		if err != nil {
 			d.recordNotHelped(service, h, addr, request, err)
 			return nil, err
--- a/coordination/reach/known.go
+++ b/coordination/reach/known.go
@@ -271,28 +271,32 @@
 	return true
 }
 
-// split divides members into those that may be asked for help with a service, in random order with
-// every second one from this daemon's availability zone while there are any, and those that did not
-// answer lately. Members that cannot help are in neither.
-func (k *knownHelpers) split(service string, members []spanrill.Helper) (unknown, late []spanrill.Helper) {
+// order returns the members that may be asked for help with a service without knowing whether they can:
+// first in random order, with every second one from this daemon's availability zone while there are any,
+// then those that have told of a lost path, which can name others, then those that did not answer lately.
+// Members that have lately said that they cannot help are left out.
+func (k *knownHelpers) order(service string, members []spanrill.Helper) []spanrill.Helper {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.clock.Now()
-	var near, far []spanrill.Helper
+	var near, far, lost, late []spanrill.Helper
 	for _, h := range members {
 		switch {
 		case k.isAvoided(service, h.Name, now):
 		case now < k.lateUntil[h.Name]:
 			late = append(late, h)
+		case h.Lost:
+			lost = append(lost, h)
 		case h.Zone == k.zone:
 			near = append(near, h)
 		default:
 			far = append(far, h)
 		}
 	}
-	shuffle(k.random, near)
-	shuffle(k.random, far)
-	return interleave(near, far), late
+	for _, list := range [][]spanrill.Helper{near, far, lost, late} {
+		shuffle(k.random, list)
+	}
+	return slices.Concat(interleave(near, far), lost, late)
 }
 
 // shuffle puts elements into random order.
--- a/coordination/reach/others.go
+++ b/coordination/reach/others.go
@@ -43,12 +43,7 @@
 	if d.reachesOther(ctx, service, addr) {
 		return true
 	}
-	select {
-	case <-direct.done:
-		return direct.err == nil
-	default:
-		return false
-	}
+	return direct.isDone() && direct.err == nil
 }
 
 // otherUpstreams is how many other upstreams of the service, and of all services, are tried to tell a
--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -21,6 +21,7 @@
 	anyLost   atomic.Bool // whether any upstream is lost, so that most calls need no lock
 	mu        sync.Mutex
 	services  map[string]*servicePaths
+	connected map[string]spanrill.Millis // when a direct connection to a service was last opened
 }
 
 // servicePaths is the state of the paths to the upstreams of one service.
@@ -51,7 +52,7 @@
 )
 
 func newPaths(directory spanrill.UpstreamDirectory, clock spanrill.Clock, log logrus.FieldLogger) *paths {
-	return &paths{directory: directory, clock: clock, log: log, onLost: func(string, spanrill.Millis) {}, services: map[string]*servicePaths{}}
+	return &paths{directory: directory, clock: clock, log: log, onLost: func(string, spanrill.Millis) {}, services: map[string]*servicePaths{}, connected: map[string]spanrill.Millis{}}
 }
 
 // of returns the state of a service. The caller holds the lock.
@@ -90,6 +91,16 @@
 	return s != nil && s.cut
 }
 
+// connectedAt returns when a direct connection to a service was last opened, or never.
+func (p *paths) connectedAt(service string) spanrill.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at, ok := p.connected[service]; ok {
+		return at
+	}
+	return never
+}
+
 // updateAnyLost sets anyLost. The caller holds the lock.
 func (p *paths) updateAnyLost() {
 	for _, s := range p.services {
@@ -106,6 +117,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	defer p.updateAnyLost()
+	p.connected[service] = p.clock.Now()
 	s := p.services[service]
 	if s == nil {
 		return
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -16,6 +16,7 @@
 //	others.go  other upstreams that tell a lost path from a failed upstream
 //	search.go  the search for a helper that reaches an upstream
 //	known.go   what is known about helpers
+//	learn.go   questions to other daemons about helpers
 //	help.go    connections through helpers
 //	paths.go   which upstreams are lost
 //	delay.go   how long a connection usually takes
@@ -25,7 +26,7 @@
 //
 // # Usage
 //
-//	d := reach.New(directory, clock, log, random, reach.WithHelp(helpers, tunnel))
+//	d := reach.New(directory, clock, log, random, reach.WithHelp(helpers, tunnels))
 //	go d.Run(ctx)
 //	conn, err := d.DialContext(ctx, "tcp", addr)
 package reach
@@ -58,7 +59,7 @@
 	direct    DialFunc
 	timeout   spanrill.Millis // of a direct connection
 	helpers   func(service string) []spanrill.Helper
-	tunnel    TunnelFunc
+	tunnels   Tunnels
 	paths     *paths
 	known     *knownHelpers
 	asks      *budget // of daemons that may not be able to help
@@ -66,6 +67,7 @@
 	compareBudget *budget
 	// comparisons are the comparisons of the direct path with a helper that are running.
 	comparisons *comparisons
+	checks      *checks
 	directTime  *delay // of direct connections
 	helpTime    *delay // of connections through helpers
 	helpLog     *events.Limiter
@@ -83,9 +85,9 @@
 }
 
 // WithHelp sets the function that returns the daemons that may be asked for connections to a service,
-// and the function that opens a connection through one of them.
-func WithHelp(helpers func(service string) []spanrill.Helper, tunnel TunnelFunc) Option {
-	return func(d *Dialer) { d.helpers, d.tunnel = helpers, tunnel }
+// and what connects to them.
+func WithHelp(helpers func(service string) []spanrill.Helper, tunnels Tunnels) Option {
+	return func(d *Dialer) { d.helpers, d.tunnels = helpers, tunnels }
 }
 
 // WithZone sets this daemon's availability zone. Helpers in it are preferred.
@@ -114,7 +116,7 @@
 		direct: (&net.Dialer{}).DialContext, timeout: spanrill.Second,
 		helpers: func(string) []spanrill.Helper { return nil },
 		paths:   newPaths(directory, clock, log), known: newKnownHelpers(clock, random), asks: newBudget(clock, maxAskTokens, askTokensPerSecond),
-		compareBudget: newBudget(clock, maxCompareTokens, compareTokensPerSecond), comparisons: newComparisons(),
+		compareBudget: newBudget(clock, maxCompareTokens, compareTokensPerSecond), comparisons: newComparisons(), checks: &checks{last: map[string]*attempt{}},
 		directTime: newDelay(minDirectDelay), helpTime: newDelay(minHelpDelay),
 		helpLog: events.NewLimiter(clock, helpLinesPerSecond), done: make(chan struct{}),
 	}
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -102,7 +102,7 @@
 // viaHelper is a connection that a helper made.
 type viaHelper struct{ net.Conn }
 
-func (w *world) dialTunnel(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
+func (w *world) Open(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
 	w.mu.Lock()
 	w.asked[h.Name]++
 	answer := w.helpers[h.Name]
@@ -120,6 +120,11 @@
 	return viaHelper{conn}, tunnel.Answer{Open: 1, Room: 1}, nil
 }
 
+// Ask answers that nothing is known.
+func (w *world) Ask(context.Context, spanrill.Helper, tunnel.Question) (tunnel.Told, error) {
+	return tunnel.Told{}, nil
+}
+
 func (w *world) listHelpers(string) (all []spanrill.Helper) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -137,7 +142,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d := New(w, w.clock, log, rng.New(1), WithDirect(w.dialDirect, testTimeout), WithHelp(w.listHelpers, w.dialTunnel))
+	d := New(w, w.clock, log, rng.New(1), WithDirect(w.dialDirect, testTimeout), WithHelp(w.listHelpers, w))
 	ctx, cancel := context.WithCancel(context.Background())
 	task.Start(ctx, "paths", d.Run)
 	t.Cleanup(func() {
--- a/coordination/reach/search.go
+++ b/coordination/reach/search.go
@@ -34,15 +34,15 @@
 func isNoHelp(err error) bool { return errors.Is(err, errNoHelp) }
 
 // search looks for a helper that connects this daemon to an upstream. First come daemons that are known
-// to reach the upstreams of the service, which may be told of meanwhile, then unknown ones at random,
-// then those that did not answer lately. The number of unknown ones is limited.
+// to reach the upstreams of the service, which others may tell of meanwhile, then the others. The number
+// of those is limited.
 type search struct {
 	dialer        *Dialer
 	service, addr string
 	beganAt       spanrill.Millis
 	asked         map[string]bool
-	isListed      bool              // whether unknown and late are set
-	unknown, late []spanrill.Helper // not asked yet
+	isListed      bool              // whether unknown is set
+	unknown       []spanrill.Helper // not asked yet, see knownHelpers.order
 	atOnce        int
 	running       int
 	denied        int
@@ -115,25 +115,21 @@
 
 // nextUnknown returns a helper of which it is not known whether it reaches the service.
 func (s *search) nextUnknown() (spanrill.Helper, bool) {
+	if !s.dialer.asks.has() {
+		return spanrill.Helper{}, false
+	}
 	if !s.isListed {
-		s.unknown, s.late = s.dialer.known.split(s.service, s.dialer.helpers(s.service))
-		s.isListed = true
+		s.unknown, s.isListed = s.dialer.known.order(s.service, s.dialer.helpers(s.service)), true
 	}
-	for _, list := range []*[]spanrill.Helper{&s.unknown, &s.late} {
-		for len(*list) > 0 {
-			h := (*list)[0]
-			if s.asked[h.Name] {
-				*list = (*list)[1:]
-				continue
-			}
-			if !s.dialer.asks.take() {
-				return spanrill.Helper{}, false
-			}
-			*list = (*list)[1:]
-			return h, true
-		}
+	for len(s.unknown) > 0 && s.asked[s.unknown[0].Name] {
+		s.unknown = s.unknown[1:]
+	}
+	if len(s.unknown) == 0 || !s.dialer.asks.take() {
+		return spanrill.Helper{}, false
 	}
-	return spanrill.Helper{}, false
+	h := s.unknown[0]
+	s.unknown = s.unknown[1:]
+	return h, true
 }
 
 // ask starts to connect through a helper.
@@ -180,7 +176,7 @@
 	d := s.dialer
 	d.helpLog.Log(events.NoHelperFound, d.log, func() logrus.Fields {
 		return logrus.Fields{
-			"service": s.service, "addr": s.addr, "request": requestOf(ctx), "asked": len(s.asked), "not_asked": len(s.unknown) + len(s.late),
+			"service": s.service, "addr": s.addr, "request": requestOf(ctx), "asked": len(s.asked), "not_asked": len(s.unknown),
 			"known": d.known.countReaching(s.service), "full": s.full != nil, "took_ms": d.clock.Now() - s.beganAt,
 		}
 	})
--- a/coordination/reach/serve.go
+++ b/coordination/reach/serve.go
@@ -55,31 +55,35 @@
 	return s.dialer.known.tell(s.dialer.directory.ServiceAt(target.Addr), target.Daemon, target.Zone)
 }
 
+// Tell answers a daemon that asks for helpers for a service, and records what it has told.
+func (s *Server) Tell(ctx context.Context, q tunnel.Question) tunnel.Told {
+	d := s.dialer
+	d.known.merge(q.Service, q.Helpers)
+	d.known.recordDenied(q.Service, spanrill.Helper{Name: q.Daemon}, d.clock.Now())
+	told := tunnel.Told{Lost: d.paths.isCut(q.Service), Helpers: d.known.tell(q.Service, q.Daemon, q.Zone)}
+	if told.Lost {
+		return told
+	}
+	d.refreshConnected(ctx, q.Service)
+	if age := d.clock.Now() - d.paths.connectedAt(q.Service); age <= knownFor {
+		told.Reaches, told.Age = true, age
+	}
+	return told
+}
+
 // HandleNotice handles what an upstream has told about itself in an answer to another daemon.
 func (s *Server) HandleNotice(addr string, n spanrill.Notice, openedAt spanrill.Millis) {
 	s.onNotice(addr, n, openedAt)
 }
 
-// Helpers returns the members that accept tunnels, without those that are excluded.
-func Helpers(members []peermsg.Member, exclude func(name string) bool) []spanrill.Helper {
+// Helpers returns the members that accept tunnels. hasLost reports whether a member has told that it has
+// lost its own path.
+func Helpers(members []peermsg.Member, hasLost func(name string) bool) []spanrill.Helper {
 	var helpers []spanrill.Helper
 	for _, m := range members {
-		if m.TunnelAddr != "" && !exclude(m.Name) {
-			helpers = append(helpers, spanrill.Helper{Name: m.Name, Addr: m.TunnelAddr, Zone: m.Zone})
+		if m.TunnelAddr != "" {
+			helpers = append(helpers, spanrill.Helper{Name: m.Name, Addr: m.TunnelAddr, Zone: m.Zone, Lost: hasLost(m.Name)})
 		}
 	}
 	return helpers
 }
-
-// Tunnel returns the TunnelFunc of the daemon with that name. upstreamAt returns the name of the
-// upstream at an address, or "", and timeout bounds the helper's connection.
-func Tunnel(daemon, secret string, timeout spanrill.Millis, upstreamAt func(addr string) string) TunnelFunc {
-	return func(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
-		target.Upstream, target.Daemon, target.Timeout = upstreamAt(target.Addr), daemon, timeout
-		conn, err := tunnel.Dial(ctx, h.Addr, []byte(secret), target)
-		if err != nil {
-			return nil, tunnel.Answer{}, err
-		}
-		return conn, conn.Answer(), nil
-	}
-}
--- a/coordination/reach/simfleet_test.go
+++ b/coordination/reach/simfleet_test.go
@@ -61,7 +61,7 @@
 	open     int // tunnels
 	mostOpen int
 	served   int // tunnels that it opened for others
-	asked    int // tunnels that others asked for
+	asked    int // tunnels and helpers that others asked for
 	heardAt  spanrill.Millis
 }
 
@@ -128,7 +128,7 @@
 	log.SetOutput(io.Discard)
 	log.SetLevel(logrus.PanicLevel)
 	d := &simDaemon{simFleet: f, name: name, zone: zone, random: rng.New(f.random.Uint64()), maxOpen: 256, cuts: map[string]simCut{}, news: map[*simDaemon]simNews{}}
-	d.dialer = New(d, f.clock, log, d.random, WithDirect(d.dialDirect, simDialTimeout), WithHelp(d.helpers, d.tunnel), WithZone(zone))
+	d.dialer = New(d, f.clock, log, d.random, WithDirect(d.dialDirect, simDialTimeout), WithHelp(d.helpers, d), WithZone(zone))
 	d.server = NewServer(d.dialer, func(tunnel.Target) error { return nil }, func(string, spanrill.Notice, spanrill.Millis) {})
 	ctx, cancel := context.WithCancel(f.ctx)
 	d.stop = cancel
@@ -276,28 +276,25 @@
 	return f.daemons[i]
 }
 
-// helpers returns the members that have not told of a lost path.
+// helpers returns the members, and which of them have told of a lost path.
 func (d *simDaemon) helpers(service string) []spanrill.Helper {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	helpers := make([]spanrill.Helper, 0, len(d.known))
 	now := d.clock.Now()
 	for _, o := range d.known {
-		if n, ok := d.news[o]; ok && now-n.at <= simNewsTTL && slices.Contains(n.lost, service) {
-			continue
-		}
-		helpers = append(helpers, spanrill.Helper{Name: o.name, Addr: o.name, Zone: o.zone})
+		n, ok := d.news[o]
+		lost := ok && now-n.at <= simNewsTTL && slices.Contains(n.lost, service)
+		helpers = append(helpers, spanrill.Helper{Name: o.name, Addr: o.name, Zone: o.zone, Lost: lost})
 	}
 	return helpers
 }
 
-// tunnel connects to an upstream through a helper.
-func (d *simDaemon) tunnel(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
+// Open connects to an upstream through a helper.
+func (d *simDaemon) Open(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
 	to := d.daemon(h.Name)
-	for range 3 { // connection, handshake, request
-		if err := d.reach(ctx, to); err != nil {
-			return nil, tunnel.Answer{}, err
-		}
+	if err := d.reachTunnels(ctx, to); err != nil {
+		return nil, tunnel.Answer{}, err
 	}
 	target.Daemon, target.Timeout = d.name, simDialTimeout
 	open, err := to.acceptTunnel()
@@ -316,11 +313,33 @@
 	}), tunnel.Answer{Open: open, Room: to.maxOpen - open, Helpers: to.server.Helpers(target)}, nil
 }
 
+// reachTunnels waits for a connection, a handshake and a request.
+func (d *simDaemon) reachTunnels(ctx context.Context, to *simDaemon) error {
+	for range 3 {
+		if err := d.reach(ctx, to); err != nil {
+			return err
+		}
+	}
+	to.set(func() { to.asked++ })
+	return nil
+}
+
+// Ask asks a daemon for helpers.
+func (d *simDaemon) Ask(ctx context.Context, h spanrill.Helper, q tunnel.Question) (tunnel.Told, error) {
+	to := d.daemon(h.Name)
+	if err := d.reachTunnels(ctx, to); err != nil {
+		return tunnel.Told{}, err
+	}
+	q.Daemon = d.name
+	told := to.server.Tell(ctx, q)
+	to.set(func() { told.Open, told.Room = to.open, to.maxOpen-to.open })
+	return told, nil
+}
+
 // acceptTunnel counts a tunnel, or refuses it.
 func (d *simDaemon) acceptTunnel() (open int, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.asked++
 	switch {
 	case d.leaving:
 		return 0, &tunnel.OpenError{Reason: tunnel.ReasonLeaving}
--- a/daemon/reach.go
+++ b/daemon/reach.go
@@ -38,8 +38,9 @@
 	if d.dialUpstream != nil {
 		toUpstreams = d.dialUpstream
 	}
+	tunnels := reach.NewTunnels(func() string { return d.settings.Name }, d.settings.FleetSecret, upstreamDialTimeout, p.upstreamAt)
 	p.dialer = reach.New(p, d.clock, d.log, d.random, reach.WithDirect(toUpstreams, upstreamDialTimeout), reach.WithZone(d.settings.Zone),
-		reach.WithMeters(d.meters), reach.WithOnLost(p.closeIdle), reach.WithHelp(p.helpers, p.tunnel))
+		reach.WithMeters(d.meters), reach.WithOnLost(p.closeIdle), reach.WithHelp(p.helpers, tunnels))
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if p.ServiceAt(addr) == "" {
 			return direct(ctx, network, addr)
@@ -87,11 +88,6 @@
 	return err
 }
 
-func (p *upstreamPaths) tunnel(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
-	s := p.daemon.settings
-	return reach.Tunnel(s.Name, s.FleetSecret, upstreamDialTimeout, p.upstreamAt)(ctx, h, target)
-}
-
 func (p *upstreamPaths) helpers(string) []spanrill.Helper {
 	return reach.Helpers(p.daemon.peers.list.Others(), func(string) bool { return false })
 }
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -23,7 +23,7 @@
 		toUpstreams = g.dialUpstream
 	}
 	g.upstreamDialer = reach.New(upstreamDirectory{g}, g.clock, g.log, g.random, reach.WithDirect(toUpstreams, dialTimeout),
-		reach.WithHelp(g.helpers, g.tunnel), reach.WithZone(g.settings.Zone), reach.WithMeters(g.meters), reach.WithOnLost(g.handlePathLost))
+		reach.WithHelp(g.helpers, reach.NewTunnels(func() string { return g.peers.name }, g.settings.FleetSecret, dialTimeout, g.upstreamAt)), reach.WithZone(g.settings.Zone), reach.WithMeters(g.meters), reach.WithOnLost(g.handlePathLost))
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if (upstreamDirectory{g}).ServiceAt(addr) == "" {
 			return direct(ctx, network, addr)
@@ -90,11 +90,6 @@
 	return reach.Helpers(g.peers.Others(), func(name string) bool { return g.exchange.PeerPathLost(name, service) })
 }
 
-// tunnel connects to an upstream through another daemon.
-func (g *Gateway) tunnel(ctx context.Context, h spanrill.Helper, target tunnel.Target) (net.Conn, tunnel.Answer, error) {
-	return reach.Tunnel(g.peers.name, g.settings.FleetSecret, dialTimeout, g.upstreamAt)(ctx, h, target)
-}
-
 // upstreamAt returns the name of the upstream at an address, or "".
 func (g *Gateway) upstreamAt(addr string) string {
 	if u := g.fleet.View().ByAddr(addr); u != nil {
--- a/reach.go
+++ b/reach.go
@@ -17,6 +17,7 @@
 	Name string
 	Addr string // at which it accepts tunnels
 	Zone string // availability zone
+	Lost bool   // it has told lately that it has lost its own path, so that it can only name others
 }
 
 // UpstreamPaths tells which upstreams this daemon has lost its own network path to.
--- a/transport/tunnel/server.go
+++ b/transport/tunnel/server.go
@@ -16,6 +16,7 @@
 	"spanrill/events"
 	"spanrill/meter"
 	"spanrill/task"
+	"spanrill/transport/frame"
 )
 
 // Upstreams connects a helper to its upstreams.
@@ -25,6 +26,8 @@
 	Connect(ctx context.Context, target Target) (net.Conn, error)
 	// Helpers returns other daemons that reach the service of the target.
 	Helpers(target Target) []Helper
+	// Tell answers a question. The server sets what concerns its tunnels.
+	Tell(ctx context.Context, q Question) Told
 	// HandleNotice handles what an upstream has told in an answer that came through a tunnel opened
 	// at a time.
 	HandleNotice(addr string, n spanrill.Notice, openedAt spanrill.Millis)
@@ -129,7 +132,14 @@
 	defer stop()
 	setKeepAlive(nc)
 	_ = nc.SetDeadline(time.Now().Add(handshakeTimeout))
-	ses, target, err := s.accept(nc)
+	ses, first, err := s.accept(nc)
+	if err == nil && first.Kind == kindAsk {
+		return s.answer(ctx, ses, first.Payload)
+	}
+	var target Target
+	if err == nil {
+		err = decodeTarget(first, &target)
+	}
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, io.EOF) {
 			s.meters.FramesRefused.Inc()
@@ -144,7 +154,7 @@
 	}
 	defer s.open.Add(-1)
 	defer func() { _ = upstream.Close() }()
-	answer := &Answer{Open: s.Open(), Room: max(0, s.max-s.Open()), Helpers: s.upstreams.Helpers(target)}
+	answer := &Answer{Open: s.Open(), Room: s.room(), Helpers: s.upstreams.Helpers(target)}
 	if err := ses.writeMessage(kindOpened, answer); err != nil {
 		return err
 	}
@@ -154,24 +164,47 @@
 	return nil
 }
 
-// accept makes the handshake and returns the target that the dialer names.
-func (s *Server) accept(nc net.Conn) (*session, Target, error) {
-	var target Target
+// accept makes the handshake and returns the first frame of the dialer.
+func (s *Server) accept(nc net.Conn) (*session, frame.Frame, error) {
 	ses, err := handshake(nc, s.secret, false)
 	if err != nil {
-		return nil, target, err
+		return nil, frame.Frame{}, err
 	}
 	f, err := ses.readFrame()
 	if err != nil {
-		return nil, target, fmt.Errorf("read target: %w", err)
+		return nil, f, fmt.Errorf("read request: %w", err)
 	}
+	return ses, f, nil
+}
+
+// decodeTarget decodes the target that a dialer names.
+func decodeTarget(f frame.Frame, target *Target) error {
 	if f.Kind != kindOpen {
-		return nil, target, errProtocol
+		return errProtocol
+	}
+	if err := msgpack.Unmarshal(f.Payload, target); err != nil {
+		return fmt.Errorf("decode target: %w", err)
 	}
-	if err := msgpack.Unmarshal(f.Payload, &target); err != nil {
-		return nil, target, fmt.Errorf("decode target: %w", err)
+	return nil
+}
+
+// answer answers a question about helpers.
+func (s *Server) answer(ctx context.Context, ses *session, payload []byte) error {
+	var q Question
+	if err := msgpack.Unmarshal(payload, &q); err != nil {
+		return fmt.Errorf("decode question: %w", err)
+	}
+	told := s.upstreams.Tell(ctx, q)
+	told.Open, told.Room = s.Open(), s.room()
+	return ses.writeMessage(kindTold, &told)
+}
+
+// room returns how many tunnels can be opened besides those that are open.
+func (s *Server) room() int {
+	if s.leaving.Load() {
+		return 0
 	}
-	return ses, target, nil
+	return max(0, s.max-s.Open())
 }
 
 // connect connects to the target and counts a tunnel, or returns why it does not.
--- a/transport/tunnel/tunnel.go
+++ b/transport/tunnel/tunnel.go
@@ -38,6 +38,8 @@
 	kindEnd          // the upstream sends no more bytes
 	kindBroken       // the connection to the upstream failed
 	kindNotice       // Notice, from the dialer
+	kindAsk          // Question, from the dialer
+	kindTold         // Told, from the helper
 )
 
 // Target is the upstream that a dialer wants to be connected to.
@@ -61,13 +63,33 @@
 	Helpers  []Helper // others that the helper knows to reach the service
 }
 
+// Question asks a daemon what it knows about helpers for a service, without a tunnel.
+type Question struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Service  string
+	Daemon   string // name of the dialer
+	Zone     string // its availability zone
+	Helpers  []Helper
+}
+
+// Told answers a Question.
+type Told struct {
+	_msgpack struct{}        `msgpack:",as_array"` //nolint:unused // read by the codec
+	Reaches  bool            // the daemon that answers has lately reached an upstream of the service
+	Lost     bool            // it has lost its path to all of them
+	Age      spanrill.Millis // time since then, when the message was made
+	Open     int             // tunnels that it has open
+	Room     int             // tunnels that it could open besides
+	Helpers  []Helper        // others that it knows to reach the service
+}
+
 // Helper is a daemon that reaches the upstreams of a service.
 type Helper struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Name     string
 	Addr     string          // at which it accepts tunnels
 	Zone     string          // availability zone
-	Age      spanrill.Millis // time since it last reached an upstream for another daemon, when the message was made
+	Age      spanrill.Millis // time since it last reached an upstream, when the message was made
 	Open     int             // tunnels that it had open then
 	Room     int             // tunnels that it could open besides
 }
