--- a/coordination/reach/help.go
+++ b/coordination/reach/help.go
@@ -85,8 +85,10 @@
 	switch failure.Reason {
 	case tunnel.ReasonNoPath:
 		d.known.recordDenied(service, h, d.clock.Now())
-	case tunnel.ReasonFull, tunnel.ReasonLeaving:
-		d.known.recordBusy(h.Name)
+	case tunnel.ReasonFull:
+		d.known.recordFull(h.Name)
+	case tunnel.ReasonLeaving:
+		d.known.recordLeaving(h.Name)
 	}
 }
 
--- a/coordination/reach/known.go
+++ b/coordination/reach/known.go
@@ -23,7 +23,8 @@
 	mu         sync.Mutex
 	services   map[string]map[string]*knownHelper // by service and name
 	opening    map[string]int                     // tunnels that are being opened by name
-	avoidUntil map[string]spanrill.Millis         // it has said that it cannot help until then
+	fullUntil  map[string]spanrill.Millis         // it has said that it has no room until then
+	leftUntil  map[string]spanrill.Millis         // it has said that it is leaving until then
 	lateUntil  map[string]spanrill.Millis         // it did not answer, and others are preferred until then
 	exploredAt map[string]spanrill.Millis         // when a further helper was last looked for, by service
 }
@@ -57,7 +58,7 @@
 )
 
 func newKnownHelpers(clock spanrill.Clock, random *rng.Source) *knownHelpers {
-	return &knownHelpers{clock: clock, random: random, services: map[string]map[string]*knownHelper{}, opening: map[string]int{}, avoidUntil: map[string]spanrill.Millis{}, lateUntil: map[string]spanrill.Millis{}, exploredAt: map[string]spanrill.Millis{}}
+	return &knownHelpers{clock: clock, random: random, services: map[string]map[string]*knownHelper{}, opening: map[string]int{}, fullUntil: map[string]spanrill.Millis{}, leftUntil: map[string]spanrill.Millis{}, lateUntil: map[string]spanrill.Millis{}, exploredAt: map[string]spanrill.Millis{}}
 }
 
 // of returns the entry of a helper. The caller holds the lock.
@@ -123,11 +124,27 @@
 	known.deniedAt = max(known.deniedAt, at)
 }
 
-// recordBusy records that a daemon has no room, or is leaving.
-func (k *knownHelpers) recordBusy(name string) {
+// recordFull records that a daemon has no room.
+func (k *knownHelpers) recordFull(name string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.setUntil(k.avoidUntil, name)
+	k.setUntil(k.fullUntil, name)
+}
+
+// recordLeaving records that a daemon is leaving.
+func (k *knownHelpers) recordLeaving(name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.setUntil(k.leftUntil, name)
+}
+
+// isAnyFull reports whether a daemon that is known to reach a service has no room.
+func (k *knownHelpers) isAnyFull(service string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clock.Now()
+	notFull := func(name string) bool { return now >= k.fullUntil[name] }
+	return len(k.reaching(service, now, notFull)) > 0
 }
 
 // recordLate records that a daemon did not answer.
@@ -202,7 +219,7 @@
 
 // isAvoided reports whether a daemon has lately said that it cannot help. The caller holds the lock.
 func (k *knownHelpers) isAvoided(service, name string, now spanrill.Millis) bool {
-	if now < k.avoidUntil[name] {
+	if now < k.fullUntil[name] || now < k.leftUntil[name] {
 		return true
 	}
 	known := k.services[service][name]
--- a/coordination/reach/search.go
+++ b/coordination/reach/search.go
@@ -48,8 +48,9 @@
 	denied        int
 	attempts      []*attempt
 	finished      chan *attempt
-	// Errors of helpers that could not, or must not, connect, or had no room.
-	told, withheld, full error
+	// Errors of helpers that could not, or must not, connect, and whether one had no room.
+	told, withheld error
+	isFull         bool
 }
 
 func (d *Dialer) newSearch(service, addr string) *search {
@@ -155,7 +156,7 @@
 	case errors.Is(err, spanrill.ErrWithheld):
 		s.withheld = err
 	case reasonOf(err) == tunnel.ReasonFull:
-		s.full = err
+		s.isFull = true
 	}
 }
 
@@ -174,13 +175,14 @@
 		return err
 	}
 	d := s.dialer
+	isFull := s.isFull || d.known.isAnyFull(s.service)
 	d.helpLog.Log(events.NoHelperFound, d.log, func() logrus.Fields {
 		return logrus.Fields{
 			"service": s.service, "addr": s.addr, "request": requestOf(ctx), "asked": len(s.asked), "not_asked": len(s.unknown),
-			"known": d.known.countReaching(s.service), "full": s.full != nil, "took_ms": d.clock.Now() - s.beganAt,
+			"known": d.known.countReaching(s.service), "full": isFull, "took_ms": d.clock.Now() - s.beganAt,
 		}
 	})
-	if s.full != nil {
+	if isFull {
 		return fmt.Errorf("%w: %w: %w, %d asked", spanrill.ErrNoPath, spanrill.ErrHelpersFull, errNoHelp, len(s.asked))
 	}
 	return fmt.Errorf("%w: %w, %d asked", spanrill.ErrNoPath, errNoHelp, len(s.asked))
--- a/coordination/reach/simfleet_test.go
+++ b/coordination/reach/simfleet_test.go
@@ -14,11 +14,13 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"spanrill"
 	"spanrill/clock"
 	"spanrill/rng"
 	"spanrill/task"
+	"spanrill/transport/frame"
 	"spanrill/transport/tunnel"
 )
 
@@ -37,6 +39,7 @@
 	daemons  []*simDaemon
 	callTime spanrill.Millis // how long a call keeps its connection
 	requests int             // number of the last request
+	bytes    int             // of messages about helpers
 }
 
 // simDaemon is one daemon. It is a spanrill.UpstreamDirectory.
@@ -296,6 +299,7 @@
 	if err := d.reachTunnels(ctx, to); err != nil {
 		return nil, tunnel.Answer{}, err
 	}
+	d.countBytes(&target)
 	target.Daemon, target.Timeout = d.name, simDialTimeout
 	open, err := to.acceptTunnel()
 	if err != nil {
@@ -307,10 +311,12 @@
 		return nil, tunnel.Answer{}, to.openError(target, err)
 	}
 	to.set(func() { to.served++ })
+	answer := tunnel.Answer{Open: open, Room: to.maxOpen - open, Helpers: to.server.Helpers(target)}
+	d.countBytes(&answer)
 	return newSimConn(func() {
 		_ = conn.Close()
 		to.set(func() { to.open-- })
-	}), tunnel.Answer{Open: open, Room: to.maxOpen - open, Helpers: to.server.Helpers(target)}, nil
+	}), answer, nil
 }
 
 // reachTunnels waits for a connection, a handshake and a request.
@@ -333,6 +339,8 @@
 	q.Daemon = d.name
 	told := to.server.Tell(ctx, q)
 	to.set(func() { told.Open, told.Room = to.open, to.maxOpen-to.open })
+	d.countBytes(&q)
+	d.countBytes(&told)
 	return told, nil
 }
 
@@ -363,9 +371,22 @@
 	case spanrill.IsConnectionRefused(err):
 		answer.Reason = tunnel.ReasonRefused
 	}
+	d.countBytes(answer)
 	return answer
 }
 
+// simHandshakeBytes is the size of a frame of a handshake: a nonce with header and tag.
+const simHandshakeBytes = 16 + frame.HeaderSize + frame.TagSize
+
+// countBytes counts a message with its part of the handshake.
+func (f *simFleet) countBytes(message any) {
+	payload, err := msgpack.Marshal(message)
+	if err != nil {
+		f.Error(err)
+	}
+	f.set(func() { f.bytes += len(payload) + frame.HeaderSize + frame.TagSize + simHandshakeBytes })
+}
+
 // exchangeNews asks a few others in rounds which paths they have lost.
 func (d *simDaemon) exchangeNews(ctx context.Context) error {
 	for d.wait(ctx, simNewsRound*9/10+spanrill.Millis(d.random.IntN(int(simNewsRound/5)))) == nil {
@@ -399,12 +420,12 @@
 
 // simResult counts first attempts.
 type simResult struct {
-	sent, served, noPath int
-	slowestRefusal       spanrill.Millis
+	sent, served, noPath, full int
+	slowestRefusal             spanrill.Millis
 }
 
 func (r *simResult) add(o simResult) {
-	r.sent, r.served, r.noPath = r.sent+o.sent, r.served+o.served, r.noPath+o.noPath
+	r.sent, r.served, r.noPath, r.full = r.sent+o.sent, r.served+o.served, r.noPath+o.noPath, r.full+o.full
 	r.slowestRefusal = max(r.slowestRefusal, o.slowestRefusal)
 }
 
@@ -470,7 +491,10 @@
 		}
 	}
 	result := simResult{sent: 1, slowestRefusal: d.clock.Now() - began}
-	if errors.Is(err, spanrill.ErrNoPath) {
+	switch {
+	case errors.Is(err, spanrill.ErrHelpersFull):
+		result.full = 1
+	case errors.Is(err, spanrill.ErrNoPath):
 		result.noPath = 1
 	}
 	return result
