exchange: Count lost paths over all daemons for the placement lease

A daemon that has lost a path may hold the placement lease only if no other daemon reaches the upstreams. It looked at the last news of its peers, which in a fleet of more than nine it has of a few: where all daemons had lost the path to one service, nobody could hold the lease, and engines of the other services got no orders.

Daemons add up the paths that they have lost with their other sums, so that each knows how many of all have lost which, at most as late as the load of the others.

--- a/coordination/exchange/apply.go
+++ b/coordination/exchange/apply.go
@@ -22,6 +22,7 @@
 	}
 	others, known := e.peerSum(now)
 	e.sumsAsOf.Store(int64(e.sumsTime(now)))
+	e.lostByOthers = lostByOthers{counts: others.lost, daemons: known - 1}
 	e.state.Budgets.StartRound(others.retries, retry.Fleet{
 		Known: known, Daemons: max(known, 1+int(e.otherCount.Load())), Rounds: e.AggregationRounds(), Complete: e.FleetSizeKnown(),
 	})
@@ -109,6 +110,7 @@
 		if now-last.askedAt > retryCountTTL {
 			s.retries = nil // its counts are treated as unknown
 		} else {
+			s.lost = countLost(last.news.LostPaths)
 			daemons++
 		}
 		others.add(s, 1)
--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -129,6 +129,7 @@
 	otherCount     atomic.Int64 // live daemons, without this one, in the last round
 	lastAddedAt    atomic.Int64 // when a daemon last joined
 	sumsAsOf       atomic.Int64 // result of SumsAsOf
+	lostByOthers   lostByOthers // as of the last round
 	startedAt      spanrill.Millis
 	startRounds    int // rounds before this daemon had a configuration and entries
 	// fleetSizeWasKnown is the result of FleetSizeKnown in the last round.
@@ -303,9 +304,7 @@
 	reply.StoreAvailableFor = min(e.state.Fleet.StoreAvailableFor(), maxStoreAvailable)
 	reply.Suspects, reply.Parts, reply.SuspectsKnown = e.suspectNews(req.Suspects), PartMarks(e.state.Parts.MarksFor(req.Parts)), e.state.Known()
 	reply.Limits = ratelimit.LimitsIfChanged(e.state.Fleet, e.clock, req.Limits)
-	if e.state.LostPaths != nil {
-		reply.LostPaths = e.state.LostPaths()
-	}
+	reply.LostPaths = e.ownLostPaths()
 	e.storeChildSums(req)
 	e.mergePlacement(req.Placement, e.clock.Now())
 	reply.Fleet = e.fleetSums(req)
--- a/coordination/exchange/exchange_test.go
+++ b/coordination/exchange/exchange_test.go
@@ -68,6 +68,7 @@
 	targets        map[string]fleet.Target
 	holdsPlacement bool
 	storeSilent    bool
+	lostPaths      []peermsg.LostPath
 	budgets        *retry.Budgets
 }
 
@@ -93,6 +94,7 @@
 		Targets:     func() map[string]fleet.Target { return d.targets },
 		Lease:       lease.New(nil, c, "placement", "d"),
 		Suspects:    suspect.New(c),
+		LostPaths:   func() []peermsg.LostPath { return d.lostPaths },
 	}, c, log, rng.New(1))
 	return d
 }
--- a/coordination/exchange/lostpaths.go
+++ b/coordination/exchange/lostpaths.go
@@ -50,3 +50,35 @@
 		}
 	}
 }
+
+// lostByOthers is how many of the other daemons have lost their paths.
+type lostByOthers struct {
+	counts  lostCounts
+	daemons int // that the counts cover
+}
+
+// countLost returns the counts of one daemon with these lost paths.
+func countLost(lost []peermsg.LostPath) lostCounts {
+	counts := lostCounts{}
+	for _, p := range lost {
+		counts[p.Service], counts[""] = 1, 1
+	}
+	return counts
+}
+
+// ownLostPaths returns the services to whose upstreams this daemon has lost its network path.
+func (e *Exchange) ownLostPaths() []peermsg.LostPath {
+	if e.state.LostPaths == nil {
+		return nil
+	}
+	return e.state.LostPaths()
+}
+
+// LostByOthers returns how many of the other daemons have lost their network path to the upstreams of a
+// service, or of any service if it is "", and how many daemons that covers. The counts are as old as the
+// sums, see SumsAsOf.
+func (e *Exchange) LostByOthers(service string) (lost, daemons int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lostByOthers.counts[service], e.lostByOthers.daemons
+}
--- a/coordination/exchange/sums.go
+++ b/coordination/exchange/sums.go
@@ -38,12 +38,18 @@
 	uses    map[uint32]use
 	retries map[string]retry.Count
 	unnamed *unnamedUses // of upstreams that are not in uses, or nil
+	lost    lostCounts
 }
 
+// lostCounts is how many daemons have lost their path by service, "" being any service.
+type lostCounts map[string]int
+
 // use is the tokens and calls that requests hold at an upstream.
 type use struct{ tokens, calls int64 }
 
-func newSum() sum { return sum{uses: map[uint32]use{}, retries: map[string]retry.Count{}} }
+func newSum() sum {
+	return sum{uses: map[uint32]use{}, retries: map[string]retry.Count{}, lost: lostCounts{}}
+}
 
 // add adds another sum multiplied by a factor.
 func (s *sum) add(other sum, factor int64) {
@@ -52,6 +58,9 @@
 		old := s.uses[key]
 		s.uses[key] = use{tokens: old.tokens + factor*u.tokens, calls: old.calls + factor*u.calls}
 	}
+	for service, n := range other.lost {
+		s.lost[service] += n * int(factor)
+	}
 	for service, c := range other.retries {
 		old := s.retries[service]
 		s.retries[service] = retry.Count{
@@ -68,6 +77,9 @@
 	for service, c := range s.retries {
 		m.Retries = append(m.Retries, peermsg.RetryCount{Service: service, Requests: c.Requests, Retries: c.Retries, Recent: c.Recent})
 	}
+	for service, n := range s.lost {
+		m.Lost = append(m.Lost, peermsg.LostCount{Service: service, Daemons: n})
+	}
 	return m
 }
 
@@ -80,6 +92,9 @@
 	for _, c := range m.Retries {
 		s.retries[c.Service] = retry.Count{Requests: c.Requests, Retries: c.Retries, Recent: c.Recent}
 	}
+	for _, c := range m.Lost {
+		s.lost[c.Service] = c.Daemons
+	}
 	return s
 }
 
@@ -95,6 +110,7 @@
 	for service, c := range e.state.Budgets.OwnCounts() {
 		s.retries[service] = c
 	}
+	s.lost = countLost(e.ownLostPaths())
 	return &s
 }
 
--- a/coordination/exchange/zones.go
+++ b/coordination/exchange/zones.go
@@ -52,7 +52,7 @@
 	switch {
 	case brief && (total.unnamed != nil || len(total.sum.uses) > maxNamedUses),
 		total.unnamed != nil && zone != e.state.Zone: // total names upstreams of this daemon's zone only
-		m.Sum = *(&sum{daemons: total.sum.daemons, retries: total.sum.retries}).message()
+		m.Sum = *(&sum{daemons: total.sum.daemons, retries: total.sum.retries, lost: total.sum.lost}).message()
 		m.NoneNamed = true
 	case total.unnamed != nil:
 		m.Sum, m.OtherZonesUnnamed, m.NoneNamed = *total.sum.message(), true, total.unnamed.noneNamed
@@ -70,7 +70,7 @@
 // writeZoneSum writes a sum that names only the upstreams of one availability zone, with a total per
 // service for each other zone.
 func (e *Exchange) writeZoneSum(m *peermsg.FleetSum, total sum, zone string) {
-	view, named := e.state.Fleet.View(), sum{daemons: total.daemons, uses: map[uint32]use{}, retries: total.retries}
+	view, named := e.state.Fleet.View(), sum{daemons: total.daemons, uses: map[uint32]use{}, retries: total.retries, lost: total.lost}
 	unnamed := map[zoneService]use{}
 	for key, u := range total.uses {
 		upstream := view.ByKey(key)
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -157,10 +157,6 @@
 	if len(g.upstreamDialer.LostServices()) == 0 {
 		return true
 	}
-	for _, m := range g.peers.Others() {
-		if !g.exchange.PeerPathLost(m.Name, "") {
-			return false
-		}
-	}
-	return true
+	lost, daemons := g.exchange.LostByOthers("")
+	return lost >= max(daemons, len(g.peers.Others()))
 }
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -198,13 +198,22 @@
 	Calls    int64
 }
 
-// Sum is the total over several daemons of what their requests hold, and of their counts for the
-// retry budgets.
+// Sum is the total over several daemons of what their requests hold, of their counts for the retry
+// budgets, and of the paths that they have lost.
 type Sum struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
 	Daemons  int
 	Uses     []UpstreamUse
 	Retries  []RetryCount
+	Lost     []LostCount
+}
+
+// LostCount is how many daemons have lost their network path to the upstreams of a service, or of any
+// service if it is "".
+type LostCount struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Service  string
+	Daemons  int
 }
 
 // LostPath is a service to whose upstreams a daemon has lost its network path.
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -36,7 +36,9 @@
 
 func (u *testUpstreams) Helpers(Target) []Helper { return nil }
 
-func (u *testUpstreams) Tell(_ context.Context, q Question) Told { return Told{Reaches: true, Helpers: q.Helpers} }
+func (u *testUpstreams) Tell(_ context.Context, q Question) Told {
+	return Told{Reaches: true, Helpers: q.Helpers}
+}
 
 func (u *testUpstreams) HandleNotice(_ string, n spanrill.Notice, _ spanrill.Millis) {
 	u.mu.Lock()
