--- a/coordination/exchange/lostpaths.go
+++ b/coordination/exchange/lostpaths.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -82,3 +83,17 @@
 	defer e.mu.Unlock()
 	return e.lostByOthers.counts[service], e.lostByOthers.daemons
 }
+
+// LostCounts returns how many daemons, with this one, have lost their path by service, without services
+// that none has lost, and how many daemons that covers.
+func (e *Exchange) LostCounts() (counts map[string]int, daemons int) {
+	counts = countLost(e.ownLostPaths())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for service, n := range e.lostByOthers.counts {
+		counts[service] += n
+	}
+	delete(counts, "")
+	maps.DeleteFunc(counts, func(_ string, n int) bool { return n <= 0 })
+	return counts, 1 + e.lostByOthers.daemons
+}
--- a/coordination/reach/help.go
+++ b/coordination/reach/help.go
@@ -81,6 +81,7 @@
 		return
 	}
 	d.meters.CountHelpDenied(failure.Reason.String())
+	d.paths.recordDenied(service)
 	d.known.merge(service, failure.Helpers)
 	switch failure.Reason {
 	case tunnel.ReasonNoPath:
--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -36,6 +36,7 @@
 	cut                    bool            // all upstreams of the service count as lost
 	cutSince               spanrill.Millis
 	helped                 map[string]int // connections since then by name of the helper
+	denied                 int            // helpers that answered since then that they cannot help
 	helpedAddr             string         // upstream that a helper connected last
 }
 
@@ -131,7 +132,7 @@
 	}
 	s.cut = false
 	clear(s.lost) // those that are still lost are found again
-	events.PathRestored.Log(p.log, logrus.Fields{"service": service, "addr": addr, "lost_ms": p.clock.Now() - s.cutSince, "helped": s.helped})
+	events.PathRestored.Log(p.log, logrus.Fields{"service": service, "addr": addr, "lost_ms": p.clock.Now() - s.cutSince, "helped": s.helped, "denied": s.denied})
 	s.helped = map[string]int{}
 }
 
@@ -197,6 +198,7 @@
 	s.cut, s.cutSince = true, p.clock.Now()
 	p.anyLost.Store(true)
 	clear(s.helped)
+	s.denied = 0
 	events.PathLost.Log(p.log, logrus.Fields{"service": service, "addr": addr, "upstreams_reached_by_helpers": len(s.lostInRow), "upstreams_reached_by_none": len(s.failedInRow)})
 }
 
@@ -209,11 +211,19 @@
 	s.helpedAddr = addr
 }
 
+// recordDenied records that a helper answered that it cannot help.
+func (p *paths) recordDenied(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.of(service).denied++
+}
+
 // LostService is a service to whose upstreams this daemon has lost its path.
 type LostService struct {
 	Service string
 	For     spanrill.Millis // how long
 	Helped  map[string]int  // connections since then by name of the helper
+	Denied  int             // helpers that answered since then that they cannot help
 }
 
 // lostServices returns the services whose paths are lost, sorted by name.
@@ -229,7 +239,7 @@
 		for helper, n := range s.helped {
 			helped[helper] = n
 		}
-		all = append(all, LostService{Service: name, For: p.clock.Now() - s.cutSince, Helped: helped})
+		all = append(all, LostService{Service: name, For: p.clock.Now() - s.cutSince, Helped: helped, Denied: s.denied})
 	}
 	slices.SortFunc(all, func(a, b LostService) int { return cmp.Compare(a.Service, b.Service) })
 	return all
--- a/daemon/reach.go
+++ b/daemon/reach.go
@@ -151,13 +151,14 @@
 	Service string          `json:"service"` // "engines" for the engines of all models
 	For     spanrill.Millis `json:"for_ms"`
 	Helped  map[string]int  `json:"helped"` // connections since then by the daemon that made them
+	Denied  int             `json:"denied"` // daemons that answered since then that they cannot help
 }
 
 // lostPaths returns the services to whose upstreams this daemon has lost its path.
 func (p *upstreamPaths) lostPaths() []LostPath {
 	var lost []LostPath
 	for _, s := range p.dialer.LostServices() {
-		lost = append(lost, LostPath{Service: s.Service, For: s.For, Helped: s.Helped})
+		lost = append(lost, LostPath{Service: s.Service, For: s.For, Helped: s.Helped, Denied: s.Denied})
 	}
 	return lost
 }
--- a/gateway/pathspage.go
+++ b/gateway/pathspage.go
@@ -19,6 +19,9 @@
 	Daemon  string     `json:"daemon"`  // that made the page
 	Tunnels int        `json:"tunnels"` // connections to upstreams that it keeps for others
 	Lost    []LostPath `json:"lost"`    // of this daemon and of those whose news it gets, sorted
+	Daemons int        `json:"daemons"` // covered by the counts, this one included
+	// Counts is how many daemons have lost their path by service, without services that none has lost.
+	Counts map[string]int `json:"counts"`
 }
 
 // LostPath is a service to whose upstreams a daemon has lost its network path.
@@ -27,14 +30,16 @@
 	Service string          `json:"service"`
 	For     spanrill.Millis `json:"for_ms"` // when the daemon said so
 	Helped  map[string]int  `json:"helped"` // connections since then by the daemon that made them
+	Denied  int             `json:"denied"` // daemons that answered since then that they cannot help
 }
 
 // pathsPage returns the page about lost network paths.
 func (g *Gateway) pathsPage() *PathsPage {
 	page := &PathsPage{Daemon: g.peers.name, Tunnels: g.openTunnels(), Lost: []LostPath{}}
+	page.Counts, page.Daemons = g.exchange.LostCounts()
 	add := func(daemon string, lost []peermsg.LostPath) {
 		for _, p := range lost {
-			page.Lost = append(page.Lost, LostPath{Daemon: daemon, Service: p.Service, For: p.For, Helped: p.Helped})
+			page.Lost = append(page.Lost, LostPath{Daemon: daemon, Service: p.Service, For: p.For, Helped: p.Helped, Denied: p.Denied})
 		}
 	}
 	add(g.peers.name, g.lostPaths())
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -146,7 +146,7 @@
 func (g *Gateway) lostPaths() []peermsg.LostPath {
 	var lost []peermsg.LostPath
 	for _, s := range g.upstreamDialer.LostServices() {
-		lost = append(lost, peermsg.LostPath{Service: s.Service, For: s.For, Helped: s.Helped})
+		lost = append(lost, peermsg.LostPath{Service: s.Service, For: s.For, Helped: s.Helped, Denied: s.Denied})
 	}
 	return lost
 }
--- a/protocol/peermsg/messages.go
+++ b/protocol/peermsg/messages.go
@@ -222,6 +222,7 @@
 	Service  string
 	For      spanrill.Millis // how long
 	Helped   map[string]int  // connections since then by name of the daemon that made them
+	Denied   int             // daemons that answered since then that they cannot help
 }
 
 // UpstreamLimit is the rate limit of an upstream for all daemons combined.
