soak: Cut the paths of more than half of the daemons in every second seed

The soak cut one daemon at a time. Odd seeds now also cut off a majority, or all but one, and the rule about first attempts judges what those serve while an undisturbed daemon with a path is there to help.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -45,6 +45,8 @@
 		return r.restoreStore
 	case DaemonPathCut:
 		return r.pathFault
+	case MostPathsCut:
+		return r.mostPathsFault
 	case PartCrashesEngines:
 		return r.partFaultStep
 	case ConnectionsSkewed:
--- a/soak/pathcut.go
+++ b/soak/pathcut.go
@@ -19,6 +19,9 @@
 	// minHelpedShare is the least ratio of the share that is served at daemons without a path to that
 	// at the others.
 	minHelpedShare = 2.0 / 3
+	// minMostPathsTime is the least time for which most paths are cut, so that requests are sent after
+	// contactTime.
+	minMostPathsTime = 2500 * time.Millisecond
 	// minHelpedCalls is the number of requests from which on the rule is checked.
 	minHelpedCalls = 20
 )
@@ -28,16 +31,36 @@
 
 // pathFault cuts the path of a daemon to all upstreams.
 func (r *run) pathFault(ctx context.Context, s Step) error {
-	i := s.Target % len(r.daemons)
+	r.cutPaths(ctx, s, 1)
+	return nil
+}
+
+// mostPathsFault cuts the paths of more than half of the daemons, in half of the variants of all but one.
+func (r *run) mostPathsFault(ctx context.Context, s Step) error {
+	n := len(r.daemons)/2 + 1
+	if s.Variant%2 == 1 {
+		n = len(r.daemons) - 1
+	}
+	s.Duration = max(s.Duration, minMostPathsTime)
+	r.cutPaths(ctx, s, min(n, len(r.daemons)-1))
+	return nil
+}
+
+// cutPaths cuts the paths of n daemons to all upstreams.
+func (r *run) cutPaths(ctx context.Context, s Step, n int) {
 	begin := time.Now()
-	r.env.upstreamLinks[i].SetCut(pathCuts[s.Variant])
+	for k := range n {
+		r.env.upstreamLinks[(s.Target+k)%len(r.daemons)].SetCut(pathCuts[s.Variant])
+	}
 	wait(ctx, s.Duration)
-	r.env.upstreamLinks[i].SetCut(faultproxy.CutNone)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.daemons[i]
-	r.pathCuts[p] = append(r.pathCuts[p], interval{begin.Add(contactTime), time.Now()})
-	return nil
+	for k := range n {
+		i := (s.Target + k) % len(r.daemons)
+		r.env.upstreamLinks[i].SetCut(faultproxy.CutNone)
+		p := r.daemons[i]
+		r.pathCuts[p] = append(r.pathCuts[p], interval{begin, time.Now()})
+	}
 }
 
 // hadNoPath reports whether a daemon had been without a path for contactTime when a request was sent.
@@ -45,7 +68,30 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, cut := range r.pathCuts[p] {
-		if sent.After(cut.from) && sent.Before(cut.to) {
+		if sent.After(cut.from.Add(contactTime)) && sent.Before(cut.to) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasHelper reports whether another daemon had its path and was not disturbed while a call lasted.
+func (r *run) hasHelper(call callRecord) bool {
+	end := call.sent.Add(call.reply.Elapsed)
+	for _, p := range r.daemons {
+		if p != call.daemon && !r.isCut(p, call.sent.Add(-contactTime), end) && !r.wasDisturbed(p, call.sent.Add(-undisturbedTime), end) {
+			return true
+		}
+	}
+	return false
+}
+
+// isCut reports whether a daemon was without a path at any time from one time to another.
+func (r *run) isCut(p *process, from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, cut := range r.pathCuts[p] {
+		if cut.from.Before(to) && cut.to.After(from) {
 			return true
 		}
 	}
@@ -53,7 +99,8 @@
 }
 
 // helpedViolations compares the first attempts at daemons without a path with those at the others while
-// there was one. Requests at disturbed daemons and during faults of the store do not count.
+// there was one. Requests at disturbed daemons, without an undisturbed helper and during faults of the
+// store do not count.
 func (r *run) helpedViolations() []Violation {
 	var cutOff, others serviceCount
 	for _, call := range r.records.list() {
@@ -62,7 +109,9 @@
 		}
 		switch {
 		case r.hadNoPath(call.daemon, call.sent):
-			cutOff.add(call)
+			if r.hasHelper(call) {
+				cutOff.add(call)
+			}
 		case r.anyHadNoPath(call.sent):
 			others.add(call)
 		}
--- a/soak/pathcut_test.go
+++ b/soak/pathcut_test.go
@@ -28,7 +28,7 @@
 			begin := time.Now()
 			cutOff, other := &process{name: "cut off"}, &process{name: "other"}
 			r := &run{daemons: []*process{cutOff, other}, disturbances: map[*process][]time.Time{}, pathCuts: map[*process][]interval{
-				cutOff: {{begin.Add(contactTime), begin.Add(4 * contactTime)}},
+				cutOff: {{begin, begin.Add(4 * contactTime)}},
 			}}
 			if c.disturbed {
 				r.disturbances[cutOff] = []time.Time{begin}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -38,6 +38,7 @@
 	PartCrashesEngines   Kind = "part crashes engines" // requests with one part of their prompts crash the engines that answer them
 	ConnectionsSkewed    Kind = "most connections at one daemon"
 	DaemonPathCut        Kind = "path of daemon to upstreams" // cut to all upstreams, in several ways
+	MostPathsCut         Kind = "paths of most daemons to upstreams"
 )
 
 // weights lists the relative frequency of each kind.
@@ -78,6 +79,12 @@
 	{DaemonPathCut, 1},
 }
 
+// mostPathsWeights lists the kinds that cut the paths of more than half of the daemons, drawn likewise in
+// some seeds.
+var mostPathsWeights = []weightedKind{
+	{MostPathsCut, 1},
+}
+
 // partWeights lists the kinds that concern parts of prompts, drawn likewise.
 var partWeights = []weightedKind{
 	{PartCrashesEngines, 1},
@@ -116,6 +123,10 @@
 	// seed of their random source.
 	pathGap        = 4 * time.Second
 	pathSeedOffset = 1 << 33
+	// mostPathsGap and mostPathsSeedOffset are the same for mostPathsWeights, which are drawn for odd seeds.
+	mostPathsGap        = 6 * time.Second
+	mostPathsSeedOffset = 1 << 36
+	mostPathsSeeds      = 2
 	// partGap and partSeedOffset are the same for partWeights.
 	partGap        = 10 * time.Second
 	partSeedOffset = 1 << 34
@@ -141,6 +152,9 @@
 	steps = append(steps, drawSteps(rng.New(seed+pathSeedOffset), pathWeights, pathGap, length)...)
 	steps = append(steps, drawSteps(rng.New(seed+partSeedOffset), partWeights, partGap, length)...)
 	steps = append(steps, drawSteps(rng.New(seed+skewSeedOffset), skewWeights, skewGap, length)...)
+	if seed%mostPathsSeeds == 1 {
+		steps = append(steps, drawSteps(rng.New(seed+mostPathsSeedOffset), mostPathsWeights, mostPathsGap, length)...)
+	}
 	sort.SliceStable(steps, func(i, j int) bool { return steps[i].At < steps[j].At })
 	return steps
 }
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -24,7 +24,7 @@
 			}
 		}
 	}
-	all := slices.Concat(weights, independentWeights, pathWeights, partWeights, skewWeights)
+	all := slices.Concat(weights, independentWeights, pathWeights, mostPathsWeights, partWeights, skewWeights)
 	for _, w := range all {
 		if kinds[w.kind] == 0 {
 			t.Errorf("no plan contains %q", w.kind)
@@ -38,7 +38,7 @@
 // Every kind that a plan can contain has a function that injects it.
 func TestEveryKindHasAFault(t *testing.T) {
 	r := &run{}
-	for _, w := range slices.Concat(weights, independentWeights, pathWeights, partWeights, skewWeights) {
+	for _, w := range slices.Concat(weights, independentWeights, pathWeights, mostPathsWeights, partWeights, skewWeights) {
 		if r.faultFunc(Step{Kind: w.kind}) == nil {
 			t.Errorf("no fault function for %q", w.kind)
 		}
