--- a/scene/cutoff_test.go
+++ b/scene/cutoff_test.go
@@ -50,6 +50,45 @@
 	}
 }
 
+// Guards against refusals on the project's own interface when most daemons have no path.
+func TestMostDaemonsWithoutPathServeCallers(t *testing.T) {
+	const daemons, helpers = 6, 1
+	var links []*faultproxy.Link
+	for range daemons {
+		links = append(links, faultproxy.NewLink())
+	}
+	spec := scene.Demo()
+	spec.Daemons = daemons
+	spec.UpstreamDial = func(daemon int) reach.DialFunc { return links[daemon].DialContext }
+	s, err := scene.Start(context.Background(), spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for i, l := range links {
+		defer l.Close()
+		if served := serveRounds(t, s, i, fmt.Sprint("before-", i), 2); served != 4 {
+			t.Fatalf("daemon %d served %d of 4 requests before the cut, want all", i, served)
+		}
+	}
+	ways := []faultproxy.Cut{faultproxy.CutReset, faultproxy.CutSilent, faultproxy.CutNewOnly}
+	for i, l := range links[helpers:] {
+		l.SetCut(ways[i%len(ways)])
+	}
+	served := 0
+	for i := range daemons - helpers {
+		served += serveRounds(t, s, helpers+i, fmt.Sprint("cut-", i), cutOffRounds)
+	}
+	if sent := 2 * cutOffRounds * (daemons - helpers); served < sent*95/100 {
+		t.Errorf("%d of %d first attempts were served, want at least 95 %%", served, sent)
+	}
+	for id, runs := range s.Services()[0].Runs() {
+		if runs > 1 {
+			t.Errorf("reading %s was executed %d times, want once at most", id, runs)
+		}
+	}
+}
+
 // serveRounds sends a generation and a call of a plain service in each round, and returns how many of
 // them were answered completely.
 func serveRounds(t *testing.T, s *scene.Scene, daemon int, name string, rounds int) (served int) {
--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -171,6 +172,29 @@
 	})
 }
 
+// Guards against questions that open a tunnel, and answers that lose what is known about helpers.
+func TestHelpersAreTold(t *testing.T) {
+	s, helper := startServer(t, &testUpstreams{err: syscall.ECONNREFUSED}, WithMaxOpen(3))
+	known := []Helper{{Name: "a", Addr: "10.0.0.2:7341", Zone: "z", Age: 40, Open: 2, Room: 5}}
+	for _, leave := range []bool{false, true} {
+		room := 3
+		if leave {
+			s.Leave()
+			room = 0
+		}
+		told, err := Ask(context.Background(), helper, []byte(testSecret), Question{Service: "s", Daemon: "b", Zone: "z", Helpers: known})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !told.Reaches || told.Room != room || told.Open != 0 || !slices.Equal(told.Helpers, known) {
+			t.Errorf("the helper told %+v, want room for %d tunnels and %+v", told, room, known)
+		}
+	}
+	if _, err := Ask(context.Background(), helper, []byte("another secret"), Question{Service: "s"}); err == nil {
+		t.Error("a stranger got an answer")
+	}
+}
+
 // Guards against a helper that keeps the upstream's connection after the daemon has closed the tunnel.
 func TestClosingTheTunnelClosesTheUpstreamConnection(t *testing.T) {
 	s, helper := startServer(t, &testUpstreams{})
