--- a/coordination/reach/budget.go
+++ b/coordination/reach/budget.go
@@ -32,6 +32,8 @@
 	// help: two searches. If hardly any daemon can, all others ask each other.
 	maxAskTokens       = 2 * maxAsked
 	askTokensPerSecond = maxAsked / 2
+	// searchReserve is the number of tokens that are kept for searches while a helper is known.
+	searchReserve = maxAsked
 )
 
 // newBudget returns a full budget.
@@ -47,10 +49,13 @@
 }
 
 // take takes a token and reports whether there was one.
-func (b *budget) take() bool {
+func (b *budget) take() bool { return b.takeAbove(0) }
+
+// takeAbove is like take, but leaves a number of tokens.
+func (b *budget) takeAbove(reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.refill(); b.tokens < 1 {
+	if b.refill(); b.tokens < reserve+1 {
 		return false
 	}
 	b.tokens--
--- a/coordination/reach/check.go
+++ b/coordination/reach/check.go
@@ -42,11 +42,7 @@
 	if len(addrs) == 0 {
 		return
 	}
-	check := d.checks.join(service, func() *attempt {
-		direct := d.startDirect(ctx, service, addrs[d.random.IntN(len(addrs))])
-		d.discard(direct)
-		return direct
-	})
+	check := d.checks.join(service, func() *attempt { return d.startCheck(ctx, service, addrs[d.random.IntN(len(addrs))]) })
 	select {
 	case <-check.done:
 	case <-d.clock.After(d.directTime.bound(d.timeout)):
@@ -54,6 +50,20 @@
 	}
 }
 
+// startCheck starts a direct connection that only tells whether the path works, and records a failure too.
+func (d *Dialer) startCheck(ctx context.Context, service, addr string) *attempt {
+	direct := d.startDirect(ctx, service, addr)
+	d.discard(direct)
+	d.tasks.Start(context.WithoutCancel(ctx), "check path", func(context.Context) error {
+		<-direct.done
+		if direct.err != nil && !spanrill.IsLocalResourceError(direct.err) {
+			d.paths.recordFailed(service, addr, false)
+		}
+		return nil
+	})
+	return direct
+}
+
 // checks holds the last check of the path to each service.
 type checks struct {
 	mu   sync.Mutex
--- a/coordination/reach/compare.go
+++ b/coordination/reach/compare.go
@@ -94,14 +94,6 @@
 		return
 	}
 	for _, other := range d.pickOthers(service, addr, minFailedInRow) {
-		direct := d.startDirect(context.Background(), service, other)
-		d.discard(direct)
-		d.tasks.Start(context.Background(), "confirm lost path", func(context.Context) error {
-			<-direct.done
-			if direct.err != nil && !spanrill.IsLocalResourceError(direct.err) {
-				d.paths.recordFailed(service, other, false)
-			}
-			return nil
-		})
+		d.startCheck(context.Background(), service, other)
 	}
 }
--- a/coordination/reach/help.go
+++ b/coordination/reach/help.go
@@ -45,34 +45,35 @@
 		target := tunnel.Target{Addr: addr, Request: request, Zone: d.zone, Lost: d.paths.isCut(service), Helpers: d.known.tell(service, h.Name, h.Zone)}
 		conn, answer, err := d.tunnels.Open(ctx, h, target)
 		if err != nil {
-			d.recordNotHelped(service, h, addr, request, err)
+			d.recordNotHelped(service, h, target, startedAt, err)
 			return nil, err
 		}
 		d.helpTime.record(d.clock.Now() - startedAt)
-		d.recordHelped(service, h, addr, request, answer)
+		d.recordHelped(service, h, target, startedAt, answer)
 		return conn, nil
 	})
 }
 
-// recordHelped records that a helper has connected.
-func (d *Dialer) recordHelped(service string, h spanrill.Helper, addr, request string, answer tunnel.Answer) {
+// recordHelped records that a helper that was asked at a time has connected.
+func (d *Dialer) recordHelped(service string, h spanrill.Helper, target tunnel.Target, askedAt spanrill.Millis, answer tunnel.Answer) {
 	d.meters.HelpedConnections.Inc()
-	d.paths.recordHelped(service, h.Name, addr)
+	d.paths.recordHelped(service, h.Name, target.Addr)
 	d.known.recordReached(service, h, d.clock.Now(), answer.Open, answer.Room)
-	d.known.merge(service, answer.Helpers)
+	d.known.merge(service, answer.Helpers, askedAt)
 	d.helpLog.Log(events.TunnelUsed, d.log, func() logrus.Fields {
-		f := logrus.Fields{"helper": h.Name, "addr": addr, "service": service, "request": request, "open": answer.Open, "room": answer.Room}
-		if since, lost := d.paths.lostSince(service, addr); lost {
+		f := logrus.Fields{"helper": h.Name, "addr": target.Addr, "service": service, "request": target.Request, "open": answer.Open, "room": answer.Room}
+		if since, lost := d.paths.lostSince(service, target.Addr); lost {
 			f["lost_ms"] = d.clock.Now() - since
 		}
 		return f
 	})
 }
 
-// recordNotHelped records that a helper did not connect, and what it has told of others.
-func (d *Dialer) recordNotHelped(service string, h spanrill.Helper, addr, request string, err error) {
+// recordNotHelped records that a helper that was asked at a time did not connect, and what it has told
+// of others.
+func (d *Dialer) recordNotHelped(service string, h spanrill.Helper, target tunnel.Target, askedAt spanrill.Millis, err error) {
 	d.helpLog.Log(events.TunnelDenied, d.log, func() logrus.Fields {
-		return logrus.Fields{"helper": h.Name, "addr": addr, "request": request, "error": err}
+		return logrus.Fields{"helper": h.Name, "addr": target.Addr, "request": target.Request, "error": err}
 	})
 	var failure *tunnel.OpenError
 	if !errors.As(err, &failure) {
@@ -82,7 +83,7 @@
 	}
 	d.meters.CountHelpDenied(failure.Reason.String())
 	d.paths.recordDenied(service)
-	d.known.merge(service, failure.Helpers)
+	d.known.merge(service, failure.Helpers, askedAt)
 	switch failure.Reason {
 	case tunnel.ReasonNoPath:
 		d.known.recordDenied(service, h, d.clock.Now())
--- a/coordination/reach/known.go
+++ b/coordination/reach/known.go
@@ -172,14 +172,13 @@
 	}
 }
 
-// merge adds what another daemon has told of helpers for a service.
-func (k *knownHelpers) merge(service string, told []tunnel.Helper) {
-	now := k.clock.Now()
+// merge adds what another daemon has told of helpers for a service at a time.
+func (k *knownHelpers) merge(service string, told []tunnel.Helper, at spanrill.Millis) {
 	for _, h := range told[:min(len(told), maxTold)] {
 		if h.Name == "" || h.Addr == "" || h.Age < 0 || h.Age > knownFor {
 			continue
 		}
-		k.recordReached(service, spanrill.Helper{Name: h.Name, Addr: h.Addr, Zone: h.Zone}, now-h.Age, h.Open, h.Room)
+		k.recordReached(service, spanrill.Helper{Name: h.Name, Addr: h.Addr, Zone: h.Zone}, at-h.Age, h.Open, h.Room)
 	}
 }
 
--- a/coordination/reach/learn.go
+++ b/coordination/reach/learn.go
@@ -64,7 +64,7 @@
 		}
 		return
 	}
-	d.known.merge(service, told.Helpers)
+	d.known.merge(service, told.Helpers, sentAt)
 	switch {
 	case told.Reaches && told.Age >= 0:
 		d.known.recordReached(service, h, sentAt-told.Age, told.Open, told.Room)
--- a/coordination/reach/others.go
+++ b/coordination/reach/others.go
@@ -56,15 +56,10 @@
 	others := append(d.pickOthers(service, addr, otherUpstreams), d.pickOthers("", addr, otherUpstreams)...)
 	results := make(chan bool, len(others))
 	for _, other := range others {
-		service := d.directory.ServiceAt(other)
-		direct := d.startDirect(ctx, service, other)
-		d.discard(direct)
-		d.tasks.Start(context.WithoutCancel(ctx), "check path", func(context.Context) error {
-			<-direct.done
-			if direct.err != nil && !spanrill.IsLocalResourceError(direct.err) {
-				d.paths.recordFailed(service, other, false)
-			}
-			results <- direct.err == nil
+		check := d.startCheck(ctx, d.directory.ServiceAt(other), other)
+		d.tasks.Start(context.WithoutCancel(ctx), "await check", func(context.Context) error {
+			<-check.done
+			results <- check.err == nil
 			return nil
 		})
 	}
--- a/coordination/reach/search.go
+++ b/coordination/reach/search.go
@@ -90,7 +90,7 @@
 	if known := d.known.countReaching(s.service); known == 0 || known >= wantHelpers || !d.known.takeExploration(s.service) {
 		return
 	}
-	if h, ok := s.nextUnknown(); ok {
+	if h, ok := s.nextUnknown(searchReserve); ok {
 		s.ask(ctx, h)
 	}
 }
@@ -111,11 +111,12 @@
 	if h, ok := s.dialer.known.pickReaching(s.service, func(name string) bool { return s.asked[name] }); ok {
 		return h, true
 	}
-	return s.nextUnknown()
+	return s.nextUnknown(0)
 }
 
-// nextUnknown returns a helper of which it is not known whether it reaches the service.
-func (s *search) nextUnknown() (spanrill.Helper, bool) {
+// nextUnknown returns a helper of which it is not known whether it reaches the service, if more such
+// helpers than reserve may be asked.
+func (s *search) nextUnknown(reserve float64) (spanrill.Helper, bool) {
 	if !s.dialer.asks.has() {
 		return spanrill.Helper{}, false
 	}
@@ -125,7 +126,7 @@
 	for len(s.unknown) > 0 && s.asked[s.unknown[0].Name] {
 		s.unknown = s.unknown[1:]
 	}
-	if len(s.unknown) == 0 || !s.dialer.asks.take() {
+	if len(s.unknown) == 0 || !s.dialer.asks.takeAbove(reserve) {
 		return spanrill.Helper{}, false
 	}
 	h := s.unknown[0]
--- a/coordination/reach/serve.go
+++ b/coordination/reach/serve.go
@@ -33,9 +33,10 @@
 func (s *Server) Connect(ctx context.Context, target tunnel.Target) (net.Conn, error) {
 	d := s.dialer
 	service := d.directory.ServiceAt(target.Addr)
-	d.known.merge(service, target.Helpers)
+	now := d.clock.Now()
+	d.known.merge(service, target.Helpers, now)
 	if target.Lost {
-		d.known.recordDenied(service, spanrill.Helper{Name: target.Daemon}, d.clock.Now())
+		d.known.recordDenied(service, spanrill.Helper{Name: target.Daemon}, now)
 	}
 	if err := s.check(target); err != nil {
 		return nil, err
@@ -58,8 +59,9 @@
 // Tell answers a daemon that asks for helpers for a service, and records what it has told.
 func (s *Server) Tell(ctx context.Context, q tunnel.Question) tunnel.Told {
 	d := s.dialer
-	d.known.merge(q.Service, q.Helpers)
-	d.known.recordDenied(q.Service, spanrill.Helper{Name: q.Daemon}, d.clock.Now())
+	now := d.clock.Now()
+	d.known.merge(q.Service, q.Helpers, now)
+	d.known.recordDenied(q.Service, spanrill.Helper{Name: q.Daemon}, now)
 	told := tunnel.Told{Lost: d.paths.isCut(q.Service), Helpers: d.known.tell(q.Service, q.Daemon, q.Zone)}
 	if told.Lost {
 		return told
