--- a/transport/tunnel/tunnel_test.go
+++ b/transport/tunnel/tunnel_test.go
@@ -317,6 +317,21 @@
 	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "cpu-us/op")
 }
 
+// BenchmarkAsk measures a question about helpers at both daemons together.
+func BenchmarkAsk(b *testing.B) {
+	_, helper := startServer(b, &testUpstreams{})
+	known := []Helper{{Name: "front-hann-11/93ad591d", Addr: "10.1.0.29:8384", Zone: "hann", Age: 400, Open: 12, Room: 244}}
+	known = append(known, known[0], known[0], known[0])
+	var before syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+	for b.Loop() {
+		if _, err := Ask(context.Background(), helper, []byte(testSecret), Question{Service: "advice", Helpers: known}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	reportProcessorTime(b, before)
+}
+
 func BenchmarkOpen(b *testing.B) {
 	_, helper := startServer(b, &testUpstreams{})
 	upstream := startUpstream(b, echo)
