--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -17,6 +17,7 @@
 //	search.go  the search for a helper that reaches an upstream
 //	known.go   what is known about helpers
 //	learn.go   questions to other daemons about helpers
+//	tunnels.go connections to other daemons
 //	help.go    connections through helpers
 //	paths.go   which upstreams are lost
 //	delay.go   how long a connection usually takes
