membership: Ask a bounded number of silent members in each round

Every suspected member was sent a message with all suspected members, in every round until it was considered dead. After half of a fleet was lost, or cut off, each other daemon sent 13, 35 and 310 KB in a round with 30, 83 and 300 daemons; 9 KB are the limit for all control (18 KB/s). Found while judging where else the size of the fleet enters what is said of peers.

At most eight overdue or suspected members are asked in a round, those first that were not asked yet, each with its own entry; a message names 20 suspected members at most. A member is suspected only after it was asked.

--- a/coordination/membership/gossip.go
+++ b/coordination/membership/gossip.go
@@ -16,9 +16,8 @@
 	}
 }
 
-// targets returns a few random live members, and all suspected ones, which answer if they are
-// alive. In a large fleet all but one of the random members are in this daemon's availability
-// zone, because traffic between zones is billed.
+// targets returns a few random live members. In a large fleet all but one of them are in this daemon's
+// availability zone, because traffic between zones is billed.
 func (l *List) targets() []peermsg.Member {
 	r := l.live.Load()
 	picked := l.sample(nil, r.others, 1)
@@ -30,7 +29,7 @@
 	for i, index := range picked {
 		members[i] = r.members[index]
 	}
-	return append(members, l.suspects()...)
+	return members
 }
 
 // sample adds random indices from the pool until there are n, or the pool is exhausted. It does
@@ -56,20 +55,27 @@
 // availability zone. Fewer members are all reached within a few rounds.
 const zoneGossipThreshold = 16
 
-// suspects returns the suspected members. Gossip is sent to them in every round until their
-// heartbeat increases or they are considered dead.
-func (l *List) suspects() []peermsg.Member {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return appendMembers(nil, l.inState(suspected))
-}
-
-// overdueMembers returns the members that are overdue. Each is sent its own entry in every round, which it
-// answers with its heartbeat.
-func (l *List) overdueMembers() []peermsg.Member {
+// takeSilent returns some of the members that are overdue or suspected, those first that have not been
+// asked, and records that they are asked. Each is sent its own entry, which it answers with its heartbeat.
+// The others have their turn in later rounds, so that the loss of many members at once costs each daemon
+// no more messages in a large fleet.
+func (l *List) takeSilent() []peermsg.Member {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return appendMembers(nil, l.inState(overdue))
+	var unasked, asked []*entry
+	for _, e := range l.inState(overdue, suspected) {
+		if e.state == overdue && e.askedAt == notAsked {
+			unasked = append(unasked, e)
+			continue
+		}
+		asked = append(asked, e)
+	}
+	taken := l.sampleEntries(unasked, maxAsked)
+	for _, e := range taken {
+		e.askedAt = l.clock.Now()
+	}
+	taken = append(taken, l.sampleEntries(asked, maxAsked-len(taken))...)
+	return appendMembers(nil, taken)
 }
 
 // inState returns the entries in any of the given states, sorted by name. The caller holds the
@@ -122,27 +128,32 @@
 	return &peermsg.Gossip{Members: append(slices.Clone(g.Members), receiver)}
 }
 
-// gossip increments this daemon's heartbeat and returns its entry, the entries of all suspected
-// members, which answer when they see their outdated heartbeat, and those of random members.
+// gossip increments this daemon's heartbeat and returns its entry, those of suspected members, which answer
+// when they see their outdated heartbeat, and those of random members.
 func (l *List) gossip() *peermsg.Gossip {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.self.Heartbeat++
 	l.self.Revision = l.revision()
 	members := append(make([]peermsg.Member, 0, maxMembers), l.self)
-	members = appendMembers(members, l.inState(suspected))
+	members = appendMembers(members, l.sampleEntries(l.inState(suspected), maxSuspects))
 	members = l.appendRandom(members, l.inState(alive, overdue, left))
 	return &peermsg.Gossip{Members: members}
 }
 
 // appendRandom adds random entries until the message is full.
 func (l *List) appendRandom(members []peermsg.Member, entries []*entry) []peermsg.Member {
-	for i := 0; i < len(entries) && len(members) < maxMembers; i++ {
+	return appendMembers(members, l.sampleEntries(entries, maxMembers-len(members)))
+}
+
+// sampleEntries returns up to n random entries. It changes the order of the given ones.
+func (l *List) sampleEntries(entries []*entry, n int) []*entry {
+	n = min(n, len(entries))
+	for i := range n {
 		j := i + l.random.IntN(len(entries)-i)
 		entries[i], entries[j] = entries[j], entries[i]
-		members = append(members, entries[i].member)
 	}
-	return members
+	return entries[:n]
 }
 
 // Merge updates the list from the gossip of a peer. It answers a sender that is new, and calls
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -103,9 +103,13 @@
 	// a member is asked itself, and considered dead.
 	overdueRounds = 4
 	deadRounds    = 8
-	// answerRounds is the number of rounds after which a member that was asked, and asked again in each
-	// round, is suspected. Between two daemons messages take a fraction of a round.
+	// answerRounds is the number of rounds after which a member that was asked is suspected. Between two
+	// daemons messages take a fraction of a round.
 	answerRounds = 1
+	// maxAsked is the number of overdue and suspected members that are asked in one round, and maxSuspects
+	// that of suspected members in one message.
+	maxAsked    = 8
+	maxSuspects = maxMembers / 2
 	// forgetRounds is the number of rounds without a new heartbeat after which a member is removed.
 	forgetRounds = 600
 )
@@ -210,12 +214,12 @@
 	l.updateStates()
 	targets := l.targets()
 	g := l.gossip()
-	overdue := l.overdueMembers()
+	silent := l.takeSilent()
 	m, ok := l.randomNonLiveBox() // before the answers to this round arrive
 	var tasks task.Group
 	l.sendTo(ctx, &tasks, g, targets...)
-	for _, o := range overdue {
-		l.sendTo(ctx, &tasks, &peermsg.Gossip{Members: []peermsg.Member{g.Members[0], o}}, o)
+	for _, s := range silent {
+		l.sendTo(ctx, &tasks, &peermsg.Gossip{Members: []peermsg.Member{g.Members[0], s}}, s)
 	}
 	if ok {
 		l.sendTo(ctx, &tasks, withReceiver(g, m), m)
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -21,13 +21,14 @@
 	lists   map[string]*List
 	boxes   []spanrill.Box
 	blocked func(from, to string) bool
+	onSend  func(from string, g *peermsg.Gossip)
 }
 
 func newFleet(n int) *fleet { return newSeededFleet(n, 0) }
 
 // newSeededFleet returns a fleet whose random choices are determined by a seed.
 func newSeededFleet(n int, seed uint64) *fleet {
-	f := &fleet{clock: clock.NewManual(), lists: map[string]*List{}, blocked: func(string, string) bool { return false }}
+	f := &fleet{clock: clock.NewManual(), lists: map[string]*List{}, blocked: func(string, string) bool { return false }, onSend: func(string, *peermsg.Gossip) {}}
 	for i := range n {
 		name := fmt.Sprintf("d%d", i)
 		f.boxes = append(f.boxes, spanrill.Box{Name: name, Role: spanrill.RoleEntry, PeerAddr: name})
@@ -43,6 +44,7 @@
 	log.SetOutput(io.Discard)
 	log.SetLevel(logrus.PanicLevel)
 	send := func(addr string, g *peermsg.Gossip) error {
+		f.onSend(name, g)
 		to := f.lists[addr]
 		if to == nil || f.blocked(name, addr) {
 			return errors.New("unreachable")
--- a/coordination/membership/state.go
+++ b/coordination/membership/state.go
@@ -33,10 +33,13 @@
 type entry struct {
 	member      peermsg.Member
 	heartbeatAt spanrill.Millis // when its heartbeat last increased
-	overdueAt   spanrill.Millis // when it last became overdue
+	askedAt     spanrill.Millis // when it was first asked since it became overdue, or notAsked
 	state       state
 }
 
+// notAsked is the time at which a member was asked that has not been asked.
+const notAsked spanrill.Millis = -1
+
 // updateMember stores an entry if it is newer than the known one, and reports whether it was.
 func (l *List) updateMember(m peermsg.Member) bool {
 	l.mu.Lock()
@@ -126,10 +129,10 @@
 		case e.state == left:
 		case sinceHeartbeat > round*deadRounds:
 			l.setState(e, dead)
-		case e.state == overdue && now-e.overdueAt > l.round*answerRounds:
+		case e.state == overdue && e.askedAt != notAsked && now-e.askedAt > l.round*answerRounds:
 			l.setState(e, suspected)
 		case e.state == alive && sinceHeartbeat > round*overdueRounds:
-			e.overdueAt = now
+			e.askedAt = notAsked
 			l.setState(e, overdue)
 		}
 	}
