gateway: Only daemons that hear of most others try withheld parts

A daemon that is cut off must not send the scheduled trial of a withheld part, since it cannot tell whether others have sent one. It counted as connected if it heard of any other daemon, so that each part of a split fleet sent the trial, each of which may end an engine: what a few peers say was taken for what all say.

Trials are now sent by daemons that hear of most of those that they know, without those that have left. Where a fleet is split into halves of the same size, nobody tries until they hear of each other again or have forgotten each other.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -148,16 +148,22 @@
 	return others
 }
 
-// HasLost reports whether a daemon was lost lately that did not say that it leaves.
-func (l *List) HasLost() bool {
+// HasMajority reports whether most of the daemons that this one knows are live, itself included. Those that
+// have said that they leave do not count, nor those that have been silent for so long that they were
+// forgotten. Without a majority this daemon may be cut off from most others, which act without it.
+func (l *List) HasMajority() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	live, lost := 1, 0
 	for _, e := range l.sorted {
-		if e.state == dead && e.member.Name != l.self.Name {
-			return true
+		switch {
+		case e.state.isLive():
+			live++
+		case e.state == dead:
+			lost++
 		}
 	}
-	return false
+	return live > lost
 }
 
 // SetBoxes sets the addresses to contact from the entry boxes of a box list.
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -11,10 +11,8 @@
 )
 
 // mayTryParts reports whether this daemon may send scheduled trials of withheld parts. A daemon that is
-// cut off from all others cannot tell whether they have sent one.
-func (g *Gateway) mayTryParts() bool {
-	return len(g.peers.list.Others()) > 0 || !g.peers.list.HasLost()
-}
+// cut off from most others cannot tell whether they have sent one.
+func (g *Gateway) mayTryParts() bool { return g.peers.list.HasMajority() }
 
 const (
 	// turnStep is the time between the turns of two daemons to send a trial of a part, several times
