--- a/coordination/exchange/lostpaths_test.go
+++ b/coordination/exchange/lostpaths_test.go
@@ -10,7 +10,12 @@
 // Guards against daemons that take the lost paths of the few peers whose news they get for those of all,
 // so that no daemon of a large fleet may hold the placement lease while all have lost a path.
 func TestLostPathsOfAllDaemonsAreCounted(t *testing.T) {
-	for _, daemons := range []int{2, 8, 30, 83, 350} {
+	testLostPaths(t, 2, 8, 30, 83, 350)
+}
+
+func testLostPaths(t *testing.T, fleets ...int) {
+	t.Helper()
+	for _, daemons := range fleets {
 		for _, lost := range []int{0, 1, daemons / 2, daemons} {
 			t.Run(fmt.Sprint(lost, " of ", daemons, " daemons"), func(t *testing.T) {
 				n := newNetwork(daemons)
--- a/coordination/exchange/tree_test.go
+++ b/coordination/exchange/tree_test.go
@@ -92,18 +92,25 @@
 // configuration that the daemon reading the store has, and the orders of the lease holder, also
 // while the first daemon in rank is unreachable.
 func TestNewsReachesAllDaemons(t *testing.T) {
-	for _, c := range []struct {
-		name        string
-		daemons     int
-		unreachable []int // ranks of unreachable daemons
-		holder      int
-	}{
+	testNews(t, []newsCase{
 		{"small", 8, nil, 5},
 		{"two levels", 71, nil, 60},
 		{"two levels, first daemon unreachable", 71, []int{0}, 60},
 		{"three levels", 120, nil, 119},
 		{"three levels, a parent unreachable", 120, []int{3}, 100},
-	} {
+	})
+}
+
+type newsCase struct {
+	name        string
+	daemons     int
+	unreachable []int // ranks of unreachable daemons
+	holder      int
+}
+
+func testNews(t *testing.T, cases []newsCase) {
+	t.Helper()
+	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			n := newNetwork(c.daemons)
 			var total int64
