reach: Test that nothing is refused for lack of a path in the first second of a cut

The tests judged from one second after the cut on. In fleets of 30, 83 and 985 with 0.3, 0.6 and 0.9 cut off nothing is refused in the first second either, so the check now begins with the cut.

--- a/coordination/reach/fleet_test.go
+++ b/coordination/reach/fleet_test.go
@@ -47,7 +47,9 @@
 					f.send(spanrill.Second, callInterval)
 					cut, others := f.picked(share)
 					f.cut(simSilent, cut)
-					f.send(learnTime, callInterval)
+					if first := sumOf(f.send(learnTime, callInterval), cut); first.noPath > 0 {
+						f.Errorf("%d of %d requests were refused for lack of a path in the first second", first.noPath, first.sent)
+					}
 					f.wantHelped(f.send(2*spanrill.Second, callInterval), cut, others)
 				})
 			})
