reach: A service whose upstreams have all ended is no lost path

Traced: the service has two instances, both of which end. Two failures in a row with nothing heard meanwhile were enough for a lost path where a service has no more upstreams. Refused connections then say nothing about the instances, so that no daemon recorded the crashes, and requests were refused with no_path until the next check.

Before failures that nobody can explain count as a lost path, two upstreams of other services are tried. If one is reached, the path works and the others have failed themselves. Where nobody reaches anything, the loss is noticed one usual connection time later.

TestServiceOfWhichAllHaveEndedIsNoLostPath (1, 3 and 30 daemons) fails before.

--- a/coordination/reach/check.go
+++ b/coordination/reach/check.go
@@ -56,8 +56,9 @@
 	d.discard(direct)
 	d.tasks.Start(context.WithoutCancel(ctx), "check path", func(context.Context) error {
 		<-direct.done
-		if direct.err != nil && !spanrill.IsLocalResourceError(direct.err) {
-			d.paths.recordFailed(service, addr, false)
+		isFailed := direct.err != nil && !spanrill.IsLocalResourceError(direct.err)
+		if isFailed && d.paths.recordFailed(service, addr, false) == checkOtherServices {
+			d.startCheckOfOthers(service, addr)
 		}
 		return nil
 	})
--- a/coordination/reach/compare.go
+++ b/coordination/reach/compare.go
@@ -90,10 +90,23 @@
 // recordFailed records that nobody reached an upstream, and tries others if that may be because of
 // this daemon's path.
 func (d *Dialer) recordFailed(service, addr string, told bool) {
-	if !d.paths.recordFailed(service, addr, told) {
-		return
-	}
-	for _, other := range d.pickOthers(service, addr, minFailedInRow) {
-		d.startCheck(context.Background(), service, other)
+	switch d.paths.recordFailed(service, addr, told) {
+	case checkOthers:
+		for _, other := range d.pickOthers(service, addr, minFailedInRow) {
+			d.startCheck(context.Background(), service, other)
+		}
+	case checkOtherServices:
+		d.startCheckOfOthers(service, addr)
 	}
 }
+
+// startCheckOfOthers starts to find out whether this daemon reaches upstreams of other services than one
+// of which many have failed.
+func (d *Dialer) startCheckOfOthers(service, addr string) {
+	d.tasks.Start(context.Background(), "check other services", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, d.directTime.bound(d.timeout).Duration())
+		defer cancel()
+		d.paths.recordUnreached(service, addr, d.reachesOtherServices(ctx, service))
+		return nil
+	})
+}
--- a/coordination/reach/others.go
+++ b/coordination/reach/others.go
@@ -54,16 +54,37 @@
 // connection to the one at addr tells of that upstream. It does if there is no other one.
 func (d *Dialer) reachesOther(ctx context.Context, service, addr string) bool {
 	others := append(d.pickOthers(service, addr, otherUpstreams), d.pickOthers("", addr, otherUpstreams)...)
-	results := make(chan bool, len(others))
-	for _, other := range others {
-		check := d.startCheck(ctx, d.directory.ServiceAt(other), other)
+	checks := make([]*attempt, len(others))
+	for i, other := range others {
+		checks[i] = d.startCheck(ctx, d.directory.ServiceAt(other), other)
+	}
+	return len(others) == 0 || d.anySucceeds(ctx, checks)
+}
+
+// reachesOtherServices reports whether this daemon reaches an upstream of another service than the given
+// one.
+func (d *Dialer) reachesOtherServices(ctx context.Context, service string) bool {
+	others := slices.DeleteFunc(d.directory.Addrs(""), func(addr string) bool { return d.directory.ServiceAt(addr) == service })
+	var checks []*attempt
+	for _, other := range d.pick(others, otherUpstreams) {
+		check := d.startDirect(ctx, d.directory.ServiceAt(other), other)
+		d.discard(check)
+		checks = append(checks, check)
+	}
+	return d.anySucceeds(ctx, checks)
+}
+
+// anySucceeds reports whether an attempt succeeds before the context ends.
+func (d *Dialer) anySucceeds(ctx context.Context, attempts []*attempt) bool {
+	results := make(chan bool, len(attempts))
+	for _, a := range attempts {
 		d.tasks.Start(context.WithoutCancel(ctx), "await check", func(context.Context) error {
-			<-check.done
-			results <- check.err == nil
+			<-a.done
+			results <- a.err == nil
 			return nil
 		})
 	}
-	for range others {
+	for range attempts {
 		select {
 		case reached := <-results:
 			if reached {
@@ -73,13 +94,17 @@
 			return false
 		}
 	}
-	return len(others) == 0
+	return false
 }
 
 // pickOthers returns up to n random upstreams of a service, or of all services if it is "", without the
 // one at addr.
-func (d *Dialer) pickOthers(service, addr string, n int) (picked []string) {
-	others := slices.DeleteFunc(d.directory.Addrs(service), func(other string) bool { return other == addr })
+func (d *Dialer) pickOthers(service, addr string, n int) []string {
+	return d.pick(slices.DeleteFunc(d.directory.Addrs(service), func(other string) bool { return other == addr }), n)
+}
+
+// pick returns up to n random elements. It changes the order of the given ones.
+func (d *Dialer) pick(others []string, n int) (picked []string) {
 	for len(picked) < n && len(others) > 0 {
 		i := d.random.IntN(len(others))
 		picked = append(picked, others[i])
--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -33,6 +33,7 @@
 	firstLostAt            spanrill.Millis // when the attempt at the first of lostInRow began
 	failingSince           spanrill.Millis // when the first of failedInRow failed
 	confirming             bool            // further upstreams are being tried because of failedInRow
+	confirmingAll          bool            // those of other services are
 	cut                    bool            // all upstreams of the service count as lost
 	cutSince               spanrill.Millis
 	helped                 map[string]int // connections since then by name of the helper
@@ -125,8 +126,7 @@
 	}
 	delete(s.lost, addr)
 	clear(s.lostInRow)
-	clear(s.failedInRow)
-	s.confirming = false
+	s.clearFailed()
 	if !s.cut {
 		return
 	}
@@ -163,34 +163,65 @@
 	return first && !cut
 }
 
+// failureCheck is what should be tried after a failed connection.
+type failureCheck uint8
+
+const (
+	checkNone          failureCheck = iota
+	checkOthers                     // other upstreams of the service
+	checkOtherServices              // upstreams of other services, see recordUnreached
+)
+
 // recordFailed records that neither this daemon nor a helper reached an upstream. Told is whether a
 // helper has tried. Many of these in a row mean a lost path if no upstream of any service was heard
-// meanwhile: the helpers may have lost theirs as well, or there are none. It reports whether
-// other upstreams of the service should be tried, which tell whether that is so.
-func (p *paths) recordFailed(service, addr string, told bool) (confirm bool) {
+// meanwhile and none is reached: the helpers may have lost theirs as well, or there are none. It returns
+// what should be tried to find out.
+func (p *paths) recordFailed(service, addr string, told bool) failureCheck {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	s, addrs := p.of(service), p.directory.Addrs(service)
 	if told {
 		delete(s.lost, addr)
 	}
 	if len(s.failedInRow) == 0 || p.directory.LastHeard() >= s.failingSince {
-		clear(s.failedInRow)
-		s.failingSince, s.confirming = p.clock.Now(), false
+		s.clearFailed()
+		s.failingSince = p.clock.Now()
 	}
 	s.failedInRow[addr] = true
-	cut := !s.cut && len(s.failedInRow) >= max(confirmFrom, min(minFailedInRow, len(addrs)))
 	switch {
-	case cut:
+	case s.cut || s.confirmingAll:
+		return checkNone
+	case len(s.failedInRow) >= max(confirmFrom, min(minFailedInRow, len(addrs))):
+		s.confirmingAll = true
+		return checkOtherServices
+	case !s.confirming && len(s.failedInRow) >= confirmFrom:
+		s.confirming = true
+		return checkOthers
+	}
+	return checkNone
+}
+
+// recordUnreached records whether this daemon reaches upstreams of other services after so many of a
+// service have failed that its path may be lost. If it does, those have failed themselves.
+func (p *paths) recordUnreached(service, addr string, reachesOthers bool) {
+	p.mu.Lock()
+	s := p.of(service)
+	cut := s.confirmingAll && !reachesOthers && !s.cut
+	if cut {
 		p.markCut(s, service, addr)
-	case !s.cut && !s.confirming && len(s.failedInRow) >= confirmFrom:
-		s.confirming, confirm = true, true
 	}
 	since := s.failingSince
+	s.clearFailed()
 	p.mu.Unlock()
 	if cut {
 		p.onLost(service, since)
 	}
-	return confirm
+}
+
+// clearFailed forgets the failures in a row.
+func (s *servicePaths) clearFailed() {
+	clear(s.failedInRow)
+	s.confirming, s.confirmingAll = false, false
 }
 
 // markCut records that the path to all upstreams of a service is lost. The caller holds the lock.
