--- a/coordination/reach/others.go
+++ b/coordination/reach/others.go
@@ -10,8 +10,8 @@
 )
 
 // DialForPeer connects to the upstream at an address for another daemon, over this daemon's own path
-// only. The error wraps spanrill.ErrNoPath if that path does not work either. While the connection is
-// late, other upstreams tell whether it does.
+// only. The error wraps spanrill.ErrNoPath if that path does not work either. If the connection fails,
+// other upstreams tell whether it does, and also if it is late and none was connected to lately.
 func (d *Dialer) DialForPeer(ctx context.Context, addr string) (net.Conn, error) {
 	service := d.directory.ServiceAt(addr)
 	if d.paths.isCut(service) {
@@ -28,7 +28,7 @@
 		d.discard(direct)
 		return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
 	}
-	if !d.reachesOtherSoon(ctx, service, addr, direct) {
+	if (direct.isDone() || d.clock.Now()-d.paths.connectedAt(service) > checkInterval) && !d.reachesOtherSoon(ctx, service, addr, direct) {
 		d.discard(direct)
 		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, direct.errNow())
 	}
--- a/coordination/reach/search.go
+++ b/coordination/reach/search.go
@@ -18,7 +18,7 @@
 	// maxAsked is the number of helpers that are asked for one connection.
 	maxAsked = 32
 	// maxAskedAtOnce is the number of helpers that are asked at a time. It grows from one with each helper
-	// that cannot help, since a second one that can opens a connection in vain.
+	// that cannot help or is late, since a second one that can opens a connection in vain.
 	maxAskedAtOnce = 4
 	// wantHelpers is the number of known helpers from which on no others are looked for.
 	wantHelpers = 4
@@ -73,7 +73,8 @@
 			}
 			s.recordFailure(a.err)
 		case <-d.clock.After(d.helpTime.bound(d.timeout)):
-			s.atOnce = s.running + 1
+			// Helpers that wait for a silent upstream are late too, so that more of them would not help.
+			s.atOnce = min(maxAskedAtOnce, s.running+1)
 		case <-ctx.Done():
 			s.discardOthers(nil)
 			return nil, fmt.Errorf("connect through other daemons: %w", ctx.Err())
--- a/coordination/reach/simfleet_test.go
+++ b/coordination/reach/simfleet_test.go
@@ -35,6 +35,8 @@
 	callTime spanrill.Millis // how long a call keeps its connection
 	requests int             // number of the last request
 	bytes    int             // of messages about helpers
+	silent   map[string]bool // upstreams that answer no connection, by address
+	dials    int             // direct connections that were asked for
 }
 
 // simDaemon is one daemon. It is a spanrill.UpstreamDirectory.
@@ -100,7 +102,7 @@
 		start := time.Now()
 		boot := func() time.Duration { return time.Since(start) }
 		ctx, cancel := context.WithCancel(context.Background())
-		f := &simFleet{T: t, clock: clock.NewSystem(clock.WithBootTime(boot)), random: rng.New(1), serviceOf: map[string]string{}, ctx: ctx, callTime: 100}
+		f := &simFleet{T: t, clock: clock.NewSystem(clock.WithBootTime(boot)), random: rng.New(1), serviceOf: map[string]string{}, silent: map[string]bool{}, ctx: ctx, callTime: 100}
 		f.pass(100 * spanrill.Second)
 		for i := range simUpstreams {
 			for _, service := range simServices {
--- a/coordination/reach/simnet_test.go
+++ b/coordination/reach/simnet_test.go
@@ -64,7 +64,11 @@
 // dialDirect connects to an upstream over the daemon's own path.
 func (d *simDaemon) dialDirect(ctx context.Context, _, addr string) (net.Conn, error) {
 	d.mu.Lock()
+	d.dials++
 	cut := d.cuts[d.serviceOf[addr]]
+	if d.silent[addr] {
+		cut = simSilent
+	}
 	d.mu.Unlock()
 	if cut == simLossy && (d.random.Float64() < 0.3 || d.random.Float64() < 0.3) {
 		cut = simSilent // a lost packet is sent again after a second
