--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -176,10 +176,15 @@
 		return nil
 	})
 	conn, err := d.first(ctx, addr, direct, help)
-	if err != nil && isNoHelp(help.errNow()) && !d.reachesOther(ctx, service, addr) {
-		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, err)
+	if err == nil || !isNoHelp(help.errNow()) || d.reachesOther(ctx, service, addr) {
+		return conn, err
 	}
-	return conn, err
+	// Helpers may have become known while the direct connection was awaited.
+	conn, helpErr := d.dialThroughHelper(ctx, service, addr)
+	if isNoHelp(helpErr) {
+		return nil, fmt.Errorf("connect to %s: %w: %v", addr, helpErr, err)
+	}
+	return conn, helpErr
 }
 
 // await returns the result of an attempt.
