--- a/coordination/relay/admit.go
+++ b/coordination/relay/admit.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"spanrill"
+	"spanrill/meter"
 	"spanrill/state/routes"
 )
 
@@ -31,6 +32,7 @@
 	if q.service == nil {
 		return spanrill.NewRefusal(spanrill.ReasonNoUpstream, "route %s has no service", q.route.Name).WithRetryAfter(notReadyRetryAfter)
 	}
+	r.Meters.RecordProofAge(meter.DecisionRoute, r.Config.Age())
 	return nil
 }
 
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -10,6 +10,7 @@
 
 	"spanrill"
 	"spanrill/events"
+	"spanrill/meter"
 )
 
 // errCallerLeft is the cancellation cause of a request whose caller has closed its connection.
@@ -23,6 +24,9 @@
 	r := q.relay
 	r.Meters.CountRefusal(refusal.Reason())
 	r.Meters.CountOutcome(refusal.Outcome())
+	if isFinalByConfig(refusal) {
+		r.Meters.RecordProofAge(meter.DecisionRefuse, r.Config.Age())
+	}
 	status := statusOf(refusal)
 	if q.hasRun.Load() && promisesNotRun(status) {
 		r.Meters.RefusedAfterRun.Inc()
@@ -44,6 +48,11 @@
 	}
 }
 
+// isFinalByConfig reports whether a refusal says that the configuration has no such route or key.
+func isFinalByConfig(refusal *spanrill.Refusal) bool {
+	return refusal.Reason() == spanrill.ReasonUnknownRoute || refusal.Reason() == spanrill.ReasonBadKey
+}
+
 // statusOf returns the status of a refusal. If the request may have run, 502 replaces a status that
 // promises the opposite.
 func statusOf(refusal *spanrill.Refusal) int {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -52,6 +52,19 @@
 	return all
 }
 
+// Decision is a kind of decision about a request that is made by the configuration.
+type Decision uint8
+
+const (
+	// DecisionRoute is the choice of the route, the service and the account of a request.
+	DecisionRoute Decision = iota
+	// DecisionRefuse is a final refusal, because there is no such route or key.
+	DecisionRefuse
+	decisionCount
+)
+
+var decisionNames = [decisionCount]string{"route", "refuse"}
+
 // Meters holds the metrics of one daemon.
 type Meters struct {
 	set      *metrics.Set
@@ -59,6 +72,8 @@
 	retries  [retryCount]*metrics.Counter
 	outcomes [3]*metrics.Counter // by spanrill.Outcome
 
+	proofAges [decisionCount]*metrics.Histogram
+
 	// Requests counts requests of callers.
 	Requests *metrics.Counter
 	// Tokens counts tokens delivered to callers.
@@ -149,6 +164,9 @@
 	for i, reason := range []string{"no_answer", "refused"} {
 		m.connectFailures[i] = s.NewCounter(fmt.Sprintf("spanrill_upstream_connect_failures_total{reason=%q}", reason))
 	}
+	for d, name := range decisionNames {
+		m.proofAges[d] = s.NewHistogram(fmt.Sprintf("spanrill_config_decision_proof_age_seconds{decision=%q}", name))
+	}
 	for o := range m.outcomes {
 		m.outcomes[o] = s.NewCounter(fmt.Sprintf("spanrill_outcomes_total{outcome=%q}", spanrill.Outcome(o)))
 	}
@@ -186,6 +204,11 @@
 // Retries returns the number of retries for the reason.
 func (m *Meters) Retries(r RetryReason) uint64 { return m.retries[r].Get() }
 
+// RecordProofAge records the age of the proof that the configuration is the newest, at a decision.
+func (m *Meters) RecordProofAge(d Decision, age spanrill.Millis) {
+	m.proofAges[d].Update(float64(age) / float64(spanrill.Second))
+}
+
 // CountOutcome counts the end of a request by its outcome.
 func (m *Meters) CountOutcome(o spanrill.Outcome) { m.outcomes[o].Inc() }
 
