gateway: Failing tests of decisions by a replaced configuration

Fleets of 6, 30 and 83 daemons are simulated under ten faults, in which the configuration changes every 0.4 s.

--- a/coordination/exchange/exchange_test.go
+++ b/coordination/exchange/exchange_test.go
@@ -333,3 +333,33 @@
 		t.Fatalf("the store has answered for %d ms as known here, want %d ms, as known to the peer, or up to 200 ms more", got, before)
 	}
 }
+
+// updatingClock calls update, once, when the time is read.
+type updatingClock struct {
+	*clock.Manual
+	update func()
+}
+
+func (c *updatingClock) Now() spanrill.Millis {
+	if update := c.update; update != nil {
+		c.update = nil
+		update()
+	}
+	return c.Manual.Now()
+}
+
+// Guards against news that vouches for a configuration with the confirmation of the one that replaces
+// it while the news is made.
+func TestNewsNamesTheConfirmedConfig(t *testing.T) {
+	manual := clock.NewManual()
+	manual.Advance(100_000)
+	c := &updatingClock{Manual: manual}
+	d := newDaemon(manual, "peer", nil)
+	config := routes.NewCurrent(c)
+	d.exchange.state.Config, d.config = config, config
+	d.setConfig(4, 40, manual.Now()-1000)
+	c.update = func() { d.setConfig(5, 50, manual.Now()) }
+	if news := d.exchange.HandleNewsRequest(&peermsg.NewsRequest{}); news.Revision == 40 && news.ConfigAge < 1000 {
+		t.Fatalf("news of revision %d with an age of %d ms, want at least 1000", news.Revision, news.ConfigAge)
+	}
+}
--- a/gateway/drainfleet_test.go
+++ b/gateway/drainfleet_test.go
@@ -54,7 +54,8 @@
 	dropsLarge  func(rank int, now spanrill.Millis) bool                     // answers with entries do not reach the daemon
 	restoredAt  spanrill.Millis                                              // when the removed entry is written again, or 0
 	drain       spanrill.Millis
-	uninformed  bool // a daemon cannot learn that the store answers others, so it continues to send
+	uninformed  bool            // a daemon cannot learn that the store answers others, so it continues to send
+	config      *configScenario // or nil if there is no configuration
 }
 
 // The times of a simulation. The revision of the store increases all the time, and another
@@ -82,14 +83,25 @@
 	member          peermsg.Member
 	clockLag        atomic.Int64
 	clockOffset     spanrill.Millis // differs for each daemon
-	entries         *follow.Follower
-	sentAt          spanrill.Millis // when the running or last store call was sent
-	callEnd         spanrill.Millis // when the running store call ends, or 0 if none runs
-	callErr         error           // error of the running or last store call
-	nextCheck       spanrill.Millis // next check whether entries have to be read
+	upstreamCalls   simCalls
+	configCalls     simCalls // only if the configuration changes in the scenario
+	startedAt       spanrill.Millis
 	nextRound       spanrill.Millis // next exchange round
 	nextMaintenance spanrill.Millis
 	maxEntryAge     spanrill.Millis // maximum age of the entries
+	decisions       simDecisions
+}
+
+// simCalls are the store calls of one follower of a daemon.
+type simCalls struct {
+	*follow.Follower
+	isInitialized func() bool
+	pollDelay     func() spanrill.Millis
+	callTimeout   func() spanrill.Millis // of a call that follows a successful one
+	sentAt        spanrill.Millis        // when the running or last call was sent
+	callEnd       spanrill.Millis        // when the running call ends, or 0 if none runs
+	callErr       error                  // error of the running or last call
+	nextCheck     spanrill.Millis        // next check whether a call is due
 }
 
 func (d *drainDaemon) Now() spanrill.Millis {
@@ -103,13 +115,13 @@
 
 func (d *drainDaemon) List(context.Context) ([]spanrill.Item, uint64, error) {
 	items := []spanrill.Item{simItem(simRemoved, 1, false), simItem(simLeaving, 1, false), simItem(simStaying, 1, false)}
-	return items, simRevisionAt(d.sentAt), d.callErr
+	return items, simRevisionAt(d.upstreamCalls.sentAt), d.upstreamCalls.callErr
 }
 
 func (d *drainDaemon) Watch(_ context.Context, after uint64, _ spanrill.Millis) ([]spanrill.Change, uint64, error) {
 	var changes []spanrill.Change
 	add := func(at spanrill.Millis, c spanrill.Change) {
-		if at <= d.sentAt && c.Revision > after {
+		if at <= d.upstreamCalls.sentAt && c.Revision > after {
 			changes = append(changes, c)
 		}
 	}
@@ -123,7 +135,7 @@
 		add(restoredAt, spanrill.Change{Item: simItem(simRemoved, simRevisionAt(restoredAt), false)})
 	}
 	sort.SliceStable(changes, func(i, k int) bool { return changes[i].Revision < changes[k].Revision })
-	return changes, simRevisionAt(d.sentAt), d.callErr
+	return changes, simRevisionAt(d.upstreamCalls.sentAt), d.upstreamCalls.callErr
 }
 
 func simRevisionAt(t spanrill.Millis) uint64 { return uint64(t / simRevisionInterval) }
@@ -208,23 +220,46 @@
 
 func (f *drainFleet) add(m peermsg.Member, i int, log *logrus.Logger) *drainDaemon {
 	d := &drainDaemon{fleet: f, member: m, clockOffset: spanrill.Millis(i) * 977}
-	seed := f.scenario.seed<<20 + uint64(i)
+	d.start(f.scenario.seed<<20+uint64(i), log)
+	return d
+}
+
+// start builds the daemon's components, which know nothing yet.
+func (d *drainDaemon) start(seed uint64, log *logrus.Logger) {
+	m, sc := d.member, d.fleet.scenario
 	g := &Gateway{clock: d, log: logrus.NewEntry(log), random: rng.New(seed), settings: settings.Gateway{}}
-	g.settings.Bounds.Drain, g.settings.Bounds.Revoke = f.scenario.drain, 5*spanrill.Second
+	g.settings.Bounds.Drain, g.settings.Bounds.Revoke = sc.drain, simRevoke
 	g.peers = &peers{gateway: g, name: m.Name, list: membership.New(m, d, func(string, *peermsg.Gossip) error { return nil }, membership.WithLogger(log))}
 	g.config = routes.NewCurrent(d)
-	g.fleet = fleet.New(d, simDecode, fleet.WithLogger(log), fleet.WithDrain(f.scenario.drain))
+	g.fleet = fleet.New(d, simDecode, fleet.WithLogger(log), fleet.WithDrain(sc.drain))
+	g.adapter = Adapter{ConfigName: "main", DecodeConfig: startDecode}
+	g.startedAt = d.Now()
 	g.exchange = exchange.New(d, exchange.State{
-		Name: m.Name, Config: g.config, Fleet: g.fleet, Budgets: retry.NewBudgets(d, retry.Limits{}, assumedDaemons),
+		Name: m.Name, Config: g.config, Fleet: g.fleet, Budgets: retry.NewBudgets(d, retry.Limits{}, assumedDaemons), Decode: startDecode,
 		HoldsPlacement: func() bool { return false }, Leaving: func() bool { return false }, StoreSilent: g.storeSilent, LateRounds: g.lateRounds,
 		Targets: func() map[string]fleet.Target { return nil }, Lease: lease.New(nil, d, "placement", m.Name),
 		Suspects: suspect.New(d),
 	}, d, log, rng.New(seed+1000))
+	options := []follow.Option{
+		follow.WithPollDelay(func() spanrill.Millis { return 0 }), follow.WithJitter(g.random.Float64), follow.WithMaxRetryDelay(g.maxRetryPause), follow.WithLogger(log, "simulated"),
+	}
 	g.configFollower = follow.New(d, d, g.fleet)
-	g.upstreamFollower = follow.New(d, d, g.fleet, follow.WithPollDelay(func() spanrill.Millis { return 0 }), follow.WithKnownRevision(g.fleet.Revision),
-		follow.WithJitter(g.random.Float64), follow.WithMaxRetryDelay(g.maxRetryPause), follow.WithLogger(log, "upstreams"))
+	g.upstreamFollower = follow.New(d, d, g.fleet, append(options, follow.WithKnownRevision(g.fleet.Revision))...)
 	d.Gateway = g
-	return d
+	d.upstreamCalls = simCalls{Follower: g.upstreamFollower, isInitialized: d.hasEntries, pollDelay: g.upstreamsPollDelay, callTimeout: g.upstreamsCallTimeout}
+	if sc.config != nil {
+		g.configFollower = follow.New(simConfigStore{d}, d, configSink{g}, append(options, follow.WithKnownRevision(g.config.Revision))...)
+		d.configCalls = simCalls{Follower: g.configFollower, isInitialized: d.hasConfig, pollDelay: g.configPollDelay, callTimeout: simConfigCallTimeout}
+	}
+}
+
+func (d *drainDaemon) hasEntries() bool {
+	select {
+	case <-d.Gateway.fleet.Ready():
+		return true
+	default:
+		return false
+	}
 }
 
 // run advances the time to the end. It returns how long after the engines left a daemon would last
@@ -278,7 +313,10 @@
 	if _, _, age := d.Gateway.fleet.Freshness(); now > simStart+2*spanrill.Second {
 		d.maxEntryAge = max(d.maxEntryAge, age)
 	}
-	d.callStore(now)
+	d.callStore(&d.upstreamCalls, now)
+	if d.configCalls.Follower != nil {
+		d.callStore(&d.configCalls, now)
+	}
 	if now >= d.nextRound {
 		d.clockLag.Store(int64(d.fleet.scenario.answerDelay(d.rank)))
 		d.exchange.Round(context.Background())
@@ -292,31 +330,29 @@
 }
 
 // callStore starts a store call when one is due, and completes it when its duration has passed.
-func (d *drainDaemon) callStore(now spanrill.Millis) {
-	if d.callEnd == 0 && now >= d.nextCheck {
-		select {
-		case <-d.Gateway.fleet.Ready():
-			if pause := d.upstreamsPollDelay(); pause > 0 {
-				d.nextCheck = now + pause
+func (d *drainDaemon) callStore(c *simCalls, now spanrill.Millis) {
+	if c.callEnd == 0 && now >= c.nextCheck {
+		if c.isInitialized() {
+			if pause := c.pollDelay(); pause > 0 {
+				c.nextCheck = now + pause
 				return
 			}
-		default:
 		}
 		duration, err := d.fleet.scenario.storeCall(d.rank, now)
-		if limit := d.upstreamsCallTimeout(); d.callErr == nil && duration > limit {
+		if limit := c.callTimeout(); c.callErr == nil && duration > limit {
 			duration, err = limit, context.DeadlineExceeded
 		}
 		d.fleet.storeCalls++
-		d.sentAt, d.callEnd, d.callErr = now, now+duration, err
+		c.sentAt, c.callEnd, c.callErr = now, now+duration, err
 	}
-	if d.callEnd == 0 || now < d.callEnd {
+	if c.callEnd == 0 || now < c.callEnd {
 		return
 	}
-	d.recordStoreCall("GET", d.callErr)
-	d.clockLag.Store(int64(now - d.sentAt))
-	pause := d.upstreamFollower.Step(context.Background())
+	d.recordStoreCall("GET", c.callErr)
+	d.clockLag.Store(int64(now - c.sentAt))
+	pause := c.Step(context.Background())
 	d.clockLag.Store(0)
-	d.callEnd, d.nextCheck = 0, now+pause
+	c.callEnd, c.nextCheck = 0, now+pause
 }
 
 // maxEntryAge returns the maximum age that the entries of a daemon reached, without excluded daemons.
--- a/state/routes/routes_test.go
+++ b/state/routes/routes_test.go
@@ -110,3 +110,18 @@
 		t.Fatalf("the age is %d ms after another 5 s, want 5300", got)
 	}
 }
+
+// Guards against a daemon that has just started and takes a confirmation from before its start for one
+// at its start.
+func TestAgeOfConfirmationBeforeTheStart(t *testing.T) {
+	manual := clock.NewManual()
+	c := NewCurrent(manual)
+	manual.Advance(100)
+	c.Update(newTable(1), nil, 7)
+	for _, confirmedAt := range []spanrill.Millis{-3900, -5000} {
+		c.ConfirmUnchanged(7, confirmedAt)
+		if got := c.Age(); got != 4000 {
+			t.Fatalf("the age is %d ms, want 4000", got)
+		}
+	}
+}
