routes, fleet: A confirmation from before the start keeps its age

The time of the latest confirmation was 0 for "never", on a clock that counts from the start of the process, and an earlier time had no effect. A daemon that has just started and takes the configuration from a peer believed that it was proved at the start, however old the peer's proof was, sent and refused by it, and passed the wrong proof on. The entries of upstreams had the same fault.

--- a/coordination/exchange/packed.go
+++ b/coordination/exchange/packed.go
@@ -63,13 +63,13 @@
 // HandleRouteConfigRequest answers a peer's request for the configuration. A configuration of 250
 // routes takes 52 KB, which is 21 ms on the slowest links; compressed it takes a tenth of that.
 func (e *Exchange) HandleRouteConfigRequest() *peermsg.RouteConfig {
-	revision := e.state.Config.Revision()
-	v, err := e.packedConfig.get(revision, 0, func() ([]byte, uint64, error) { return e.state.Config.Raw(), 0, nil })
+	config := e.state.Config.Snapshot()
+	v, err := e.packedConfig.get(config.Revision(), 0, func() ([]byte, uint64, error) { return config.Raw(), 0, nil })
 	if err != nil {
-		events.ConfigRejected.Log(e.log, logrus.Fields{"revision": revision, "error": err})
+		events.ConfigRejected.Log(e.log, logrus.Fields{"revision": config.Revision(), "error": err})
 		return &peermsg.RouteConfig{}
 	}
-	return &peermsg.RouteConfig{Revision: revision, Value: v.value}
+	return &peermsg.RouteConfig{Revision: config.Revision(), Value: v.value}
 }
 
 // HandleEntriesRequest answers a peer's request for the entries of upstreams with those that have
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -26,6 +26,7 @@
 		return 0, false
 	}
 	_, _, age := g.fleet.Freshness()
+	age = min(age, now-g.startedAt) // before its start it could not hear of a holder
 	wasLastHolder := now-spanrill.Millis(g.leaseHeldAt.Load()) < holderGrace
 	return 0, age > outageAge && wasLastHolder || age > takeoverAge && g.peers.rank("placement") == 0
 }
--- a/millis.go
+++ b/millis.go
@@ -11,6 +11,10 @@
 // Minute is one minute in milliseconds.
 const Minute = 60 * Second
 
+// Never is the time of something that has not happened. It is long before all times on a process's
+// clock, also those before its start, so that the time since then exceeds every bound.
+const Never Millis = -1 << 60
+
 // Duration returns m as a duration of the standard library.
 func (m Millis) Duration() time.Duration {
 	return time.Duration(m) * time.Millisecond
--- a/state/fleet/available.go
+++ b/state/fleet/available.go
@@ -9,9 +9,6 @@
 	from, to spanrill.Millis // when the first and the last of the reads were sent
 }
 
-// neverAvailable is long before a daemon starts.
-const neverAvailable = -1000 * spanrill.Second
-
 // merge extends the span by another one unless pause or more lies between them. In that case the
 // later one of the two remains.
 func (a *availableSpan) merge(other availableSpan, pause spanrill.Millis) {
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -68,7 +68,7 @@
 	version           uint64
 	revision          uint64          // revision of the store up to which all entries are known
 	lastChange        uint64          // nothing changed after this revision, up to revision
-	confirmedAt       spanrill.Millis // when the latest read that confirmed the entries was sent
+	confirmedAt       spanrill.Millis // when the latest read that confirmed the entries was sent, or spanrill.Never
 	ready             chan struct{}
 	readyOnce         sync.Once
 	holdDuration      spanrill.Millis // hold time of a removed entry that may have expired
@@ -123,7 +123,8 @@
 	}
 	t.logLimits = newLogLimits(clock)
 	t.lastStoreFailure.Store(-int64(storeFailureMemory) * 2)
-	t.storeAvailable = availableSpan{from: neverAvailable, to: neverAvailable}
+	t.confirmedAt = spanrill.Never
+	t.storeAvailable = availableSpan{from: spanrill.Never, to: spanrill.Never}
 	for _, o := range opts {
 		o(t)
 	}
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -281,7 +281,7 @@
 		{"reported span before a break", availableSpan{5000, 9000}, availableSpan{2000, 4000}, availableSpan{5000, 9000}},
 		{"reported span after a break", availableSpan{5000, 9000}, availableSpan{10_000, 11_000}, availableSpan{10_000, 11_000}},
 		{"reported span extends the known one", availableSpan{5000, 9000}, availableSpan{9999, 11_000}, availableSpan{5000, 11_000}},
-		{"no known span", availableSpan{neverAvailable, neverAvailable}, availableSpan{9999, 11_000}, availableSpan{9999, 11_000}},
+		{"no known span", availableSpan{spanrill.Never, spanrill.Never}, availableSpan{9999, 11_000}, availableSpan{9999, 11_000}},
 		{"reported span ends before it begins, after a slow answer", availableSpan{5000, 9000}, availableSpan{10_100, 10_000}, availableSpan{5000, 9000}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -297,3 +297,15 @@
 func newTestUpstream(e spanrill.EngineEntry, restarts int) *Upstream {
 	return New(clock.NewManual(), nil).newUpstream(e, restarts)
 }
+
+// Guards against a daemon that has just started and takes entries that a peer confirmed before that
+// start for entries confirmed at the start.
+func TestAgeOfEntriesConfirmedBeforeTheStart(t *testing.T) {
+	manual := clock.NewManual()
+	table := New(manual, nil)
+	manual.Advance(100)
+	table.Merge(Update{Revision: 7, LastChange: 7}, -3900)
+	if _, _, age := table.Freshness(); age != 4000 {
+		t.Fatalf("the age is %d ms, want 4000", age)
+	}
+}
--- a/state/routes/current.go
+++ b/state/routes/current.go
@@ -11,61 +11,76 @@
 // confirmed to be the newest. A table is never replaced by an older one.
 //
 // A read of the store, by this process or by a peer, confirms the table. The time of the
-// confirmation is when the read was sent, on this process's monotonic clock.
+// confirmation is when the read was sent, on this process's monotonic clock. It may be before the start
+// of the process, and is spanrill.Never before the first confirmation.
 type Current struct {
 	clock spanrill.Clock
 
-	mu          sync.Mutex
-	table       atomic.Pointer[Table]
-	revision    atomic.Uint64
-	ignored     atomic.Uint64 // highest revision that Update has ignored
-	raw         atomic.Pointer[[]byte]
-	confirmedAt atomic.Int64 // spanrill.Millis
-	ready       chan struct{}
+	mu       sync.Mutex
+	snapshot atomic.Pointer[Snapshot]
+	unusable atomic.Uint64 // highest revision that is known to exist but cannot replace the table
+	ready    chan struct{}
 }
 
+// Snapshot is a table and its latest confirmation, as they stood at one moment.
+type Snapshot struct {
+	table       *Table
+	raw         []byte
+	revision    uint64
+	confirmedAt spanrill.Millis
+}
+
+// Table returns the table, or nil before the first.
+func (s *Snapshot) Table() *Table { return s.table }
+
+// Revision returns the store's revision of the table, or 0 before the first.
+func (s *Snapshot) Revision() uint64 { return s.revision }
+
+// Raw returns the configuration as encoded in the store, or nil before the first.
+func (s *Snapshot) Raw() []byte { return s.raw }
+
+// ConfirmedAt returns the time of the latest confirmation on this process's clock, or spanrill.Never
+// before the first.
+func (s *Snapshot) ConfirmedAt() spanrill.Millis { return s.confirmedAt }
+
 // NewCurrent returns a Current without a table.
 func NewCurrent(clock spanrill.Clock) *Current {
-	return &Current{clock: clock, ready: make(chan struct{})}
+	c := &Current{clock: clock, ready: make(chan struct{})}
+	c.snapshot.Store(&Snapshot{confirmedAt: spanrill.Never})
+	return c
 }
 
+// Snapshot returns the newest table together with its confirmation. Whoever tells others of both, or
+// decides by both, must read them in this one step.
+func (c *Current) Snapshot() *Snapshot { return c.snapshot.Load() }
+
 // Table returns the newest table, or nil before the first.
-func (c *Current) Table() *Table { return c.table.Load() }
+func (c *Current) Table() *Table { return c.Snapshot().table }
 
 // Revision returns the store's revision of the newest table, or 0 before the first.
-func (c *Current) Revision() uint64 { return c.revision.Load() }
+func (c *Current) Revision() uint64 { return c.Snapshot().revision }
 
 // Handled reports whether Update has already accepted or ignored this or a later revision.
 func (c *Current) Handled(revision uint64) bool {
-	return revision <= max(c.revision.Load(), c.ignored.Load())
-}
-
-// Raw returns the newest configuration as encoded in the store, for peers. It is nil before the
-// first.
-func (c *Current) Raw() []byte {
-	if raw := c.raw.Load(); raw != nil {
-		return *raw
-	}
-	return nil
+	return revision <= max(c.Revision(), c.unusable.Load())
 }
 
 // Ready returns a channel that is closed once there is a table.
 func (c *Current) Ready() <-chan struct{} { return c.ready }
 
 // Update replaces the table if t is newer, and reports whether it did. A newer one has a higher
-// revision, and a version that is not lower.
+// revision, and a version that is not lower. The latest confirmation remains: what was the newest then
+// is not newer than t.
 func (c *Current) Update(t *Table, raw []byte, revision uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old := c.table.Load()
-	if old != nil && (revision <= c.revision.Load() || t.Version() < old.Version()) {
-		c.ignored.Store(max(c.ignored.Load(), revision))
+	old := c.Snapshot()
+	if old.table != nil && (revision <= old.revision || t.Version() < old.table.Version()) {
+		c.unusable.Store(max(c.unusable.Load(), revision))
 		return false
 	}
-	c.table.Store(t)
-	c.raw.Store(&raw)
-	c.revision.Store(revision)
-	if old == nil {
+	c.snapshot.Store(&Snapshot{table: t, raw: raw, revision: revision, confirmedAt: old.confirmedAt})
+	if old.table == nil {
 		close(c.ready)
 	}
 	return true
@@ -76,17 +91,18 @@
 func (c *Current) ConfirmUnchanged(revision uint64, checkedAt spanrill.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.table.Load() == nil || revision != c.revision.Load() {
+	old := c.Snapshot()
+	if old.table == nil || revision != old.revision || checkedAt <= old.confirmedAt {
 		return
 	}
-	if int64(checkedAt) > c.confirmedAt.Load() {
-		c.confirmedAt.Store(int64(checkedAt))
-	}
+	confirmed := *old
+	confirmed.confirmedAt = checkedAt
+	c.snapshot.Store(&confirmed)
 }
 
-// ConfirmedAt returns the time of the latest confirmation on this process's clock, or 0 before the
-// first.
-func (c *Current) ConfirmedAt() spanrill.Millis { return spanrill.Millis(c.confirmedAt.Load()) }
+// ConfirmedAt returns the time of the latest confirmation on this process's clock, or spanrill.Never
+// before the first.
+func (c *Current) ConfirmedAt() spanrill.Millis { return c.Snapshot().confirmedAt }
 
-// Age returns the time since the latest confirmation.
+// Age returns the time since the latest confirmation. Before the first it exceeds every bound.
 func (c *Current) Age() spanrill.Millis { return c.clock.Now() - c.ConfirmedAt() }
