exchange: A peer's news names the configuration that its proof is for

The revision and the age of its confirmation were read one after the other: when a newer configuration was put in force and confirmed in between, the news vouched for the older one with the proof of the newer one. An answer with the configuration itself came without a proof, so that the proof of a configuration that a peer took between two messages waited for the next round.

A peer of an earlier release sends none, and then confirms nothing.

--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -296,8 +296,9 @@
 // HandleNewsRequest answers a peer's request for news, and merges the sums and placement orders in
 // the request.
 func (e *Exchange) HandleNewsRequest(req *peermsg.NewsRequest) *peermsg.News {
+	config := e.state.Config.Snapshot()
 	reply := &peermsg.News{
-		Name: e.state.Name, Revision: e.state.Config.Revision(), ConfigAge: e.state.Config.Age(),
+		Name: e.state.Name, Revision: config.Revision(), ConfigAge: e.clock.Now() - config.ConfirmedAt(),
 		Placement: e.placementNews(knownOrders{req.Holder, req.Sequence}), Leaving: e.state.Leaving(), StoreSilent: e.state.StoreSilent(),
 	}
 	reply.UpstreamsRevision, reply.UpstreamsLastChange, reply.UpstreamsAge = e.state.Fleet.Freshness()
--- a/coordination/exchange/fetch.go
+++ b/coordination/exchange/fetch.go
@@ -86,6 +86,7 @@
 
 // fetchConfig fetches a newer configuration from a peer.
 func (e *Exchange) fetchConfig(ctx context.Context, member peermsg.Member) error {
+	sentAt := e.clock.Now()
 	var reply peermsg.RouteConfig
 	if err := e.peers.Request(ctx, member.PeerAddr, uint8(peermsg.KindRouteConfig), nil, &reply); err != nil {
 		return err
@@ -102,5 +103,8 @@
 	if e.state.Config.Update(routes.New(config), value, reply.Revision) {
 		events.ConfigFromPeer.Log(e.log, logrus.Fields{"peer": member.Name, "revision": reply.Revision, "config": config.Version})
 	}
+	if reply.Confirmed {
+		e.state.Config.ConfirmUnchanged(reply.Revision, sentAt-reply.Age)
+	}
 	return nil
 }
--- a/coordination/exchange/packed.go
+++ b/coordination/exchange/packed.go
@@ -9,6 +9,7 @@
 	"github.com/klauspost/compress/flate"
 	"github.com/sirupsen/logrus"
 
+	"spanrill"
 	"spanrill/events"
 	"spanrill/protocol/peermsg"
 )
@@ -69,7 +70,11 @@
 		events.ConfigRejected.Log(e.log, logrus.Fields{"revision": config.Revision(), "error": err})
 		return &peermsg.RouteConfig{}
 	}
-	return &peermsg.RouteConfig{Revision: config.Revision(), Value: v.value}
+	reply := &peermsg.RouteConfig{Revision: config.Revision(), Value: v.value}
+	if at := config.ConfirmedAt(); at != spanrill.Never {
+		reply.Confirmed, reply.Age = true, e.clock.Now()-at
+	}
+	return reply
 }
 
 // HandleEntriesRequest answers a peer's request for the entries of upstreams with those that have
