gateway: Confirm the configuration by whole answers only

The newest readable configuration of an answer is the only one that is decoded and put in force, and it is confirmed afterwards. An answer that is older than the configuration, and one with a newer configuration that cannot be read or is ignored, confirm nothing; a later one that can be read ends that. An ignored configuration is logged (211).

--- a/coordination/exchange/fetch.go
+++ b/coordination/exchange/fetch.go
@@ -102,6 +102,8 @@
 	}
 	if e.state.Config.Update(routes.New(config), value, reply.Revision) {
 		events.ConfigFromPeer.Log(e.log, logrus.Fields{"peer": member.Name, "revision": reply.Revision, "config": config.Version})
+	} else if known := e.state.Config.Revision(); reply.Revision > known {
+		events.ConfigIgnored.Log(e.log, logrus.Fields{"peer": member.Name, "revision": reply.Revision, "config": config.Version, "known": known})
 	}
 	if reply.Confirmed {
 		e.state.Config.ConfirmUnchanged(reply.Revision, sentAt-reply.Age)
--- a/events/events.go
+++ b/events/events.go
@@ -73,6 +73,7 @@
 	ConfigFresh           = define(208, logrus.InfoLevel, "configuration confirmed as current")
 	KeysWithdrawn         = define(209, logrus.InfoLevel, "keys withdrawn by a configuration")
 	ConfigImplausible     = define(210, logrus.WarnLevel, "configuration has an implausible value, using the observed one")
+	ConfigIgnored         = define(211, logrus.WarnLevel, "configuration with a lower version ignored")
 )
 
 // The platform, 300 to 399.
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+
 	"github.com/sirupsen/logrus"
 
 	"spanrill"
@@ -15,47 +17,55 @@
 // requested.
 func (s configSink) HandleList(items []spanrill.Item, _ uint64, sentAt spanrill.Millis) {
 	for _, item := range items {
-		if known := s.g.config.Revision(); item.Name == s.g.adapter.ConfigName && item.Revision < known {
+		if item.Name != s.g.adapter.ConfigName {
+			continue
+		}
+		if known := s.g.config.Revision(); item.Revision < known {
 			events.ListOutdated.Log(s.g.log, logrus.Fields{"collection": "configuration", "revision": item.Revision, "known": known})
 		}
-		s.apply(item, sentAt)
+		s.apply(item)
+		s.g.config.ConfirmUnchanged(item.Revision, sentAt)
 	}
 }
 
-// HandleChanges applies a new configuration, and confirms that the current one was the newest at
-// sentAt, when the changes were requested. A configuration of another era than revision is not
-// confirmed, because a restored store may lack it.
+// HandleChanges applies the newest configuration among the changes up to a revision of the store, and
+// confirms that it, or the current one if there is none, was the newest at sentAt, when the changes were
+// requested. An answer from before the current configuration, or of another era, confirms nothing.
 func (s configSink) HandleChanges(changes []spanrill.Change, revision uint64, sentAt spanrill.Millis) {
-	for _, c := range changes {
-		if !c.Deleted {
-			s.apply(c.Item, sentAt)
+	for _, c := range slices.Backward(changes) {
+		if c.Name == s.g.adapter.ConfigName && !c.Deleted && s.apply(c.Item) {
+			break
 		}
 	}
-	current := s.g.config
-	if spanrill.EraOf(revision) == spanrill.EraOf(current.Revision()) {
-		current.ConfirmUnchanged(current.Revision(), sentAt)
+	current := s.g.config.Revision()
+	if revision >= current && spanrill.EraOf(revision) == spanrill.EraOf(current) {
+		s.g.config.ConfirmUnchanged(current, sentAt)
 	}
 }
 
-func (s configSink) apply(item spanrill.Item, sentAt spanrill.Millis) {
+// apply puts a configuration in force if it is newer, and reports whether it could be read.
+func (s configSink) apply(item spanrill.Item) bool {
 	g := s.g
-	if item.Name != g.adapter.ConfigName {
-		return
+	if item.Revision <= g.config.Revision() {
+		return true
 	}
 	config, err := g.adapter.DecodeConfig(item.Value)
 	if err != nil {
+		g.config.RecordUnusable(item.Revision)
 		events.ConfigRejected.Log(g.log, logrus.Fields{"revision": item.Revision, "error": err})
-		return
+		return false
 	}
 	previous := g.config.Table()
-	if g.config.Update(routes.New(config), item.Value, item.Revision) {
-		events.ConfigActivated.Log(g.log, logrus.Fields{
-			"config": config.Version, "revision": item.Revision, "routes": len(config.Routes),
-			"services": len(config.Services), "accounts": len(config.Accounts), "bytes": len(item.Value),
-		})
-		g.logWithdrawnKeys(previous)
+	if !g.config.Update(routes.New(config), item.Value, item.Revision) {
+		events.ConfigIgnored.Log(g.log, logrus.Fields{"config": config.Version, "revision": item.Revision, "known": g.config.Revision()})
+		return true
 	}
-	g.config.ConfirmUnchanged(item.Revision, sentAt)
+	events.ConfigActivated.Log(g.log, logrus.Fields{
+		"config": config.Version, "revision": item.Revision, "routes": len(config.Routes),
+		"services": len(config.Services), "accounts": len(config.Accounts), "bytes": len(item.Value),
+	})
+	g.logWithdrawnKeys(previous)
+	return true
 }
 
 // logWithdrawnKeys logs how many keys a new configuration has removed.
--- a/state/routes/current.go
+++ b/state/routes/current.go
@@ -76,7 +76,7 @@
 	defer c.mu.Unlock()
 	old := c.Snapshot()
 	if old.table != nil && (revision <= old.revision || t.Version() < old.table.Version()) {
-		c.unusable.Store(max(c.unusable.Load(), revision))
+		c.recordUnusable(revision)
 		return false
 	}
 	c.snapshot.Store(&Snapshot{table: t, raw: raw, revision: revision, confirmedAt: old.confirmedAt})
@@ -86,13 +86,26 @@
 	return true
 }
 
+// RecordUnusable records that the store has a revision that cannot be put in force. Until Update
+// accepts a later one, the table is not the newest version and cannot be confirmed.
+func (c *Current) RecordUnusable(revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordUnusable(revision)
+}
+
+func (c *Current) recordUnusable(revision uint64) {
+	c.unusable.Store(max(c.unusable.Load(), revision))
+}
+
 // ConfirmUnchanged records that the newest version in the store had the given revision at
-// checkedAt. It has no effect if the table has another revision or was confirmed later.
+// checkedAt. It has no effect if the table has another revision or was confirmed later, or if a later
+// revision is known.
 func (c *Current) ConfirmUnchanged(revision uint64, checkedAt spanrill.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.Snapshot()
-	if old.table == nil || revision != old.revision || checkedAt <= old.confirmedAt {
+	if old.table == nil || revision != old.revision || checkedAt <= old.confirmedAt || c.unusable.Load() > revision {
 		return
 	}
 	confirmed := *old
