follow: Answers from behind are failed calls

Where no answer confirmed anything, as after a store was restored to a lower version, the next poll followed at once, as fast as the store answers.

Such answers are counted as failed calls, with the pauses of those, so that others ask in this daemon's place. Polls are at least 100 ms apart.

--- a/state/follow/follow.go
+++ b/state/follow/follow.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -44,13 +45,15 @@
 	maxRetryDelay    func() spanrill.Millis // longest pause between failed calls
 	firstCallTimeout func() spanrill.Millis // of a watch that follows a successful call, or nil
 	listDelay        func() spanrill.Millis // 0 once the collection may be listed
+	wake             chan struct{}          // ends the pause between two calls
 	primary          *Follower              // finds the store again after an outage, or nil
 
 	revision     uint64
 	listed       bool
 	relisting    bool // the store no longer had the history to watch
 	outageLogged bool
-	failures     int // failed calls since the last success
+	failures     int             // failed calls since the last success
+	watchedAt    spanrill.Millis // when the last watch was sent, or spanrill.Never
 
 	failing         atomic.Bool  // the last call failed
 	unansweredSince atomic.Int64 // when the first call since the last answer was sent, or answered
@@ -147,6 +150,8 @@
 	InitialRetryDelay spanrill.Millis = 100
 	// primaryCheckInterval is the pause between checks whether the primary's calls still fail.
 	primaryCheckInterval spanrill.Millis = 20
+	// minPollInterval is the least time between two polls, for a sink that an answer does not satisfy.
+	minPollInterval spanrill.Millis = 100
 	// MaxRetryDelay bounds the pause between failed calls. It is a fraction of the age that the
 	// configuration may have for requests with a key.
 	MaxRetryDelay spanrill.Millis = 400
@@ -159,6 +164,7 @@
 		watchTimeout: defaultWatchTimeout, jitter: func() float64 { return 0 }, knownRevision: func() uint64 { return 0 },
 		maxRetryDelay: func() spanrill.Millis { return MaxRetryDelay },
 		listDelay:     func() spanrill.Millis { return 0 },
+		wake:          make(chan struct{}, 1), watchedAt: spanrill.Never,
 	}
 	f.unansweredSince.Store(answered)
 	for _, o := range opts {
@@ -174,14 +180,33 @@
 		if pause <= 0 {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-f.clock.After(pause):
-		}
+		f.pause(ctx, pause)
 	}
 	return ctx.Err()
 }
 
+// pause waits for d. After a successful call, Wake ends it.
+func (f *Follower) pause(ctx context.Context, d spanrill.Millis) {
+	wake := f.wake
+	if f.failures > 0 {
+		wake = nil
+	}
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-f.clock.After(d):
+	}
+}
+
+// Wake makes the follower check at once whether a call is due. It has no effect on the pause after a
+// failed call, and it is safe for concurrent use.
+func (f *Follower) Wake() {
+	select {
+	case f.wake <- struct{}{}:
+	default: // it is already awake
+	}
+}
+
 // Step makes one call and returns how long to pause before the next.
 func (f *Follower) Step(ctx context.Context) spanrill.Millis {
 	if !f.listed && f.failures == 0 && !f.relisting {
@@ -190,7 +215,11 @@
 		}
 	}
 	if f.pollDelay != nil && f.listed {
-		if pause := f.pollDelay(); pause > 0 {
+		pause := f.pollDelay()
+		if f.failures == 0 {
+			pause = max(pause, f.watchedAt+minPollInterval-f.clock.Now())
+		}
+		if pause > 0 {
 			return pause
 		}
 	}
@@ -247,26 +276,45 @@
 }
 
 func (f *Follower) list(ctx context.Context, sentAt spanrill.Millis) error {
+	known := f.knownRevision()
 	items, revision, err := f.source.List(ctx)
 	if err != nil {
 		return err
 	}
+	if err := checkNotBehind(revision, known); err != nil {
+		return fmt.Errorf("list %s: %w", f.name, err)
+	}
 	f.revision, f.listed = revision, true
 	f.sink.HandleList(items, revision, sentAt)
 	return nil
 }
 
 func (f *Follower) watch(ctx context.Context, sentAt spanrill.Millis) (changed bool, err error) {
-	f.revision = max(f.revision, f.knownRevision())
+	f.revision, f.watchedAt = max(f.revision, f.knownRevision()), sentAt
 	changes, revision, err := f.source.Watch(ctx, f.revision, f.watchTimeout)
 	if err != nil {
 		return false, err
 	}
+	if err := checkNotBehind(revision, f.revision); err != nil {
+		return false, fmt.Errorf("watch %s: %w", f.name, err)
+	}
 	f.revision = max(f.revision, revision)
 	f.sink.HandleChanges(changes, revision, sentAt)
 	return len(changes) > 0, nil
 }
 
+// errBehind means that an answer is older than what was known when it was requested.
+var errBehind = errors.New("answer of the store is out of date")
+
+// checkNotBehind returns an error if an answer of the store as of a revision is older than a revision of
+// the same era that was known before.
+func checkNotBehind(revision, known uint64) error {
+	if revision < known && spanrill.EraOf(revision) == spanrill.EraOf(known) {
+		return fmt.Errorf("revision %d, %d is known: %w", revision, known, errBehind)
+	}
+	return nil
+}
+
 // recordFailure counts and logs a failed call, and returns the pause before the next one. A call
 // that failed because ctx ended does not count.
 func (f *Follower) recordFailure(ctx context.Context, err error) spanrill.Millis {
--- a/state/follow/follow_test.go
+++ b/state/follow/follow_test.go
@@ -211,3 +211,56 @@
 		})
 	}
 }
+
+// Guards against answers that are older than what was known when they were requested: they are not
+// passed on, and the follower pauses as after a failed call.
+func TestAnswersFromBehind(t *testing.T) {
+	otherEra := spanrill.RevisionOf(1, 3)
+	for _, c := range []struct {
+		name     string
+		known    uint64 // from another source, before each call
+		revision uint64 // of the answers
+		listed   bool
+		wantPass bool
+	}{
+		{"a list from behind", 7, 6, false, false},
+		{"a list of the known revision", 7, 7, false, true},
+		{"a list of a restored store", 7, otherEra, false, true},
+		{"a watch from behind", 7, 6, true, false},
+		{"a watch of the known revision", 7, 7, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			src, received, known := &source{clock: clock.NewManual(), revision: c.revision}, &sink{}, c.known
+			f := New(src, src.clock, received, WithLogger(discardLogger(), "test"), WithKnownRevision(func() uint64 { return known }))
+			f.listed, f.relisting = c.listed, true
+			pause := f.Step(context.Background())
+			if passed := received.listed+received.changed == 1; passed != c.wantPass || (pause == 0) != c.wantPass {
+				t.Fatalf("passed on: %t, pause of %d ms; want passed on: %t, and a pause otherwise", passed, pause, c.wantPass)
+			}
+		})
+	}
+}
+
+// A sink that is not satisfied by an answer polls again after minPollInterval, however often it is
+// woken, and Wake does not shorten the pause after a failed call.
+func TestWake(t *testing.T) {
+	manual := clock.NewManual()
+	src := &source{clock: manual, revision: 5}
+	f := New(src, manual, &sink{}, WithLogger(discardLogger(), "test"), WithPollDelay(func() spanrill.Millis { return 0 }))
+	f.Step(context.Background())
+	f.Step(context.Background())
+	if pause := f.Step(context.Background()); pause != minPollInterval || len(src.calls) != 2 {
+		t.Fatalf("pause of %d ms after %d calls, want %d ms after 2", pause, len(src.calls), minPollInterval)
+	}
+	f.Wake()
+	f.Wake()
+	f.pause(context.Background(), spanrill.Minute) // returns although the clock stands still
+	f.failures = 1
+	f.Wake()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	f.pause(ctx, spanrill.Minute)
+	if len(f.wake) != 1 {
+		t.Fatal("the pause after a failed call was ended by Wake")
+	}
+}
