gateway, relay: Decide by proofs that are as recent as each promise requires

Requests were refused for good (401, 404), or sent by an older route, split or time-out, more than apply_ms after a newer configuration had been acknowledged. The age that the proof of the configuration may have was derived from the bound for withdrawn keys (5,000 ms less 700) for all uses, also for when to ask the store; the bound for changes (2,000 to 5,000 ms) was not known to the daemon. In simulation final refusals were by a configuration replaced up to 6,390 ms before, sends of a daemon that had reached the store for 3 s up to 6,340 ms (985 daemons; 5,000 allowed).

Two bounds have two names: apply_ms (new setting) and revoke_ms. A request for which the proof is older than apply_ms makes the daemon ask the store and its peers at once, for up to 300 ms, and is else refused with 503. Requests that a route serves are served while the store answers no daemon, since no change can be in force then, and while it has an older version after a restore. The configuration is asked for in time for apply_ms, and the first call after a successful one is ended in time for a second. Events 212 and 213.

--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -87,6 +87,9 @@
 	// figures of a peer that is asked in every round. A daemon starts two requests in that time.
 	RoundInterval spanrill.Millis = 250
 	roundInterval                 = RoundInterval
+	// minRoundInterval is the least time between the beginnings of two rounds, the second of which
+	// begins early because a request waits for news.
+	minRoundInterval spanrill.Millis = 100
 	// requestTimeout bounds one request to a peer: many times a round trip of 1 ms.
 	requestTimeout spanrill.Millis = 400
 	// fanout is the number of peers up to which a daemon asks all of them in each round, and the
@@ -137,6 +140,8 @@
 	// depth is the number of levels of the trees in the last round.
 	depth atomic.Int64
 
+	wake          chan struct{} // ends the pause between two rounds
+	roundBegunAt  spanrill.Millis
 	fetchSlot     chan struct{} // one token: one large fetch at a time
 	packedConfig  packedCache   // for peers that fetch it
 	packedEntries packedCache   // of upstreams, for peers that fetch them
@@ -150,7 +155,7 @@
 
 // New returns an exchange. Run or Round starts its polling.
 func New(peers Peers, state State, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source) *Exchange {
-	e := &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, newsByPeer: map[string]peerNews{}, knownTargets: map[uint32]knownTarget{}, pending: map[string]bool{}, peerOrders: map[string]knownOrders{}, askedAt: map[string]spanrill.Millis{}, fetchSlot: make(chan struct{}, 1), unresponsive: map[string]bool{}}
+	e := &Exchange{peers: peers, state: state, clock: clock, log: log, random: random, newsByPeer: map[string]peerNews{}, knownTargets: map[uint32]knownTarget{}, pending: map[string]bool{}, peerOrders: map[string]knownOrders{}, askedAt: map[string]spanrill.Millis{}, fetchSlot: make(chan struct{}, 1), wake: make(chan struct{}, 1), roundBegunAt: spanrill.Never, unresponsive: map[string]bool{}}
 	e.startedAt = clock.Now()
 	if state.Parts == nil {
 		e.state.Parts, e.state.Known, e.state.SetKnown = quarantine.New(clock), func() bool { return false }, func() {}
@@ -162,14 +167,39 @@
 // Run polls peers in rounds until the context ends.
 func (e *Exchange) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		e.roundBegunAt = e.clock.Now()
 		e.Round(ctx)
+		e.pause(ctx)
+	}
+	_ = e.requestTasks.Wait() // failed requests were repeated in later rounds
+	return ctx.Err()
+}
+
+// pause waits for the next round. Wake ends the wait, but not before minRoundInterval.
+func (e *Exchange) pause(ctx context.Context) {
+	due, wake := e.clock.After(e.NextPause()), e.wake
+	for {
 		select {
 		case <-ctx.Done():
-		case <-e.clock.After(e.NextPause()):
+			return
+		case <-due:
+			return
+		case <-wake:
+			remaining := e.roundBegunAt + minRoundInterval - e.clock.Now()
+			if remaining <= 0 {
+				return
+			}
+			due, wake = e.clock.After(remaining), nil
 		}
 	}
-	_ = e.requestTasks.Wait() // failed requests were repeated in later rounds
-	return ctx.Err()
+}
+
+// Wake makes Run begin the next round earlier. It is safe for concurrent use.
+func (e *Exchange) Wake() {
+	select {
+	case e.wake <- struct{}{}:
+	default: // it is already awake
+	}
 }
 
 // Round asks some peers concurrently and applies their answers. It waits at most answerTimeout.
--- a/coordination/relay/admit.go
+++ b/coordination/relay/admit.go
@@ -11,8 +11,7 @@
 // admit finds the route, the account and the service of a request, or returns a refusal.
 func (q *request) admit() *spanrill.Refusal {
 	r := q.relay
-	q.table = r.Config.Table()
-	if q.table == nil {
+	if r.Config.Table() == nil {
 		return spanrill.NewRefusal(spanrill.ReasonNotReady, "no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	}
 	if r.refusing.Load() {
@@ -22,8 +21,9 @@
 	if q.head, err = r.Codec.ReadRequest(&q.http.Request.Header); err != nil {
 		return spanrill.NewRefusal(spanrill.ReasonBadField, "%v", err)
 	}
+	q.chooseConfig()
 	if limit := q.table.Limits().BodyBytes; limit > 0 && len(q.http.Request.Body()) > limit {
-		return spanrill.NewRefusal(spanrill.ReasonBodyTooLarge, "body of %d bytes, the limit is %d", len(q.http.Request.Body()), limit)
+		return q.finalRefusal(q.proofAge, spanrill.NewRefusal(spanrill.ReasonBodyTooLarge, "body of %d bytes, the limit is %d", len(q.http.Request.Body()), limit))
 	}
 	if refusal := q.matchRoute(); refusal != nil {
 		return refusal
@@ -32,7 +32,7 @@
 	if q.service == nil {
 		return spanrill.NewRefusal(spanrill.ReasonNoUpstream, "route %s has no service", q.route.Name).WithRetryAfter(notReadyRetryAfter)
 	}
-	r.Meters.RecordProofAge(meter.DecisionRoute, r.Config.Age())
+	r.Meters.RecordProofAge(meter.DecisionRoute, q.proofAge)
 	return nil
 }
 
@@ -45,43 +45,26 @@
 	staleRetryAfter spanrill.Millis = 700
 )
 
-// matchRoute finds the route and checks the key. A route or key that this daemon does not know may
-// be in a newer configuration, unless its own was confirmed recently.
+// matchRoute finds the route and checks the key.
 func (q *request) matchRoute() *spanrill.Refusal {
 	header := &q.http.Request.Header
 	path, _, _ := strings.Cut(string(header.RequestURI()), "?")
 	route, ok := q.table.Find(string(header.Host()), path)
 	if !ok {
-		return q.unknownOrStaleRefusal(spanrill.ReasonUnknownRoute, "no such route")
+		return q.finalRefusal(q.proofAge, spanrill.NewRefusal(spanrill.ReasonUnknownRoute, "no such route"))
+	}
+	if !q.mayRoute() {
+		return staleConfigRefusal(q.proofAge)
 	}
 	q.route = route
 	if route.AuthExempt || !q.table.HasAccounts() {
 		return nil
 	}
-	if !q.configFresh() {
-		return q.staleConfigRefusal()
+	if !q.mayUseKeys(q.proofAge) {
+		return staleConfigRefusal(q.proofAge)
 	}
 	if q.account, ok = q.table.Account(q.head.APIKey); !ok {
-		return spanrill.NewRefusal(spanrill.ReasonBadKey, "missing or unknown key")
+		return q.finalRefusal(q.proofAge, spanrill.NewRefusal(spanrill.ReasonBadKey, "missing or unknown key"))
 	}
 	return nil
 }
-
-// unknownOrStaleRefusal returns a refusal with the given reason, or one that asks the caller to
-// retry if the configuration may be out of date.
-func (q *request) unknownOrStaleRefusal(reason spanrill.Reason, text string) *spanrill.Refusal {
-	if !q.configFresh() {
-		return q.staleConfigRefusal()
-	}
-	return spanrill.NewRefusal(reason, "%s", text)
-}
-
-// configFresh reports whether the configuration was confirmed recently enough for requests with a
-// key.
-func (q *request) configFresh() bool { return q.relay.Config.Age() <= q.relay.options.MaxConfigAge }
-
-// staleConfigRefusal returns the refusal of a request for which the configuration is too old.
-func (q *request) staleConfigRefusal() *spanrill.Refusal {
-	return spanrill.NewRefusal(spanrill.ReasonConfigStale, "configuration was last confirmed %d ms ago", q.relay.Config.Age()).
-		WithRetryAfter(staleRetryAfter)
-}
--- a/coordination/relay/maysend.go
+++ b/coordination/relay/maysend.go
@@ -47,13 +47,16 @@
 	if q.account == nil {
 		return nil
 	}
-	if !q.configFresh() {
-		return q.staleConfigRefusal()
+	newest := q.relay.Config.Snapshot()
+	proofAge := q.relay.Clock.Now() - newest.ConfirmedAt()
+	if !q.mayUseKeys(proofAge) {
+		return staleConfigRefusal(proofAge)
 	}
-	if newest := q.relay.Config.Table(); newest != q.table {
-		if _, ok := newest.Account(q.head.APIKey); !ok {
-			return spanrill.NewRefusal(spanrill.ReasonBadKey, "the key was withdrawn")
-		}
+	if newest.Table() == q.table {
+		return nil
+	}
+	if _, ok := newest.Table().Account(q.head.APIKey); !ok {
+		return q.finalRefusal(proofAge, spanrill.NewRefusal(spanrill.ReasonBadKey, "the key was withdrawn"))
 	}
 	return nil
 }
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -25,7 +25,7 @@
 	r.Meters.CountRefusal(refusal.Reason())
 	r.Meters.CountOutcome(refusal.Outcome())
 	if isFinalByConfig(refusal) {
-		r.Meters.RecordProofAge(meter.DecisionRefuse, r.Config.Age())
+		r.Meters.RecordProofAge(meter.DecisionRefuse, q.proofAge)
 	}
 	status := statusOf(refusal)
 	if q.hasRun.Load() && promisesNotRun(status) {
@@ -48,11 +48,6 @@
 	}
 }
 
-// isFinalByConfig reports whether a refusal says that the configuration has no such route or key.
-func isFinalByConfig(refusal *spanrill.Refusal) bool {
-	return refusal.Reason() == spanrill.ReasonUnknownRoute || refusal.Reason() == spanrill.ReasonBadKey
-}
-
 // statusOf returns the status of a refusal. If the request may have run, 502 replaces a status that
 // promises the opposite.
 func statusOf(refusal *spanrill.Refusal) int {
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -11,6 +11,7 @@
 //
 //	relay.go          a request from its arrival to its end
 //	admit.go          the route, the account and the service of a request
+//	proof.go          how recently the configuration must have been proved to be the newest
 //	start.go          requests that arrive before configuration and upstreams are known
 //	refuse.go         error answers of spanrill's own
 //	lostpath.go       upstreams that this daemon has lost its network path to
@@ -39,7 +40,7 @@
 //
 // # Usage
 //
-//	r := relay.New(dependencies, relay.Options{MaxConfigAge: 4300})
+//	r := relay.New(dependencies, relay.Options{MaxChangeAge: 2000, MaxKeyAge: 4300})
 //	server := &fasthttp.Server{Handler: r.Serve}
 package relay
 
@@ -99,6 +100,8 @@
 	// StoreSilentAtStart reports whether the store does not answer a starting daemon. A daemon that
 	// lacks the configuration or the upstreams then will not get them soon.
 	StoreSilentAtStart func() bool
+	// Proof obtains newer proof that the configuration is the newest. It may be nil.
+	Proof spanrill.ConfigProver
 	// SuspectsKnown is closed when this daemon knows the requests and parts that are withheld since
 	// before its start.
 	SuspectsKnown <-chan struct{}
@@ -106,8 +109,12 @@
 
 // Options are the settings of a relay.
 type Options struct {
-	Zone         string          // availability zone of this daemon
-	MaxConfigAge spanrill.Millis // maximum age of the configuration for requests with a key
+	Zone string // availability zone of this daemon
+	// MaxChangeAge is the maximum age of the proof that the configuration is the newest for decisions
+	// that a newer one may change.
+	MaxChangeAge spanrill.Millis
+	// MaxKeyAge is the maximum age of that proof for sending requests with a key.
+	MaxKeyAge spanrill.Millis
 }
 
 // Relay serves requests. Its methods may be called concurrently.
@@ -145,6 +152,9 @@
 		close(known)
 		deps.SuspectsKnown = known
 	}
+	if deps.Proof == nil {
+		deps.Proof = noProver{}
+	}
 	if deps.Parts == nil {
 		deps.Parts, deps.OnParts = quarantine.New(deps.Clock), func([]quarantine.Part) {}
 	}
@@ -172,6 +182,7 @@
 	http             *fasthttp.RequestCtx
 	head             spanrill.CallerRequest
 	table            *routes.Table
+	proofAge         spanrill.Millis // of the proof that table was the newest configuration, when it was chosen
 	route            *spanrill.Route
 	account          *spanrill.Account
 	service          *spanrill.ServiceInfo
--- a/events/events.go
+++ b/events/events.go
@@ -74,6 +74,8 @@
 	KeysWithdrawn         = define(209, logrus.InfoLevel, "keys withdrawn by a configuration")
 	ConfigImplausible     = define(210, logrus.WarnLevel, "configuration has an implausible value, using the observed one")
 	ConfigIgnored         = define(211, logrus.WarnLevel, "configuration with a lower version ignored")
+	ConfigUnproved        = define(212, logrus.WarnLevel, "proof of the configuration is older than a change may take")
+	ConfigProved          = define(213, logrus.InfoLevel, "configuration proved as the newest")
 )
 
 // The platform, 300 to 399.
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
@@ -90,25 +91,34 @@
 	}
 }
 
-// logFreshness logs when the configuration was confirmed too long ago, and when it has been
-// confirmed again.
+// logFreshness logs when the proof of the configuration has become too old for each kind of decision, and
+// when it is recent enough again.
 func (g *Gateway) logFreshness() {
 	if g.config.Table() == nil {
 		return
 	}
-	fresh := g.isFresh()
-	if g.wasFresh.Swap(fresh) == fresh {
-		return
-	}
-	event := events.ConfigStale
-	if fresh {
-		event = events.ConfigFresh
+	for _, bound := range []struct {
+		limit        spanrill.Millis
+		was          *atomic.Bool
+		stale, fresh events.Event
+	}{
+		{g.maxChangeAge(), &g.wasProved, events.ConfigUnproved, events.ConfigProved},
+		{g.maxKeyAge(), &g.wasKeyFresh, events.ConfigStale, events.ConfigFresh},
+	} {
+		config := g.config.Snapshot()
+		age := g.clock.Now() - config.ConfirmedAt()
+		fresh := age <= bound.limit
+		if bound.was.Swap(fresh) == fresh {
+			continue
+		}
+		event := bound.stale
+		if fresh {
+			event = bound.fresh
+		}
+		event.Log(g.log, logrus.Fields{"proof_age_ms": age, "limit_ms": bound.limit, "revision": config.Revision()})
 	}
-	event.Log(g.log, logrus.Fields{"proof_age_ms": g.config.Age(), "limit_ms": g.maxConfigAge(), "revision": g.config.Revision()})
 }
 
-func (g *Gateway) isFresh() bool { return g.config.Age() <= g.maxConfigAge() }
-
 // logEraChange logs when the store has been restored from an older copy. The first era
 // received is only recorded.
 func (g *Gateway) logEraChange() {
--- a/gateway/configfleet_test.go
+++ b/gateway/configfleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 
@@ -25,12 +26,12 @@
 const (
 	simRevoke                         = 5 * spanrill.Second
 	simConfigInterval spanrill.Millis = 400                 // between two configurations
+	simFleetSeeds                     = 60                  // daemons of all seeds of a scenario, if one fleet has fewer
 	simContact                        = 3 * spanrill.Second // without disturbance, after which a daemon must keep its promises
+	simMinRound       spanrill.Millis = 100                 // between two exchange rounds
 	simProofWait      spanrill.Millis = 300                 // how long a request may wait for a proof
 )
 
-func simConfigCallTimeout() spanrill.Millis { return simCallTimeout }
-
 // simConfigVersion returns the newest version at a time. Versions start with 1.
 func simConfigVersion(at spanrill.Millis) int64 { return 1 + int64((at-simStart)/simConfigInterval) }
 
@@ -86,6 +87,7 @@
 	if table == nil || d.fleet.scenario.paused(d.rank, now) {
 		return
 	}
+	d.prove(now)
 	replaced := max(0, now-simConfigWrittenAt(table.Version()+1))
 	if d.mayRefuseForGood() {
 		s.maxRefusal = max(s.maxRefusal, replaced)
@@ -104,9 +106,21 @@
 	}
 }
 
-func (d *drainDaemon) mayRefuseForGood() bool { return d.isFresh() }
-func (d *drainDaemon) maySend() bool          { return true }
-func (d *drainDaemon) maySendWithKey() bool   { return d.isFresh() }
+func (d *drainDaemon) mayRefuseForGood() bool { return d.isProved() }
+func (d *drainDaemon) maySend() bool          { return d.isProved() || !configProver{d.Gateway}.StoreAnswers() }
+func (d *drainDaemon) maySendWithKey() bool   { return d.maySend() && d.isKeyFresh() }
+
+// prove does what a waiting request makes the daemon do: a poll of the store, unless the last one has
+// failed, and one of the peers.
+func (d *drainDaemon) prove(now spanrill.Millis) {
+	if d.isProved() || (configProver{d.Gateway}).inVain() {
+		return
+	}
+	if d.configCalls.callErr == nil {
+		d.configCalls.nextCheck = min(d.configCalls.nextCheck, now)
+	}
+	d.nextRound = min(d.nextRound, d.roundAt+simMinRound)
+}
 
 // restart replaces the daemon by one that knows nothing, whose clock begins at 0.
 func (d *drainDaemon) restart(now spanrill.Millis, all *peermsg.Gossip, log *logrus.Logger) {
@@ -184,6 +198,9 @@
 		c.restarts = func(rank int, now spanrill.Millis) bool { return now == from+spanrill.Millis(500+gap*(rank%24)) }
 		c.seedsGone = true
 	})
+	add("the store is away for all", func(sc *scenario, c *configScenario) {
+		failing(sc, c, func(_ int, now spanrill.Millis) bool { return now >= from && now < from+5*spanrill.Second }, simCallTimeout)
+	})
 	add("the store is away for all, and restarts", func(sc *scenario, c *configScenario) {
 		failing(sc, c, func(_ int, now spanrill.Millis) bool { return now >= from && now < from+5*spanrill.Second }, simCallTimeout)
 		c.restarts = func(rank int, now spanrill.Millis) bool { return now == from+spanrill.Millis(1500+100*(rank%24)) }
@@ -231,27 +248,39 @@
 	}
 }
 
-func checkConfigDecisions(t *testing.T, daemons, zones int, apply spanrill.Millis) {
+// checkConfigDecisions plays the scenarios with the given names, or all of them.
+func checkConfigDecisions(t *testing.T, daemons, zones int, apply spanrill.Millis, names ...string) {
 	t.Helper()
 	for _, sc := range configScenarios(daemons, apply) {
-		t.Run(fmt.Sprintf("%d daemons/%s", daemons, sc.name), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				f := newDrainFleet(daemons, zones, sc)
-				f.runConfig()
-				var worst simDecisions
-				for _, d := range f.daemons {
-					worst.maxRefusal = max(worst.maxRefusal, d.decisions.maxRefusal)
-					worst.maxSend = max(worst.maxSend, d.decisions.maxSend)
-					worst.maxKeySend = max(worst.maxKeySend, d.decisions.maxKeySend)
-					worst.maxBlocked = max(worst.maxBlocked, d.decisions.maxBlocked)
-				}
-				t.Logf("replaced for at most %d ms at a final refusal, %d ms at a send in touch, %d ms at a send with a key; at most %d ms without a decision in touch; %.1f store calls and %d requests to peers a second",
-					worst.maxRefusal, worst.maxSend, worst.maxKeySend, worst.maxBlocked, float64(f.storeCalls*1000)/float64(f.end-simStart), f.requests.Load()*1000/int64(f.end-simStart))
-				if worst.maxRefusal > apply || worst.maxSend > apply || worst.maxKeySend > simRevoke || worst.maxBlocked > simProofWait {
-					t.Errorf("a decision by a configuration that was replaced too long ago, or none for too long, want at most %d, %d, %d and %d ms", apply, apply, simRevoke, simProofWait)
-				}
-			})
-		})
+		if len(names) > 0 && !slices.Contains(names, sc.name) {
+			continue
+		}
+		for seed := range uint64(max(1, simFleetSeeds/daemons)) {
+			sc.seed = seed
+			playConfigScenario(t, daemons, zones, apply, sc)
+		}
 	}
 }
+
+func playConfigScenario(t *testing.T, daemons, zones int, apply spanrill.Millis, sc scenario) {
+	t.Helper()
+	t.Run(fmt.Sprintf("%d daemons/%s/%d", daemons, sc.name, sc.seed), func(t *testing.T) {
+		t.Parallel()
+		synctest.Test(t, func(t *testing.T) {
+			f := newDrainFleet(daemons, zones, sc)
+			f.runConfig()
+			var worst simDecisions
+			for _, d := range f.daemons {
+				worst.maxRefusal = max(worst.maxRefusal, d.decisions.maxRefusal)
+				worst.maxSend = max(worst.maxSend, d.decisions.maxSend)
+				worst.maxKeySend = max(worst.maxKeySend, d.decisions.maxKeySend)
+				worst.maxBlocked = max(worst.maxBlocked, d.decisions.maxBlocked)
+			}
+			t.Logf("replaced for at most %d ms at a final refusal, %d ms at a send in touch, %d ms at a send with a key; at most %d ms without a decision in touch; %.1f store calls and %d requests to peers a second",
+				worst.maxRefusal, worst.maxSend, worst.maxKeySend, worst.maxBlocked, float64(f.storeCalls*1000)/float64(f.end-simStart), f.requests.Load()*1000/int64(f.end-simStart))
+			if worst.maxRefusal > apply || worst.maxSend > apply || worst.maxKeySend > simRevoke || worst.maxBlocked > simProofWait {
+				t.Errorf("a decision by a configuration that was replaced too long ago, or none for too long, want at most %d, %d, %d and %d ms", apply, apply, simRevoke, simProofWait)
+			}
+		})
+	})
+}
--- a/gateway/drainfleet_test.go
+++ b/gateway/drainfleet_test.go
@@ -87,6 +87,7 @@
 	configCalls     simCalls // only if the configuration changes in the scenario
 	startedAt       spanrill.Millis
 	nextRound       spanrill.Millis // next exchange round
+	roundAt         spanrill.Millis // last exchange round
 	nextMaintenance spanrill.Millis
 	maxEntryAge     spanrill.Millis // maximum age of the entries
 	decisions       simDecisions
@@ -229,6 +230,9 @@
 	m, sc := d.member, d.fleet.scenario
 	g := &Gateway{clock: d, log: logrus.NewEntry(log), random: rng.New(seed), settings: settings.Gateway{}}
 	g.settings.Bounds.Drain, g.settings.Bounds.Revoke = sc.drain, simRevoke
+	if sc.config != nil {
+		g.settings.Bounds.Apply = sc.config.apply
+	}
 	g.peers = &peers{gateway: g, name: m.Name, list: membership.New(m, d, func(string, *peermsg.Gossip) error { return nil }, membership.WithLogger(log))}
 	g.config = routes.NewCurrent(d)
 	g.fleet = fleet.New(d, simDecode, fleet.WithLogger(log), fleet.WithDrain(sc.drain))
@@ -249,7 +253,7 @@
 	d.upstreamCalls = simCalls{Follower: g.upstreamFollower, isInitialized: d.hasEntries, pollDelay: g.upstreamsPollDelay, callTimeout: g.upstreamsCallTimeout}
 	if sc.config != nil {
 		g.configFollower = follow.New(simConfigStore{d}, d, configSink{g}, append(options, follow.WithKnownRevision(g.config.Revision))...)
-		d.configCalls = simCalls{Follower: g.configFollower, isInitialized: d.hasConfig, pollDelay: g.configPollDelay, callTimeout: simConfigCallTimeout}
+		d.configCalls = simCalls{Follower: g.configFollower, isInitialized: d.hasConfig, pollDelay: g.configPollDelay, callTimeout: g.configCallTimeout}
 	}
 }
 
@@ -318,6 +322,7 @@
 		d.callStore(&d.configCalls, now)
 	}
 	if now >= d.nextRound {
+		d.roundAt = now
 		d.clockLag.Store(int64(d.fleet.scenario.answerDelay(d.rank)))
 		d.exchange.Round(context.Background())
 		d.clockLag.Store(0)
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -166,7 +166,7 @@
 // configPollDelay returns how long to wait before checking again whether the configuration has to be
 // confirmed by the store, or 0 if it has to be confirmed now.
 func (g *Gateway) configPollDelay() spanrill.Millis {
-	return g.askDelay(g.config.Age(), configRefreshAge, g.settings.Bounds.Revoke-freshnessMargin)
+	return g.askDelay(g.config.Age(), configRefreshAge, g.maxChangeAge(), configAskAge)
 }
 
 // upstreamsPollDelay is like configPollDelay, for the entries of upstreams.
@@ -175,12 +175,12 @@
 	refreshAge := g.entriesRefreshAge()
 	overdue := age - refreshAge - newsRound
 	if overdue < 0 || !g.exchange.AnyPeerStoreSilent() {
-		return g.askDelay(age, refreshAge, g.settings.Bounds.Drain)
+		return g.askDelay(age, refreshAge, g.settings.Bounds.Drain, askAge)
 	}
 	if g.random.Float64() < askForOthersChance(overdue, len(g.peers.list.Live()), g.exchange.BroadcastTime()) {
 		return 0
 	}
-	return min(refreshPoll, g.askDelay(age, refreshAge, g.settings.Bounds.Drain)) // the chance applies to each check
+	return min(refreshPoll, g.askDelay(age, refreshAge, g.settings.Bounds.Drain, askAge)) // the chance applies to each check
 }
 
 // entriesRefreshAge returns the age of the entries at which the first daemon in rank asks the store
@@ -241,6 +241,11 @@
 	return callTimeout(age, g.settings.Bounds.Drain)
 }
 
+// configCallTimeout is like upstreamsCallTimeout, for the configuration.
+func (g *Gateway) configCallTimeout() spanrill.Millis {
+	return callTimeout(g.config.Age(), g.maxChangeAge())
+}
+
 func callTimeout(age, bound spanrill.Millis) spanrill.Millis {
 	return max(minCallTimeout, bound-age-secondCallTime-dialTimeout)
 }
@@ -256,15 +261,15 @@
 
 // askDelay returns how long to wait before checking again whether this daemon has to ask the store,
 // or 0 if it has to ask now. Age is the age of its data, refreshAge the age at which the first in
-// rank asks, and bound the age that must not be exceeded.
-func (g *Gateway) askDelay(age, refreshAge, bound spanrill.Millis) spanrill.Millis {
+// rank asks, bound the age that must not be exceeded, and ageOfRank when a daemon with a rank asks.
+func (g *Gateway) askDelay(age, refreshAge, bound spanrill.Millis, ageOfRank askAgeFunc) spanrill.Millis {
 	if age < refreshAge {
 		return untilAge(age, refreshAge)
 	}
 	askAgeAt := func(draw float64) spanrill.Millis { return lateAskAge(refreshAge, bound, 1-draw) }
 	if !g.waitsForSeeds() {
 		rank, broadcastTime := g.askRank(), g.exchange.BroadcastTime()
-		askAgeAt = func(draw float64) spanrill.Millis { return askAge(refreshAge, bound, rank, broadcastTime, draw) }
+		askAgeAt = func(draw float64) spanrill.Millis { return ageOfRank(refreshAge, bound, rank, broadcastTime, draw) }
 	}
 	if age >= askAgeAt(g.random.Float64()) {
 		return 0
@@ -300,14 +305,30 @@
 	return max(refreshAge, latestAge-spanrill.Millis(draw*float64(min(spanrill.Second, latestAge/latestAskDivisor))))
 }
 
-// askAge returns the age of its data at which a daemon asks the store: the first in rank at
+// askAgeFunc returns the age of its data at which a daemon asks the store: the first in rank at
 // refreshAge, the others later, when news of the first one's answer should have arrived, and all of
 // them in time for the bound. Draw, from 0 to 1, spreads daemons of the same rank.
+type askAgeFunc func(refreshAge, bound spanrill.Millis, rank int, broadcastTime spanrill.Millis, draw float64) spanrill.Millis
+
+// askAge is the askAgeFunc for entries of upstreams. If news normally arrives before, all daemons ask at
+// half of the bound, since requests do not wait for newer entries.
 func askAge(refreshAge, bound spanrill.Millis, rank int, broadcastTime spanrill.Millis, draw float64) spanrill.Millis {
+	latestAge := min(max(bound/latestAskDivisor, refreshAge+broadcastTime+newsRound), bound-askMargin)
+	return ageByRank(refreshAge, latestAge, rank, broadcastTime, draw)
+}
+
+// configAskAge is the askAgeFunc for the configuration. Requests wait for a newer proof if theirs is too
+// old, so that a daemon may wait for the news of others nearly until the bound.
+func configAskAge(refreshAge, bound spanrill.Millis, rank int, broadcastTime spanrill.Millis, draw float64) spanrill.Millis {
+	return ageByRank(refreshAge, bound-askMargin, rank, broadcastTime, draw)
+}
+
+// ageByRank returns the age at which a daemon of a rank asks the store. That is latestAge and rankStep at
+// most.
+func ageByRank(refreshAge, latestAge spanrill.Millis, rank int, broadcastTime spanrill.Millis, draw float64) spanrill.Millis {
 	if rank == 0 {
 		return refreshAge
 	}
-	latestAge := min(max(bound/latestAskDivisor, refreshAge+broadcastTime+newsRound), bound-askMargin)
 	ageOfRank := refreshAge + broadcastTime - newsRound + rankDelay + rankStep*spanrill.Millis(rank-1)
 	return min(ageOfRank, latestAge) + spanrill.Millis(draw*float64(rankStep))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 //	run.go       start, supervision and shutdown of the components
 //	due.go       when to read the store, contend for the lease and place
 //	config.go    the configuration of routes
+//	proof.go     how old the proof may be that it is the newest, and requests that need a newer one
 //	peers.go     messages of other daemons
 //	reach.go     connections to upstreams, also for other daemons
 //	parts.go     parts of prompts that are withheld
@@ -125,7 +126,8 @@
 	// upstreams, and whether any caller waits.
 	callersWaitingSince func() (spanrill.Millis, bool)
 	draining            atomic.Bool
-	wasFresh            atomic.Bool
+	wasKeyFresh         atomic.Bool
+	wasProved           atomic.Bool
 	reportedTable       *routes.Table // whose ignored values were logged; used by upkeep only
 	storeEra            uint64        // last era seen by logEraChange
 	liveDaemons         atomic.Int64  // number of daemons known to be alive, including this one
@@ -236,8 +238,8 @@
 		Parts: g.parts, OnParts: g.peers.broadcastParts, SuspectsKnown: g.suspectKeeper.Known(),
 		Permit: g.limiter.Permit, Daemons: func() int { return int(g.liveDaemons.Load()) },
 		Clock: g.clock, Log: g.log, Meters: g.meters, Random: g.random, StoreSilentAtStart: g.storeSilentAtStart,
-		Room: g.room.gate(), Paths: g.upstreamDialer,
-	}, relay.Options{Zone: g.settings.Zone, MaxConfigAge: g.maxConfigAge()})
+		Proof: configProver{g}, Room: g.room.gate(), Paths: g.upstreamDialer,
+	}, relay.Options{Zone: g.settings.Zone, MaxChangeAge: g.maxChangeAge(), MaxKeyAge: g.maxKeyAge()})
 	g.callersWaitingSince = g.relay.CallersWaitingSince
 	g.registerGauges()
 	g.callers = callerhttp.New(g.relay.Serve, g.callerLimits)
@@ -253,7 +255,7 @@
 	g.maxCallerWait = randomCallerWait(g.random.Float64())
 	listDelay := follow.WithListDelay(g.listDelay)
 	g.configFollower = follow.New(config, g.clock, configSink{g}, follow.WithPollDelay(g.configPollDelay), follow.WithKnownRevision(g.config.Revision), listDelay, jitter, maxRetryDelay,
-		follow.WithLogger(g.log, "configuration"))
+		follow.WithFirstCallTimeout(g.configCallTimeout), follow.WithLogger(g.log, "configuration"))
 	g.upstreamFollower = follow.New(upstreams, g.clock, g.fleet, follow.WithPollDelay(g.upstreamsPollDelay), follow.WithKnownRevision(g.fleet.Revision), listDelay, jitter, maxRetryDelay,
 		follow.WithFirstCallTimeout(g.upstreamsCallTimeout), follow.WithPrimary(g.configFollower), follow.WithLogger(g.log, "upstreams"))
 }
@@ -262,10 +264,6 @@
 // fleet, so that the daemons' shares of a budget do not add up to more than the budget.
 const assumedDaemons = 16
 
-func (g *Gateway) maxConfigAge() spanrill.Millis {
-	return max(1, g.settings.Bounds.Revoke-freshnessMargin)
-}
-
 func (g *Gateway) callerLimits() spanrill.CallerLimits {
 	if t := g.config.Table(); t != nil {
 		return t.Limits()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "spanrill"
+import (
+	"math"
+
+	"spanrill"
+)
 
 // registerGauges registers the gauges that are read from the components.
 func (g *Gateway) registerGauges() {
@@ -18,7 +22,12 @@
 	g.meters.Gauge("spanrill_entries_unreadable_seen", func() float64 { _, all := g.fleet.Unreadable(); return float64(all) })
 	g.meters.Gauge("spanrill_store_era", func() float64 { return float64(max(1, g.adapter.Era())) - 1 })
 	g.meters.Gauge("spanrill_requests_in_flight", func() float64 { return float64(g.relay.InFlight()) })
-	g.meters.Gauge("spanrill_config_proof_age_seconds", func() float64 { return float64(g.config.Age()) / float64(spanrill.Second) })
+	g.meters.Gauge("spanrill_config_proof_age_seconds", func() float64 {
+		if g.config.ConfirmedAt() == spanrill.Never {
+			return math.NaN()
+		}
+		return float64(g.config.Age()) / float64(spanrill.Second)
+	})
 	g.meters.Gauge("spanrill_paths_lost", func() float64 { return float64(len(g.lostPaths())) })
 	g.meters.Gauge("spanrill_tunnels_open", func() float64 { return float64(g.openTunnels()) })
 	g.meters.Gauge("spanrill_parts_suspected", func() float64 { suspected, _ := g.parts.Counts(); return float64(suspected) })
--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -26,7 +26,7 @@
 	switch {
 	case g.config.Table() == nil:
 		return errors.New("no configuration yet")
-	case !g.isFresh():
+	case !g.isKeyFresh():
 		return fmt.Errorf("configuration was last confirmed %d ms ago", g.config.Age())
 	}
 	select {
--- a/gateway/startfleet_test.go
+++ b/gateway/startfleet_test.go
@@ -159,6 +159,7 @@
 	for k := range min(startSeeds, daemons) {
 		g.settings.Peers = append(g.settings.Peers, fmt.Sprintf("daemon-%03d", k))
 	}
+	g.settings.Bounds.Apply = 4 * spanrill.Second
 	g.settings.Bounds.Drain, g.settings.Bounds.Revoke = 4*spanrill.Second, 5*spanrill.Second
 	g.adapter = Adapter{ConfigName: "main", DecodeConfig: startDecode}
 	g.upstreamDialer = reach.New(upstreamDirectory{g}, d, log, g.random)
@@ -277,7 +278,7 @@
 			return upkeepInterval
 		})
 	}
-	if d.readyAfter < 0 && d.config.Table() != nil && d.isFresh() && isClosed(d.Gateway.fleet.Ready()) {
+	if d.readyAfter < 0 && d.config.Table() != nil && d.isKeyFresh() && isClosed(d.Gateway.fleet.Ready()) {
 		d.readyAfter = d.Now() - d.startAt
 	}
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -41,6 +41,7 @@
 
 // Bounds are the limits that the operator sets for the whole fleet.
 type Bounds struct {
+	Apply       spanrill.Millis `json:"apply_ms"`        // time after which a changed configuration is in force
 	Revoke      spanrill.Millis `json:"revoke_ms"`       // time after which no request runs with a withdrawn key
 	Grace       spanrill.Millis `json:"grace_ms"`        // time between the signal to stop and the kill
 	Drain       spanrill.Millis `json:"drain_ms"`        // time after which a leaving upstream gets no new requests
@@ -70,6 +71,9 @@
 	DivideNever DivideRoom = "never"
 )
 
+// DefaultApply is the shortest time that deployments of the users give a changed configuration.
+const DefaultApply = 2 * spanrill.Second
+
 // DefaultDrain is the shortest time that deployments of the users give an upstream to leave.
 const DefaultDrain = 2 * spanrill.Second
 
@@ -82,7 +86,7 @@
 	return Gateway{
 		Peers: []string{}, Cores: 1, Log: Log{Level: "info"},
 		Overload: Overload{DivideRoom: DivideByClass, Queue: true, PlanReturns: true},
-		Bounds:   Bounds{Drain: DefaultDrain, RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * spanrill.Second},
+		Bounds:   Bounds{Apply: DefaultApply, Drain: DefaultDrain, RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * spanrill.Second},
 	}
 }
 
--- a/state/fleet/available.go
+++ b/state/fleet/available.go
@@ -43,6 +43,14 @@
 	return t.clock.Now() - t.storeAvailable.from
 }
 
+// StoreAnsweredAt returns when the latest read that the store is known to have answered, for this daemon
+// or another one, was sent, or spanrill.Never.
+func (t *Table) StoreAnsweredAt() spanrill.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.storeAvailable.to
+}
+
 // confirm records that a read of the store has confirmed the entries. sentAt is when the read was
 // sent.
 // The caller holds the lock.
--- a/state/follow/follow.go
+++ b/state/follow/follow.go
@@ -151,7 +151,7 @@
 	// primaryCheckInterval is the pause between checks whether the primary's calls still fail.
 	primaryCheckInterval spanrill.Millis = 20
 	// minPollInterval is the least time between two polls, for a sink that an answer does not satisfy.
-	minPollInterval spanrill.Millis = 100
+	minPollInterval spanrill.Millis = 250
 	// MaxRetryDelay bounds the pause between failed calls. It is a fraction of the age that the
 	// configuration may have for requests with a key.
 	MaxRetryDelay spanrill.Millis = 400
--- a/state/routes/current.go
+++ b/state/routes/current.go
@@ -1,6 +1,8 @@
 package routes
 
 import (
+	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 
@@ -19,7 +21,10 @@
 	mu       sync.Mutex
 	snapshot atomic.Pointer[Snapshot]
 	unusable atomic.Uint64 // highest revision that is known to exist but cannot replace the table
+	outdated atomic.Uint64 // highest of these whose version is lower than that of the table
 	ready    chan struct{}
+	// confirmed is closed, and replaced, at each confirmation.
+	confirmed chan struct{}
 }
 
 // Snapshot is a table and its latest confirmation, as they stood at one moment.
@@ -45,7 +50,7 @@
 
 // NewCurrent returns a Current without a table.
 func NewCurrent(clock spanrill.Clock) *Current {
-	c := &Current{clock: clock, ready: make(chan struct{})}
+	c := &Current{clock: clock, ready: make(chan struct{}), confirmed: make(chan struct{})}
 	c.snapshot.Store(&Snapshot{confirmedAt: spanrill.Never})
 	return c
 }
@@ -77,6 +82,9 @@
 	old := c.Snapshot()
 	if old.table != nil && (revision <= old.revision || t.Version() < old.table.Version()) {
 		c.recordUnusable(revision)
+		if revision > old.revision {
+			c.outdated.Store(max(c.outdated.Load(), revision))
+		}
 		return false
 	}
 	c.snapshot.Store(&Snapshot{table: t, raw: raw, revision: revision, confirmedAt: old.confirmedAt})
@@ -98,6 +106,14 @@
 	c.unusable.Store(max(c.unusable.Load(), revision))
 }
 
+// StoreHasOlder reports whether the newest revision that is known to exist has a lower version than the
+// table, as after the store was restored from a backup. The table is then not confirmed, but nothing
+// replaces it.
+func (c *Current) StoreHasOlder() bool {
+	outdated := c.outdated.Load()
+	return outdated > c.Revision() && outdated == c.unusable.Load()
+}
+
 // ConfirmUnchanged records that the newest version in the store had the given revision at
 // checkedAt. It has no effect if the table has another revision or was confirmed later, or if a later
 // revision is known.
@@ -108,9 +124,29 @@
 	if old.table == nil || revision != old.revision || checkedAt <= old.confirmedAt || c.unusable.Load() > revision {
 		return
 	}
-	confirmed := *old
-	confirmed.confirmedAt = checkedAt
-	c.snapshot.Store(&confirmed)
+	updated := *old
+	updated.confirmedAt = checkedAt
+	c.snapshot.Store(&updated)
+	close(c.confirmed)
+	c.confirmed = make(chan struct{})
+}
+
+// AwaitConfirmation waits until the table was confirmed at since or later. It returns an error if the
+// context ends before.
+func (c *Current) AwaitConfirmation(ctx context.Context, since spanrill.Millis) error {
+	for {
+		c.mu.Lock()
+		confirmed := c.confirmed
+		c.mu.Unlock()
+		if c.ConfirmedAt() >= since {
+			return nil
+		}
+		select {
+		case <-confirmed:
+		case <-ctx.Done():
+			return fmt.Errorf("await confirmation of the configuration: %w", ctx.Err())
+		}
+	}
 }
 
 // ConfirmedAt returns the time of the latest confirmation on this process's clock, or spanrill.Never
--- a/state/routes/routes_test.go
+++ b/state/routes/routes_test.go
@@ -125,3 +125,24 @@
 		}
 	}
 }
+
+// Guards against a daemon that takes a version that cannot replace its own for a newer one.
+func TestStoreHasOlder(t *testing.T) {
+	c := NewCurrent(clock.NewManual())
+	c.Update(newTable(5), nil, 10)
+	for _, step := range []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"the same revision", func() { c.Update(newTable(5), nil, 10) }, false},
+		{"a lower version", func() { c.Update(newTable(4), nil, 20) }, true},
+		{"an unreadable one since", func() { c.RecordUnusable(30) }, false},
+		{"a lower version since", func() { c.Update(newTable(3), nil, 40) }, true},
+		{"a higher version since", func() { c.Update(newTable(6), nil, 50) }, false},
+	} {
+		if step.do(); c.StoreHasOlder() != step.want {
+			t.Errorf("%s: %t, want %t", step.name, !step.want, step.want)
+		}
+	}
+}
