--- a/state/fleet/available.go
+++ b/state/fleet/available.go
@@ -9,9 +9,6 @@
 	from, to spanrill.Millis // when the first and the last of the reads were sent
 }
 
-// neverAvailable is long before a daemon starts.
-const neverAvailable = -1000 * spanrill.Second
-
 // merge extends the span by another one unless pause or more lies between them. In that case the
 // later one of the two remains.
 func (a *availableSpan) merge(other availableSpan, pause spanrill.Millis) {
@@ -46,6 +43,14 @@
 	return t.clock.Now() - t.storeAvailable.from
 }
 
+// StoreAnsweredAt returns when the latest read that the store is known to have answered, for this daemon
+// or another one, was sent, or spanrill.Never.
+func (t *Table) StoreAnsweredAt() spanrill.Millis {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.storeAvailable.to
+}
+
 // confirm records that a read of the store has confirmed the entries. sentAt is when the read was
 // sent.
 // The caller holds the lock.
--- a/state/routes/routes_test.go
+++ b/state/routes/routes_test.go
@@ -110,3 +110,39 @@
 		t.Fatalf("the age is %d ms after another 5 s, want 5300", got)
 	}
 }
+
+// Guards against a daemon that has just started and takes a confirmation from before its start for one
+// at its start.
+func TestAgeOfConfirmationBeforeTheStart(t *testing.T) {
+	manual := clock.NewManual()
+	c := NewCurrent(manual)
+	manual.Advance(100)
+	c.Update(newTable(1), nil, 7)
+	for _, confirmedAt := range []spanrill.Millis{-3900, -5000} {
+		c.ConfirmUnchanged(7, confirmedAt)
+		if got := c.Age(); got != 4000 {
+			t.Fatalf("the age is %d ms, want 4000", got)
+		}
+	}
+}
+
+// Guards against a daemon that takes a version that cannot replace its own for a newer one.
+func TestStoreHasOlder(t *testing.T) {
+	c := NewCurrent(clock.NewManual())
+	c.Update(newTable(5), nil, 10)
+	for _, step := range []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"the same revision", func() { c.Update(newTable(5), nil, 10) }, false},
+		{"a lower version", func() { c.Update(newTable(4), nil, 20) }, true},
+		{"an unreadable one since", func() { c.RecordUnusable(30) }, false},
+		{"a lower version since", func() { c.Update(newTable(3), nil, 40) }, true},
+		{"a higher version since", func() { c.Update(newTable(6), nil, 50) }, false},
+	} {
+		if step.do(); c.StoreHasOlder() != step.want {
+			t.Errorf("%s: %t, want %t", step.name, !step.want, step.want)
+		}
+	}
+}
