soak: Check by which versions of the configuration callers are answered

Each version has a route that is named after it; every second one is removed by the next. A caller asks all daemons for a route that must exist, and for one that must be gone, for 2 s. A final refusal of the first is wrong whatever happens to the daemon, but not around a restore of the store; serving the second, or a refusal for lack of proof, is wrong at daemons that nothing disturbs.

--- a/soak/check.go
+++ b/soak/check.go
@@ -31,6 +31,7 @@
 	ruleUnexpectedEnd = "daemons exit only when stopped" // also broken by a daemon that does not exit when stopped
 	ruleRecovers      = "service after the last fault"
 	ruleConfigApplied = "configuration applied in time"
+	ruleVersions      = "answers by recent versions of the configuration"
 )
 
 // runCounter returns the number of times that upstreams ran a request.
@@ -125,6 +126,7 @@
 	}
 	all = append(all, r.helpedViolations()...)
 	all = append(all, r.skewViolations()...)
+	all = append(all, r.versionViolations()...)
 	all = append(all, r.partViolations()...)
 	return append(all, r.recoveryViolations...)
 }
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -11,6 +11,7 @@
 //	process.go      one daemon process
 //	callers.go      callers and the record of their requests
 //	check.go        rules that hold for each request
+//	versions.go     by which versions of the configuration callers are answered
 //	pathcut.go      daemons that lose their path to the upstreams
 //	skew.go         most new connections at one daemon
 //	partfault.go    parts of prompts that crash engines
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -47,7 +47,8 @@
 	storeLinks    []*faultproxy.Proxy // from each daemon to the store
 	upstreamLinks []upstreamLink      // from each daemon to the upstreams
 	version       int
-	routeTimeout  int // timeout of routes in ms
+	versionTimes  []time.Time // when each version was written, the first one first
+	routeTimeout  int         // timeout of routes in ms
 	keys          []string
 	withdrawn     []withdrawal
 	keyCount      int
@@ -117,7 +118,10 @@
 // except during construction.
 func (env *environment) writeConfig() {
 	env.version++
-	env.store.Set("config", "main", platformtest.Configuration(env.version, modelLayers, env.keys, env.routeTimeout))
+	config := platformtest.Configuration(env.version, modelLayers, env.keys, env.routeTimeout)
+	addVersionRoutes(config, env.version)
+	env.store.Set("config", "main", config)
+	env.versionTimes = append(env.versionTimes, time.Now())
 	for _, key := range env.keys {
 		if env.keyWriteTimes[key].IsZero() {
 			env.keyWriteTimes[key] = time.Now()
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -167,6 +167,7 @@
 		env.toggleTimeout()
 	}
 	r.recordStoreDisturbance(storeDowntime)
+	r.recordRestore(3 * storeDowntime)
 	env.store.SetFaults(platformtest.StoreFaults{Down: true})
 	wait(ctx, storeDowntime)
 	env.restore(storeCopy)
--- a/soak/run.go
+++ b/soak/run.go
@@ -74,6 +74,8 @@
 	favored           *process                 // gets most new connections now, or nil
 	favoredSince      time.Time
 	skews             []skew // when a daemon got most new connections
+	versionCalls      []versionCall
+	restores          []interval // when the store went back to an older copy
 }
 
 // interval is the period during which a fault may be in effect.
@@ -168,7 +170,7 @@
 			"peer_listen": addrs[2], "metrics_listen": addrs[3], "tunnel_listen": addrs[4], "peers": append([]string{}, peers...), "platform": r.env.storeLinkAddr(i),
 			"fleet_secret": "a secret for this run alone",
 			"bounds": map[string]any{
-				"revoke_ms": revokeTime.Milliseconds(), "grace_ms": graceTime.Milliseconds(), "drain_ms": drainTime.Milliseconds(),
+				"apply_ms": applyDeadline.Milliseconds(), "revoke_ms": revokeTime.Milliseconds(), "grace_ms": graceTime.Milliseconds(), "drain_ms": drainTime.Milliseconds(),
 				"retry_ratio": retryRatio, "retry_slack": retrySlack, "retry_window_ms": retryWindow.Milliseconds(),
 			},
 		})
@@ -246,6 +248,7 @@
 		callers.Start(callersCtx, "caller", func(ctx context.Context) error { return r.runCaller(ctx, n) })
 	}
 	callers.Start(callersCtx, "caller with withdrawn keys", r.runWithdrawnKeyCaller)
+	callers.Start(callersCtx, "caller of versions", r.runVersionCaller)
 	for _, s := range steps {
 		wait(ctx, time.Until(r.startTime.Add(s.At)))
 		if ctx.Err() != nil {
