reach: A path that is lost again soon has to connect several times in a row

On a path that loses three packets in ten every second connection opens, and the first one ended the loss: 52 pairs of box and service lost their path 397 times in 10 s, requests and probes went over it in between, engines were ejected 6,931 times, and their silence counted as the crash of engines under parts of prompts, of which all boxes were told (19,116 messages).

Each loss within 3 s of the last one asks for three more direct connections in a row, eight at most, before the path counts as working. The silence of an engine whose path is lost is no evidence.

--- a/coordination/reach/attempt.go
+++ b/coordination/reach/attempt.go
@@ -68,6 +68,7 @@
 		if err != nil {
 			if !spanrill.IsLocalResourceError(err) {
 				d.meters.CountConnectFailure(spanrill.IsConnectionRefused(err))
+				d.paths.recordNotConnected(service)
 			}
 			return nil, fmt.Errorf("dial: %w", err)
 		}
--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -36,9 +36,12 @@
 	confirmingAll          bool            // those of other services are
 	cut                    bool            // all upstreams of the service count as lost
 	cutSince               spanrill.Millis
-	helped                 map[string]int // connections since then by name of the helper
-	denied                 int            // helpers that answered since then that they cannot help
-	helpedAddr             string         // upstream that a helper connected last
+	helped                 map[string]int  // connections since then by name of the helper
+	restoredAt             spanrill.Millis // when the path last worked again, or spanrill.Never
+	flaps                  int             // losses in a row that each came soon after the path worked again
+	connectedInRow         int             // direct connections since the last one that failed, while cut
+	denied                 int             // helpers that answered since then that they cannot help
+	helpedAddr             string          // upstream that a helper connected last
 }
 
 const (
@@ -49,6 +52,14 @@
 	// minFailedInRow is the same number for upstreams that nobody reaches, or for which nobody can be
 	// asked. It is larger, because several upstreams can fail together.
 	minFailedInRow = 6
+	// flapTime is how soon after a path works again its next loss counts as a flap: a path that loses some
+	// packets connects now and then.
+	flapTime = 3 * spanrill.Second
+	// connectionsPerFlap is how many more direct connections in a row show that a path works, for each
+	// flap, up to maxConnectionsInRow.
+	connectionsPerFlap = 3
+	// maxConnectionsInRow takes two seconds of checks.
+	maxConnectionsInRow = 8
 	// confirmFrom is the number of such upstreams from which on others are tried to find out.
 	confirmFrom = 2
 )
@@ -61,7 +72,7 @@
 func (p *paths) of(service string) *servicePaths {
 	s := p.services[service]
 	if s == nil {
-		s = &servicePaths{lost: map[string]spanrill.Millis{}, lostInRow: map[string]bool{}, failedInRow: map[string]bool{}, helped: map[string]int{}}
+		s = &servicePaths{lost: map[string]spanrill.Millis{}, lostInRow: map[string]bool{}, failedInRow: map[string]bool{}, helped: map[string]int{}, restoredAt: spanrill.Never}
 		p.services[service] = s
 	}
 	return s
@@ -130,12 +141,25 @@
 	if !s.cut {
 		return
 	}
-	s.cut = false
+	s.connectedInRow++
+	if s.connectedInRow < min(1+s.flaps*connectionsPerFlap, maxConnectionsInRow) {
+		return
+	}
+	s.cut, s.restoredAt = false, p.clock.Now()
 	clear(s.lost) // those that are still lost are found again
-	events.PathRestored.Log(p.log, logrus.Fields{"service": service, "addr": addr, "lost_ms": p.clock.Now() - s.cutSince, "helped": s.helped, "denied": s.denied})
+	events.PathRestored.Log(p.log, logrus.Fields{"service": service, "addr": addr, "lost_ms": p.clock.Now() - s.cutSince, "helped": s.helped, "denied": s.denied, "flaps": s.flaps})
 	s.helped = map[string]int{}
 }
 
+// recordNotConnected records that a direct connection failed, whatever the cause.
+func (p *paths) recordNotConnected(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.services[service]; s != nil {
+		s.connectedInRow = 0
+	}
+}
+
 // recordLost records that a helper reached an upstream that this daemon did not, in an attempt that
 // began at a time. It reports whether this was the first upstream of the service in a row.
 func (p *paths) recordLost(service, addr string, begunAt spanrill.Millis) (first bool) {
@@ -226,7 +250,12 @@
 
 // markCut records that the path to all upstreams of a service is lost. The caller holds the lock.
 func (p *paths) markCut(s *servicePaths, service, addr string) {
-	s.cut, s.cutSince = true, p.clock.Now()
+	s.cut, s.cutSince, s.connectedInRow = true, p.clock.Now(), 0
+	if s.cutSince-s.restoredAt <= flapTime {
+		s.flaps++
+	} else {
+		s.flaps = 0
+	}
 	p.anyLost.Store(true)
 	clear(s.helped)
 	s.denied = 0
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -6,7 +6,8 @@
 // reaches and this daemon does not is taken as lost to this daemon; one that neither reaches is left to
 // the callers' own judgement, as before. Once this daemon has lost several upstreams of a service and
 // reached none, all connections to the service go through helpers at once. Direct connections are
-// checked meanwhile, and the first that succeeds ends this.
+// checked meanwhile, and the first that succeeds ends this. A path that is lost again soon after has to
+// connect several times in a row.
 //
 // A helper connects directly or not at all, so that a connection never passes two helpers.
 //
--- a/coordination/relay/brokenattempts.go
+++ b/coordination/relay/brokenattempts.go
@@ -118,7 +118,7 @@
 		parts: q.partGuard.Parts(), trials: q.partGuard.Trials(), account: q.partGuard.Account(),
 	}
 	repeated := r.brokenAttempts.add(broken)
-	if u.Dead() && !u.Ended() {
+	if u.Dead() && !u.Ended() && !r.isPathLost(u) {
 		r.recordPartCrashes([]brokenAttempt{broken}, true)
 	}
 	repeated = repeated || r.Suspects.Verdict(q.content).Losses() > 0
@@ -133,6 +133,16 @@
 	go check()
 }
 
+// isPathLost reports whether this daemon has lost its network path to an upstream, so that the silence
+// of the upstream tells nothing about it.
+func (r *Relay) isPathLost(u *fleet.Upstream) bool {
+	if r.Paths == nil {
+		return false
+	}
+	_, lost := r.Paths.LostSince(u.Addr())
+	return lost
+}
+
 // reportCrashes records and logs the upstreams that were found to have crashed while they ran a
 // request.
 func (r *Relay) reportCrashes() {
