--- a/cli/spanrillcmd/gatewaystatus.go
+++ b/cli/spanrillcmd/gatewaystatus.go
@@ -28,9 +28,10 @@
 	Accounts  int                    `json:"accounts"`
 	Lease     lease.State            `json:"lease"` // of placement; the zero value if it was never taken
 	Upstreams []spanrill.EngineEntry `json:"upstreams"`
-	Skipped   []string               `json:"skipped"`         // names of entries that cannot be decoded, each with the error
-	Paths     *gateway.PathsPage     `json:"paths,omitempty"` // as the gateway tells that was named, or nil
-	Parts     *gateway.PartsPage     `json:"parts,omitempty"` // likewise
+	Skipped   []string               `json:"skipped"`          // names of entries that cannot be decoded, each with the error
+	Config    *gateway.ConfigPage    `json:"config,omitempty"` // as the gateway tells that was named, or nil
+	Paths     *gateway.PathsPage     `json:"paths,omitempty"`  // likewise
+	Parts     *gateway.PartsPage     `json:"parts,omitempty"`  // likewise
 }
 
 // readGatewayStatus reads the configuration, the placement lease and the upstreams from the store.
@@ -121,6 +122,22 @@
 	return fmt.Sprintf("%d-%d", l.From, l.To)
 }
 
+// printGatewayConfig prints by which configuration a daemon decides, and how recent its proof is.
+func printGatewayConfig(w io.Writer, page *gateway.ConfigPage) {
+	proof := "never proved to be the newest"
+	if page.Proved {
+		proof = fmt.Sprintf("proved to be the newest %s ago", formatSeconds(page.ProofAge))
+	}
+	fmt.Fprintf(w, "\n%s decides by configuration %d (revision %d), %s; changes within %s, withdrawn keys within %s\n",
+		page.Daemon, page.Version, page.Revision, proof, formatSeconds(page.MaxChangeAge), formatSeconds(page.MaxKeyAge))
+	switch {
+	case page.StoreSilent && page.StoreAnswers:
+		fmt.Fprintln(w, "the store answers other daemons, but not this one")
+	case page.StoreSilent:
+		fmt.Fprintln(w, "the store answers no daemon")
+	}
+}
+
 // runGatewayStatus prints the status of the gateways on the users' platform.
 func runGatewayStatus(ctx context.Context, c *cli.Command) error {
 	addr := c.String(flagPlatform)
@@ -132,6 +149,10 @@
 		return err
 	}
 	if named := c.String(flagGateway); named != "" {
+		s.Config = &gateway.ConfigPage{}
+		if err := callAdmin(ctx, named, fasthttp.MethodGet, gateway.ConfigPath, s.Config); err != nil {
+			return err
+		}
 		s.Paths = &gateway.PathsPage{}
 		if err := callAdmin(ctx, named, fasthttp.MethodGet, gateway.PathsPath, s.Paths); err != nil {
 			return err
@@ -146,6 +167,7 @@
 	}
 	s.print(c.Root().Writer)
 	if s.Paths != nil {
+		printGatewayConfig(c.Root().Writer, s.Config)
 		printGatewayPaths(c.Root().Writer, s.Paths)
 		printGatewayParts(c.Root().Writer, s.Parts)
 	}
--- a/cli/spanrillcmd/gatewaystatus_test.go
+++ b/cli/spanrillcmd/gatewaystatus_test.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"spanrill"
+	"spanrill/gateway"
 	"spanrill/platform"
 	"spanrill/platform/platformtest"
 	"spanrill/transport/httpcall"
@@ -50,6 +51,24 @@
 	}
 }
 
+// The status of a daemon shows how recent the proof of its configuration is, and whom the store answers.
+func TestGatewayConfigStatus(t *testing.T) {
+	for _, c := range []struct {
+		page gateway.ConfigPage
+		want string
+	}{
+		{gateway.ConfigPage{Version: 7}, "configuration 7 (revision 0), never proved"},
+		{gateway.ConfigPage{Proved: true, ProofAge: 1500, MaxChangeAge: 2000, MaxKeyAge: 4300}, "1.5 s ago; changes within 2.0 s, withdrawn keys within 4.3 s"},
+		{gateway.ConfigPage{StoreSilent: true, StoreAnswers: true}, "answers other daemons"},
+		{gateway.ConfigPage{StoreSilent: true}, "answers no daemon"},
+	} {
+		var text strings.Builder
+		if printGatewayConfig(&text, &c.page); !strings.Contains(text.String(), c.want) {
+			t.Errorf("output lacks %q:\n%s", c.want, text.String())
+		}
+	}
+}
+
 // Reading from a store that does not answer fails with ErrUnavailable.
 func TestGatewayStatusStoreUnavailable(t *testing.T) {
 	store := platformtest.NewStore()
--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -75,8 +75,8 @@
 	})
 }
 
-// serveMetrics serves metrics to scrapers, and the states of divided room, of network paths and of
-// withheld parts of prompts to operators.
+// serveMetrics serves metrics to scrapers, and the states of divided room, of the configuration, of network
+// paths and of withheld parts of prompts to operators.
 func (g *Gateway) serveMetrics(ctx context.Context) error {
 	if g.metricsListener == nil {
 		return nil
@@ -86,6 +86,9 @@
 		case RoomPath:
 			g.serveRoomPage(ctx, c)
 			return
+		case ConfigPath:
+			g.serveConfigPage(c)
+			return
 		case PathsPath:
 			g.servePathsPage(c)
 			return
