--- a/soak/run.go
+++ b/soak/run.go
@@ -106,7 +106,11 @@
 func (r *run) wasStoreDisturbed(from, to time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.storeDisturbances, func(o interval) bool { return o.from.Before(to) && o.to.After(from) })
+	return overlapAny(r.storeDisturbances, from, to)
+}
+
+func overlapAny(intervals []interval, from, to time.Time) bool {
+	return slices.ContainsFunc(intervals, func(o interval) bool { return o.from.Before(to) && o.to.After(from) })
 }
 
 // wasDisturbed reports whether a daemon was disturbed between two times.
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -121,5 +121,5 @@
 func (r *run) wasStoreRestored(from, to time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.ContainsFunc(r.restores, func(o interval) bool { return o.from.Before(to) && o.to.After(from) })
+	return overlapAny(r.restores, from, to)
 }
