--- a/coordination/relay/log.go
+++ b/coordination/relay/log.go
@@ -20,7 +20,9 @@
 	f := logrus.Fields{"request": q.head.ID, "ms": r.Clock.Now() - q.start, "sends": q.sends}
 	if q.table != nil {
 		f["config"], f["config_revision"] = q.table.Version(), r.Config.Revision()
-		f["proof_age_ms"] = q.proofAge
+		if q.proofAge < -spanrill.Never {
+			f["proof_age_ms"] = q.proofAge
+		}
 	}
 	if q.route != nil {
 		f["route"], f["repeat"] = q.route.Name, q.route.Repeat.String()
--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"spanrill"
 	"spanrill/events"
 	"spanrill/transport/callerhttp"
 )
@@ -26,6 +27,8 @@
 	switch {
 	case g.config.Table() == nil:
 		return errors.New("no configuration yet")
+	case g.config.ConfirmedAt() == spanrill.Never:
+		return errors.New("configuration not confirmed yet")
 	case !g.isKeyFresh():
 		return fmt.Errorf("configuration was last confirmed %d ms ago", g.config.Age())
 	}
