--- a/gateway/drainfleet_test.go
+++ b/gateway/drainfleet_test.go
@@ -85,7 +85,6 @@
 	clockOffset     spanrill.Millis // differs for each daemon
 	upstreamCalls   simCalls
 	configCalls     simCalls // only if the configuration changes in the scenario
-	startedAt       spanrill.Millis
 	nextRound       spanrill.Millis // next exchange round
 	roundAt         spanrill.Millis // last exchange round
 	nextMaintenance spanrill.Millis
