--- a/gateway/drainfleet_test.go
+++ b/gateway/drainfleet_test.go
@@ -84,7 +84,7 @@
 	clockLag        atomic.Int64
 	clockOffset     spanrill.Millis // differs for each daemon
 	upstreamCalls   simCalls
-	configCalls     simCalls // only if the configuration changes in the scenario
+	configCalls     simCalls        // only if the configuration changes in the scenario
 	nextRound       spanrill.Millis // next exchange round
 	roundAt         spanrill.Millis // last exchange round
 	nextMaintenance spanrill.Millis
