--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -182,7 +182,7 @@
 	http             *fasthttp.RequestCtx
 	head             spanrill.CallerRequest
 	table            *routes.Table
-	proofAge         spanrill.Millis // of the proof that table was the newest configuration, when it was chosen
+	proofAge         spanrill.Millis // age of the configuration's proof when the request was decided by it
 	route            *spanrill.Route
 	account          *spanrill.Account
 	service          *spanrill.ServiceInfo
--- a/state/fleet/update.go
+++ b/state/fleet/update.go
@@ -148,8 +148,8 @@
 }
 
 // Freshness returns the revision of the store up to which all entries are known, a revision at or
-// before it after which nothing changed, and the time since the entries were last confirmed, which exceeds every bound before the
-// first confirmation.
+// before it after which nothing changed, and the time since the entries were last confirmed. Before the first confirmation that
+// time exceeds every bound.
 func (t *Table) Freshness() (revision, lastChange uint64, age spanrill.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
