--- a/coordination/exchange/exchange.go
+++ b/coordination/exchange/exchange.go
@@ -175,33 +175,6 @@
 	return ctx.Err()
 }
 
-// pause waits for the next round. Wake ends the wait, but not before minRoundInterval.
-func (e *Exchange) pause(ctx context.Context) {
-	due, wake := e.clock.After(e.NextPause()), e.wake
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-due:
-			return
-		case <-wake:
-			remaining := e.roundBegunAt + minRoundInterval - e.clock.Now()
-			if remaining <= 0 {
-				return
-			}
-			due, wake = e.clock.After(remaining), nil
-		}
-	}
-}
-
-// Wake makes Run begin the next round earlier. It is safe for concurrent use.
-func (e *Exchange) Wake() {
-	select {
-	case e.wake <- struct{}{}:
-	default: // it is already awake
-	}
-}
-
 // Round asks some peers concurrently and applies their answers. It waits at most answerTimeout.
 // A peer whose request is still in flight is not asked again until that ends, so that an
 // unreachable peer does not delay the news of others.
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -21,6 +21,7 @@
 //	tunnels.go connections to other daemons
 //	help.go    connections through helpers
 //	paths.go   which upstreams are lost
+//	lostservices.go lost paths as others are told of them
 //	delay.go   how long a connection usually takes
 //	budget.go  how often helpers are asked
 //	check.go   checks of lost upstreams
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 //	listen.go    listeners
 //	run.go       start, supervision and shutdown of the components
 //	due.go       when to read the store, contend for the lease and place
+//	askage.go    the age of its data at which a daemon asks the store
 //	config.go    the configuration of routes
 //	proof.go     how old the proof may be that it is the newest, and requests that need a newer one
 //	peers.go     messages of other daemons
