review: Planned stop of a daemon cuts an answer that is being written

Cause: a request no longer counts as running once its handler has returned, before its answer is written. The planned stop ends the process when no request counts.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -13,6 +13,9 @@
 	if len(os.Args) > 4 && os.Args[1] == "ending" {
 		end(runEnding(os.Args[2], os.Args[3:]))
 	}
+	if len(os.Args) == 6 && os.Args[1] == "slow" {
+		end(runSlow(os.Args[2], os.Args[3:]))
+	}
 	if len(os.Args) > 3 && os.Args[1] == "plain" {
 		end(runPlain(os.Args[2], os.Args[3:]))
 	}
@@ -34,7 +37,7 @@
 
 func start(args []string) error {
 	if len(args) < 2 {
-		return fmt.Errorf("usage: standin platform DIR SERVERS | engine STORE ID ADDR RUNS | server STORE ID ADDR | ending RECORD leave|crash RUNS ID=PID... FRONT=READY... | plain RECORD ID=PID... FRONT=READY... | ports N")
+		return fmt.Errorf("usage: standin platform DIR SERVERS | engine STORE ID ADDR RUNS | server STORE ID ADDR | ending RECORD leave|crash RUNS ID=PID... FRONT=READY... | plain RECORD ID=PID... FRONT=READY... | slow RECORD FRONT=READY PID RUNS | ports N")
 	}
 	switch {
 	case args[0] == "platform" && len(args) == 3:
