relay: tell plain services the last event that a caller has

What callers saw: a caller whose connection was reset took its stream up with Last-Event-Id.

Cause: Headers.WriteRequest removes Last-Event-Id from the copy of the caller's headers and sets it from UpstreamRequest.LastEventID, which only attempts on chains filled in. attemptPlain did not.

Change: attemptPlain passes on the last event of the caller's request, on routes of every kind.

Evidence: the stand-in's upstreams record "Last-Event-Id" as empty for such attempts and as sent by the caller now.

--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -212,7 +212,7 @@
 	if previous.reached && previous.outcome == spanrill.OutcomeUnknown {
 		ctx = httpcall.WithNewConn(ctx) // idle connections may have broken together
 	}
-	req := q.upstreamRequest(spanrill.UpstreamRequest{EngineID: u.Name(), Priority: q.priority()})
+	req := q.upstreamRequest(spanrill.UpstreamRequest{EngineID: u.Name(), LastEventID: q.head.LastEventID, Priority: q.priority()})
 	defer fasthttp.ReleaseRequest(req)
 	q.recordSend()
 	q.logSent(u, nil, "")
