relay: forward streams of plain services as they arrive

What callers saw: no stream on a route to a service without layers was ever answered if it lasted longer than callers wait.

Cause: Relay.Serve sent streams of services without layers to servePlain, which reads an answer whole before the first byte goes to the caller. Nothing there knew events: a stream that broke off was not continued, and one without a length that ended inside an event was passed on as a whole answer.

Change: streams to both kinds of service take the same way. A plain service's stream runs on a path of one upstream without layers: the head decides about refusals, signature and failures, events are passed on one by one, and a continuation goes to another upstream. Silence of a plain service is only checked for an address at which nothing listens, since it has no report calls.

--- a/coordination/chainrouting/path.go
+++ b/coordination/chainrouting/path.go
@@ -25,7 +25,8 @@
 	return float64(p.Layers.Len()) / float64(held)
 }
 
-// Path is the engines that a request crosses, with tokens reserved at each.
+// Path is the engines that a request crosses, with tokens reserved at each. A request to a plain
+// service has a path too, of one part without layers or tokens.
 type Path struct {
 	parts          []Part
 	reserved       []int64 // tokens, for each part
@@ -51,6 +52,9 @@
 	return p
 }
 
+// PathTo returns a path of one upstream, which serves the request by itself.
+func (r *Router) PathTo(u *fleet.Upstream) *Path { return r.newPath([]Part{{Upstream: u}}, 0, 0) }
+
 // Parts returns the engines in order. The slice must not be changed.
 func (p *Path) Parts() []Part { return p.parts }
 
@@ -126,8 +130,11 @@
 	return false
 }
 
-// Stages returns the path in the form that is sent to engines.
+// Stages returns the path in the form that is sent to engines, or nil if it runs no layers.
 func (p *Path) Stages() []spanrill.PathStage {
+	if !p.runsLayers() {
+		return nil
+	}
 	stages := make([]spanrill.PathStage, len(p.parts))
 	for i, part := range p.parts {
 		stages[i] = spanrill.PathStage{ID: part.Upstream.ID(), Addr: part.Upstream.Addr(), Layers: part.Layers}
@@ -135,6 +142,8 @@
 	return stages
 }
 
+func (p *Path) runsLayers() bool { return p.parts[0].Layers.Len() > 0 }
+
 // Covers reports whether the path runs each of that many layers once and in order, and uses no
 // engine twice. Callers check it before they send a request.
 func (p *Path) Covers(layers int) bool {
@@ -152,6 +161,9 @@
 
 // String returns the engines and layers for logs.
 func (p *Path) String() string {
+	if !p.runsLayers() {
+		return p.First().ID()
+	}
 	var b strings.Builder
 	for i, part := range p.parts {
 		if i > 0 {
--- a/coordination/relay/attempts.go
+++ b/coordination/relay/attempts.go
@@ -103,7 +103,7 @@
 	g.refusals++
 	g.relay.Meters.UpstreamRefusals.Inc()
 	g.avoid[atFault.ID()] = true
-	atFault.RecordRefusal(now, g.relay.Router.HasRoom(g.service.Model, atFault))
+	atFault.RecordRefusal(now, g.service.Model != nil && g.relay.Router.HasRoom(g.service.Model, atFault))
 	g.recordRoomRefusal(first, failure)
 	if failure.misdirected {
 		atFault.Avoid(now + misdirectedAvoidTime)
--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 
@@ -17,7 +18,8 @@
 	"spanrill/transport/httpcall"
 )
 
-// generation is a request that runs on a path of engines.
+// generation is a request whose answer is an event stream. It runs on a path of engines, or on an
+// upstream of a plain service, which is a path of one engine without layers.
 type generation struct {
 	*request
 	path             *chainrouting.Path
@@ -51,9 +53,9 @@
 	noOtherPathLogged        bool            // logNoOtherPath has logged the current silence
 }
 
-// serveChained sends the request to a path of engines. It answers with a stream of events, with the
+// serveStream sends the request to a path of engines. It answers with a stream of events, with the
 // error answer of an engine, or with a refusal.
-func (q *request) serveChained() {
+func (q *request) serveStream() {
 	g := &generation{request: q, avoid: map[string]bool{}, sentTo: map[string]*fleet.Upstream{}, ranOn: map[string]bool{}, lastEventID: q.head.LastEventID, lastEventAt: q.start}
 	unregister := q.relay.generations.add(g)
 	finishRequest := q.finish
@@ -73,8 +75,8 @@
 	if q.relay.closing.Load() {
 		q.http.SetConnectionClose()
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		g.passOnFailure()
+	if resp.StatusCode() != fasthttp.StatusOK || !g.isEventStream(g.answer) {
+		g.passOnWhole()
 		return
 	}
 	if !q.http.Request.Header.IsHTTP11() {
@@ -84,8 +86,15 @@
 	resp.SetBodyStream(newEventBody(g), -1)
 }
 
-// passOnFailure answers with an engine's error answer, unchanged.
-func (g *generation) passOnFailure() {
+// isEventStream reports whether a successful answer consists of events. A plain service may answer with
+// another type of content.
+func (g *generation) isEventStream(answer *httpcall.Answer) bool {
+	contentType := answer.Header().ContentType()
+	return g.service.Model != nil || len(contentType) == 0 || bytes.HasPrefix(bytes.ToLower(contentType), []byte("text/event-stream"))
+}
+
+// passOnWhole answers with an engine's answer that is no stream, unchanged.
+func (g *generation) passOnWhole() {
 	defer g.finish()
 	defer g.release()
 	body, err := g.readAnswer(g.answer, g.firstEngine)
@@ -120,22 +129,6 @@
 // setCheckNow stores the function that makes onSilence run immediately.
 func (g *generation) setCheckNow(check func()) { g.checkNow.Store(&check) }
 
-// pathNeed returns what the request needs of a path. An urgent request may use all of the memory of
-// the engines.
-func (g *generation) pathNeed(urgent bool) chainrouting.Need {
-	answerTokens := g.head.ExpectedTokens
-	if answerTokens == 0 {
-		answerTokens = int(g.service.Model.MeanAnswerTokens)
-	}
-	if g.head.MaxTokens > 0 {
-		answerTokens = min(answerTokens, g.head.MaxTokens)
-	}
-	return chainrouting.Need{
-		Prompt: g.head.PromptTokens, Answer: answerTokens, Zone: g.relay.options.Zone, Avoid: g.avoid,
-		Urgent: urgent || g.priority() == 0, Spread: g.begun, First: g.allowedFirstEngines(),
-	}
-}
-
 // openStream makes attempts until an engine answers. It returns a refusal if none does.
 func (g *generation) openStream() *spanrill.Refusal {
 	for {
@@ -205,59 +198,6 @@
 	missingLayersRetryAfter spanrill.Millis = 700
 )
 
-// findPath chooses a path for a request that no engine has answered yet, or returns a refusal. If
-// the daemons divide the room of the service, it asks for room first.
-func (g *generation) findPath() *spanrill.Refusal {
-	if g.dividesRoom() {
-		return g.findGrantedPath()
-	}
-	return g.chooseOwnPath()
-}
-
-// chooseOwnPath chooses a path by what this daemon knows of the load, or returns a refusal. It does
-// not wait until a chain has room, because other requests may take the room first. A refused caller
-// gets a retry time of its own instead.
-func (g *generation) chooseOwnPath() *spanrill.Refusal {
-	path, err := g.relay.Router.Pick(g.service.Name, g.service.Model, g.pathNeed(false))
-	if err != nil {
-		return g.noPathRefusal(err)
-	}
-	return g.usePath(path)
-}
-
-// usePath makes a path that of the next attempt. It returns a refusal if the path is invalid.
-func (g *generation) usePath(path *chainrouting.Path) *spanrill.Refusal {
-	if !path.Covers(g.service.Model.Layers) {
-		path.Release()
-		return spanrill.NewRefusal(spanrill.ReasonInternal, "path %s does not run every layer once", path)
-	}
-	g.setPath(path)
-	g.firstEngine = path.First()
-	return nil
-}
-
-// noPathRefusal returns the refusal of a request for which the router found no path.
-func (g *generation) noPathRefusal(err error) *spanrill.Refusal {
-	if g.ctx.Err() != nil {
-		return g.endedRefusal(g.mayHaveRun)
-	}
-	g.considered = consideredChains(err)
-	if errors.Is(err, chainrouting.ErrResting) || errors.Is(err, chainrouting.ErrLimited) {
-		if refusal := g.limitOrRestRefusal(); refusal != nil {
-			return refusal
-		}
-	}
-	full := errors.Is(err, chainrouting.ErrNoRoom)
-	switch {
-	case full && g.dividesRoom():
-		return spanrill.NewRefusal(spanrill.ReasonChainsFull, "%v", err).WithRetryAfter(g.plannedReturn(fullRetryAfter))
-	case full:
-		wait, gap := g.relay.roomRetries.take(g.relay.Clock.Now())
-		return spanrill.NewRefusal(spanrill.ReasonChainsFull, "%v, requests end every %d ms", err, gap).WithRetryAfter(wait)
-	}
-	return spanrill.NewRefusal(spanrill.ReasonNoChain, "%v", err).WithRetryAfter(max(missingLayersRetryAfter, g.plannedReturn(missingLayersRetryAfter)))
-}
-
 // send makes one attempt and stores the answer in g.answer. The error is a *sendError. While the
 // attempt waits for its answer, an accepted continuation may replace it.
 func (g *generation) send() error {
--- a/coordination/relay/continuation.go
+++ b/coordination/relay/continuation.go
@@ -77,8 +77,8 @@
 	if !g.mayContinue() || g.pending != nil || r.Clock.Now() < g.nextContinuationAt || g.checkBeforeSend() != nil {
 		return false
 	}
-	path, err := r.Router.Pick(g.service.Name, g.service.Model, g.continuationNeed())
-	if err == nil && !path.Covers(g.service.Model.Layers) {
+	path, err := g.pickPath(g.continuationNeed())
+	if err == nil && !g.isCovered(path) {
 		path.Release()
 		err = errors.Errorf("path %s does not run every layer once", path)
 	}
@@ -136,7 +136,7 @@
 	g.logContinuation(c)
 	g.logSent(first, path, g.lastEventID)
 	go func() {
-		c.finish(requireOK(g.sendAttempt(ctx, path, req, c)))
+		c.finish(g.requireStream(g.sendAttempt(ctx, path, req, c)))
 		fasthttp.ReleaseRequest(req)
 		close(c.done)
 		g.wake()
@@ -151,9 +151,9 @@
 	}
 }
 
-// requireOK turns an answer with any other status than 200 into a failure.
-func requireOK(answer *httpcall.Answer, failure *sendError) (*httpcall.Answer, *sendError) {
-	if failure != nil || answer.Status() == fasthttp.StatusOK {
+// requireStream turns an answer that is no stream of events into a failure.
+func (g *generation) requireStream(answer *httpcall.Answer, failure *sendError) (*httpcall.Answer, *sendError) {
+	if failure != nil || answer.Status() == fasthttp.StatusOK && g.isEventStream(answer) {
 		return answer, failure
 	}
 	answer.Close()
@@ -205,7 +205,7 @@
 	if c.adopted.Load() {
 		return c.g.onSilence(silent)
 	}
-	if silent >= firstEventWatchGap {
+	if silent >= firstEventWatchGap && c.g.service.Model != nil {
 		c.g.relay.Prober.Check(c.ctx, c.path.Upstreams())
 	}
 	switch {
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -3,11 +3,12 @@
 //
 // A request is decoded and matched with a route. If the route needs a key, the key is checked,
 // which requires a configuration that was confirmed recently. Then the request is sent to an
-// upstream. Answers of plain services are read completely before the first byte goes to the caller.
-// Event streams are forwarded event by event. When an engine of a stream's path dies, the stream is
-// moved to other engines, or is sent again to another chain, which continues after the last event
-// that the caller has. A running attempt is not ended before another engine has accepted the
-// continuation.
+// upstream. Answers of plain services are read completely before the first byte goes to the caller,
+// unless the route is one of event streams. Event streams are forwarded event by event, whether a
+// chain of engines or a plain service makes them. When an engine of a stream's path dies, the stream is
+// moved to other engines, or is sent again to another chain or to another upstream of the plain service,
+// which continues after the last event that the caller has. A running attempt is not ended before
+// another upstream has accepted the continuation.
 //
 //	relay.go          a request from its arrival to its end
 //	admit.go          the route, the account and the service of a request
@@ -16,10 +17,11 @@
 //	refuse.go         error answers of spanrill's own
 //	lostpath.go       upstreams that this daemon has lost its network path to
 //	maysend.go        checks just before each attempt
-//	plain.go          services whose answers are read completely
+//	plain.go          requests whose answers are read completely
 //	plainanswer.go    results of attempts at such services
 //	plainchoice.go    choice of an upstream of such a service
-//	chained.go        generations on a path of engines, up to the first event
+//	chained.go        event streams, up to the first event
+//	paths.go          choice of the path of a stream
 //	attempts.go       failed attempts, and whether they are repeated
 //	room.go           room that the daemons divide among their requests
 //	engineload.go     load that engines tell in their answers
@@ -229,8 +231,8 @@
 		q.finish()
 		return
 	}
-	if q.service.Model != nil && q.route.Chained {
-		q.serveChained()
+	if q.route.Stream || q.service.Model != nil && q.route.Chained {
+		q.serveStream()
 		return
 	}
 	q.servePlain()
--- a/coordination/relay/room.go
+++ b/coordination/relay/room.go
@@ -83,7 +83,7 @@
 // dividesRoom reports whether an attempt needs a grant. Attempts of streams that have begun do not.
 func (g *generation) dividesRoom() bool {
 	gate := g.relay.Room
-	return gate != nil && !g.begun && gate.Divides(g.service.Name)
+	return gate != nil && !g.begun && g.service.Model != nil && gate.Divides(g.service.Name)
 }
 
 // findGrantedPath asks for room and builds the path that was granted. It may wait for room.
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -110,10 +110,18 @@
 	b.lastEventAt, g.lastEventAt, g.nextProbeSilence, g.nextDeliveryCheckSilence = now, now, 0, 0
 	g.continuedOnSilence, g.noOtherPathLogged, g.rereadsTokens, g.failedMoves = false, false, false, 0
 	b.events += count
-	g.relay.Meters.Tokens.Add(count)
 	for _, p := range g.path.Parts() {
 		p.Upstream.RecordProgress(now)
 	}
+	if g.service.Model != nil {
+		b.recordTokens(count)
+	}
+}
+
+// recordTokens counts the tokens of new events.
+func (b *eventBody) recordTokens(events int) {
+	g := b.g
+	g.relay.Meters.Tokens.Add(events)
 	if b.events%growInterval == 0 {
 		g.path.Grow(int64(g.head.PromptTokens + b.events*g.relay.eventTokens.tokensPerEvent(g.service)))
 	}
@@ -198,13 +206,15 @@
 // Close ends the request, whether its stream is complete or not.
 func (b *eventBody) Close() error {
 	g := b.g
-	g.relay.roomRetries.recordEnd(g.relay.Clock.Now())
+	if g.service.Model != nil {
+		g.relay.roomRetries.recordEnd(g.relay.Clock.Now())
+	}
 	delivered := b.complete && len(b.ready) == 0
 	if delivered {
 		g.recordServed()
 		g.recordPartsWorking(g.firstEventAt)
 		g.firstEngine.RecordSuccess(g.relay.Clock.Now())
-		if g.head.LastEventID == "" {
+		if g.service.Model != nil && g.head.LastEventID == "" {
 			g.relay.eventTokens.recordAnswer(g.service.Name, b.events)
 		}
 		g.relay.Meters.CountOutcome(spanrill.OutcomeRan)
--- a/coordination/relay/watch.go
+++ b/coordination/relay/watch.go
@@ -73,6 +73,10 @@
 	if g.hangsOnLostPath(silent) && g.startContinuation(errPathLost) {
 		return nil
 	}
+	if g.service.Model == nil {
+		g.checkSilentService(silent)
+		return nil
+	}
 	noneDead := g.probeWhenSilent(silent)
 	switch {
 	case noneDead && g.begun && silent < g.undeliveredAfter() && g.path.LosesLayers():
@@ -89,6 +93,21 @@
 	return nil
 }
 
+// checkSilentService continues the stream of a plain service at another upstream if nothing listens at
+// the address of its own any more. Silence alone does not show that the upstream has failed: plain
+// services have no report calls, and their health checks wait for a slot as requests do.
+func (g *generation) checkSilentService(silent spanrill.Millis) {
+	if silent < max(g.undeliveredAfter(), g.nextProbeSilence) {
+		return
+	}
+	g.nextProbeSilence = silent * probeBackoffFactor
+	g.relay.Prober.CheckListening(g.ctx, g.firstEngine)
+	if g.firstEngine.Ended() {
+		g.recordBrokenAttempt(g.firstEngine, g.streamingTime())
+		g.startContinuation(errFirstEngineDead)
+	}
+}
+
 // undeliveredSilence is the silence after which a stream is also sent to another chain although all
 // its engines answer, because its connection may be broken. Callers give up a stream after 2 s
 // without an event, and the new attempt first has to read all tokens so far.
@@ -297,7 +316,7 @@
 	if !g.mayContinue() || !g.relay.Budgets.Of(g.service.Name).Available(g.ctx, g.retryPriority()) {
 		return false
 	}
-	path, err := g.relay.Router.Pick(g.service.Name, g.service.Model, g.pathNeed(true))
+	path, err := g.pickPath(g.pathNeed(true))
 	if err != nil {
 		return false
 	}
