relay: give up streams that send bytes without end and no new event

What callers saw: an engine that writes a line, or lines, without an empty one held its callers until their deadline, and the daemon had no core left for others: a stream with such bytes ended in a closed connection after 5 s.

Cause: framer.feed kept an incomplete event of any size, and looked through all of it again at each read, so that its time grew with the square of the size. Events that were received before were left out without a bound on their number.

Change: the framer searches each byte once. A stream with more than 1 MiB of an incomplete event, or of events that were received before, counts as broken off: it is continued at another upstream where its route allows that.

--- a/coordination/relay/framing.go
+++ b/coordination/relay/framing.go
@@ -3,16 +3,36 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/pkg/errors"
 )
 
 // framer splits a byte stream into whole server-sent events (HTML standard), which end with an
 // empty line.
 type framer struct {
-	buf        []byte
+	buf        []byte // the bytes after the last whole event
+	searched   int    // bytes of buf that belong to whole lines or were searched for the end of one
+	lineStart  int    // start of the line in buf that has not ended yet
+	skipped    int    // bytes of events that were left out since the last one that was not
 	lastID     string // id of the last event, from the caller or in the stream
 	lastNumber int64  // lastID as a number, or -1
 }
 
+const (
+	// maxEventBytes is the maximum size of an event. An event holds the text of a few tokens, or one
+	// result of a plain service.
+	maxEventBytes = 1 << 20
+	// maxSkippedBytes is the maximum size of events that were received before in a row. An upstream that
+	// continues a stream sends none, or those that were on their way.
+	maxSkippedBytes = 1 << 20
+)
+
+// Errors of a stream that sends bytes and makes no progress.
+var (
+	errEventTooLarge = errors.New("event is larger than the limit")
+	errOnlyOldEvents = errors.New("the stream repeats events that were received before")
+)
+
 func newFramer(lastID string) *framer {
 	f := &framer{lastNumber: -1}
 	f.setLastID(lastID)
@@ -31,46 +51,61 @@
 // received before.
 func (f *framer) feed(out, data []byte) ([]byte, int) {
 	f.buf = append(f.buf, data...)
-	events := 0
-	rest := f.buf
-	for {
-		end := eventEnd(rest)
-		if end < 0 {
-			break
-		}
-		event := rest[:end]
-		rest = rest[end:]
+	events, start := 0, 0
+	for end := f.nextEventEnd(); end >= 0; end = f.nextEventEnd() {
+		event := f.buf[start:end]
+		start = end
 		if f.recordIfNew(event) {
 			out = append(out, event...)
 			events++
+			f.skipped = 0
+			continue
 		}
+		f.skipped += len(event)
+	}
+	if start > 0 {
+		f.buf = append(f.buf[:0], f.buf[start:]...)
+		f.searched -= start
+		f.lineStart -= start
 	}
-	f.buf = append(f.buf[:0], rest...)
 	return out, events
 }
 
+// checkProgress returns an error if the stream sends bytes without end that make no new event.
+func (f *framer) checkProgress() error {
+	switch {
+	case len(f.buf) > maxEventBytes:
+		return errEventTooLarge
+	case f.skipped > maxSkippedBytes:
+		return errOnlyOldEvents
+	}
+	return nil
+}
+
 // hasPartial reports whether an incomplete event is buffered.
 func (f *framer) hasPartial() bool { return len(bytes.TrimSpace(f.buf)) > 0 }
 
 // dropPartial removes an incomplete event.
-func (f *framer) dropPartial() { f.buf = f.buf[:0] }
+func (f *framer) dropPartial() {
+	f.buf, f.searched, f.lineStart, f.skipped = nil, 0, 0, 0
+}
 
-// eventEnd returns the length of the first event in b including its empty line, or -1 if it is
-// incomplete.
-func eventEnd(b []byte) int {
-	pos := 0
-	for pos < len(b) {
-		nl := bytes.IndexByte(b[pos:], '\n')
+// nextEventEnd returns the end of the next event in the buffer including its empty line, or -1 if it is
+// incomplete. It searches each byte once.
+func (f *framer) nextEventEnd() int {
+	for {
+		nl := bytes.IndexByte(f.buf[f.searched:], '\n')
 		if nl < 0 {
+			f.searched = len(f.buf)
 			return -1
 		}
-		line := b[pos : pos+nl]
-		pos += nl + 1
+		line := f.buf[f.lineStart : f.searched+nl]
+		f.searched += nl + 1
+		f.lineStart = f.searched
 		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
-			return pos
+			return f.searched
 		}
 	}
-	return -1
 }
 
 var idField = []byte("id:")
--- a/coordination/relay/framing_test.go
+++ b/coordination/relay/framing_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"github.com/pkg/errors"
 )
 
 func TestFraming(t *testing.T) {
@@ -64,6 +66,47 @@
 	})
 }
 
+// Guards against a stream that sends bytes without end and makes no new event.
+func TestStreamWithoutProgress(t *testing.T) {
+	old := eventStream(1, 1)
+	for _, c := range []struct {
+		name, text string
+		want       error
+	}{
+		{"line without end", "data: x", errEventTooLarge},
+		{"lines without an empty one", "data: x\n", errEventTooLarge},
+		{"old events", old, errOnlyOldEvents},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFramer("1")
+			limit := max(maxEventBytes, maxSkippedBytes)
+			fed := 0
+			for ; f.checkProgress() == nil && fed <= 2*limit; fed += len(c.text) {
+				f.feed(nil, []byte(c.text))
+			}
+			if err := f.checkProgress(); !errors.Is(err, c.want) || fed < limit || fed > limit+2*len(c.text) {
+				t.Fatalf("error %v after %d bytes, want %v after about %d", err, fed, c.want, limit)
+			}
+			f.dropPartial()
+			out, n := f.feed(nil, []byte(eventStream(2, 3)))
+			if err := f.checkProgress(); err != nil || n != 2 || string(out) != eventStream(2, 3) {
+				t.Fatalf("the stream that continues it: error %v, %d events: %q", err, n, out)
+			}
+		})
+	}
+}
+
+// BenchmarkEventWithoutEnd feeds an event of the maximum size in reads.
+func BenchmarkEventWithoutEnd(b *testing.B) {
+	read := bytes.Repeat([]byte("data: x\n"), readSize/8)
+	for b.Loop() {
+		f := newFramer("")
+		for range maxEventBytes / readSize {
+			f.feed(nil, read)
+		}
+	}
+}
+
 func eventStream(from, to int) string {
 	var b strings.Builder
 	for n := from; n <= to; n++ {
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -64,6 +64,9 @@
 		b.ready = b.outBuf
 		b.recordEvents(count)
 	}
+	if err == nil {
+		err = b.framer.checkProgress()
+	}
 	if err == nil {
 		return nil
 	}
