relay: bound the memory of answers that are read whole

What callers saw: nothing yet at a daemon that lives. A few answers without end at once take more memory than a daemon has, and one that exceeds its limit is killed with all the requests that it holds.

Cause: Answer.ReadAll bounds each answer to 32 MiB and nothing bounds their sum; io.ReadAll copies a body of unknown size again and again while it grows.

Change: a body is read in segments that are not copied. Beyond 64 KiB it needs part of a quarter of memory_mb: half of that is shared by all, and the other half is for one answer at a time that finds nothing left, so that answers that wait for each other never hold all of it. The memory is held until the answer is written to the caller.

TestAnswerWithoutEndIsNotPassedOn and the tests of httpcall guard what held before.

--- a/coordination/relay/chained.go
+++ b/coordination/relay/chained.go
@@ -97,13 +97,13 @@
 func (g *generation) passOnWhole() {
 	defer g.finish()
 	defer g.release()
-	body, err := g.readAnswer(g.answer, g.firstEngine)
+	body, err := g.readAnswer(g.ctx, g.answer, g.firstEngine)
 	if err != nil {
 		g.refuse(spanrill.NewRefusal(spanrill.ReasonUpstreamFailed, "%v", err).WithOutcome(spanrill.OutcomeUnknown))
 		return
 	}
 	g.recordServed()
-	g.http.Response.SetBodyRaw(body)
+	body.passOn(&g.http.Response)
 	g.logEnded(g.http.Response.StatusCode(), logrus.Fields{"upstream": g.firstEngine.ID()})
 }
 
@@ -169,12 +169,11 @@
 func (g *generation) keepFailedAnswer() {
 	resp := &fasthttp.Response{}
 	g.answer.Header().CopyTo(&resp.Header)
-	body, err := g.readAnswer(g.answer, g.firstEngine)
+	body, err := g.readAnswer(g.ctx, g.answer, g.firstEngine)
 	if err != nil {
 		return
 	}
-	resp.SetBodyRaw(body)
-	g.keepAnswer(attempt{upstream: g.firstEngine, resp: resp})
+	g.keepAnswer(attempt{upstream: g.firstEngine, resp: resp, body: body})
 }
 
 // markMayHaveRun sets the outcome of a refusal to unknown if an earlier attempt may have run. It
--- a/coordination/relay/plain.go
+++ b/coordination/relay/plain.go
@@ -14,9 +14,6 @@
 	"spanrill/transport/httpcall"
 )
 
-// maxAnswerBytes is the maximum size of an answer that is read completely into memory, in bytes.
-const maxAnswerBytes = 32 << 20
-
 // servePlain sends a request to an upstream of a plain service, and to others if that fails and the
 // route allows it. It passes on the answer or refuses the request.
 func (q *request) servePlain() {
@@ -51,7 +48,8 @@
 // attempt is the result of one attempt at a plain service.
 type attempt struct {
 	upstream          *fleet.Upstream
-	resp              *fasthttp.Response // complete answer, or nil
+	resp              *fasthttp.Response // head of the complete answer, or nil
+	body              *answerBody        // body of the complete answer
 	notRun            bool               // the upstream says that it did not run the request
 	outcome           spanrill.Outcome
 	reached           bool // bytes may have been sent
@@ -155,7 +153,7 @@
 	r := q.relay
 	resp := &q.http.Response
 	r.Codec.CopyResponse(&resp.Header, &a.resp.Header)
-	resp.SetBodyRaw(a.resp.Body())
+	a.body.passOn(resp)
 	if r.closing.Load() || q.callerLeft() {
 		q.http.SetConnectionClose()
 	}
@@ -167,7 +165,7 @@
 	if !q.route.Chained {
 		r.Meters.ServiceCallTime.Update(float64(r.Clock.Now()-q.start) / float64(spanrill.Second))
 	}
-	q.logEnded(a.resp.StatusCode(), logrus.Fields{"upstream": a.upstream.ID(), "bytes": len(a.resp.Body())})
+	q.logEnded(a.resp.StatusCode(), logrus.Fields{"upstream": a.upstream.ID(), "bytes": a.body.Len()})
 }
 
 // refusal returns the refusal of a request for which no upstream has given an answer.
@@ -226,7 +224,7 @@
 	}
 	a.reached = true
 	a.sends++
-	q.readPlain(&a, answer)
+	q.readPlain(ctx, &a, answer)
 	return a
 }
 
--- a/coordination/relay/plainanswer.go
+++ b/coordination/relay/plainanswer.go
@@ -54,9 +54,9 @@
 var errUnsigned = errors.New("answer is not signed by the upstream, or is encoded")
 
 // readPlain reads the complete answer and classifies it.
-func (q *request) readPlain(a *attempt, answer *httpcall.Answer) {
+func (q *request) readPlain(ctx context.Context, a *attempt, answer *httpcall.Answer) {
 	r := q.relay
-	body, err := q.readAnswer(answer, a.upstream)
+	body, err := q.readAnswer(ctx, answer, a.upstream)
 	now := r.Clock.Now()
 	if err != nil {
 		a.sends-- // recordFailure counts it again
@@ -71,9 +71,8 @@
 		a.retryReason = meter.RetryBadToken
 		return
 	}
-	a.resp = &fasthttp.Response{}
+	a.resp, a.body = &fasthttp.Response{}, body
 	answer.Header().CopyTo(&a.resp.Header)
-	a.resp.SetBodyRaw(body)
 	if head.NotRun {
 		r.Meters.UpstreamRefusals.Inc()
 	}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -35,7 +35,8 @@
 //	rests.go          upstreams that have asked for rest
 //	limits.go         upstreams whose rate limit is exhausted
 //	retrytimes.go     retry times of callers that find all chains full
-//	answerend.go      answers that end with their connection
+//	answerend.go      whole answers, and those that end with their connection
+//	answermemory.go   memory of large answers
 //	brokenattempts.go upstreams that crash while they run a request
 //	parts.go          parts of prompts that crash engines
 //	log.go            log lines about requests
@@ -117,6 +118,9 @@
 	MaxChangeAge spanrill.Millis
 	// MaxKeyAge is the maximum age of that proof for sending requests with a key.
 	MaxKeyAge spanrill.Millis
+	// AnswerMemory is the memory for large answers that are read completely before they are passed on, in
+	// bytes; 0 is 256 MiB. An answer of more than half of it is not passed on.
+	AnswerMemory int
 }
 
 // Relay serves requests. Its methods may be called concurrently.
@@ -130,6 +134,7 @@
 	limitRetries   *limitRetryTimes
 	startup        *startupHold
 	eventTokens    *eventTokenEstimator
+	answerMemory   *answerMemory
 	roomCounts     roomCounts
 	inFlight       atomic.Int64
 	// heardOverLostPath is when an event last came over a connection that was opened before its path
@@ -162,8 +167,9 @@
 	}
 	return &Relay{
 		Dependencies: deps, options: options, callers: newCallerConns(deps.Clock, deps.Meters), generations: newRunningGenerations(), brokenAttempts: &brokenAttempts{names: map[uint32]string{}}, roomRetries: &roomRetryTimes{}, limitRetries: &limitRetryTimes{}, eventTokens: newEventTokenEstimator(),
-		startup:    newStartupHold(deps.Clock, deps.StoreSilentAtStart, deps.Config.Ready(), deps.Fleet.Ready(), deps.SuspectsKnown),
-		routineLog: events.NewLimiter(deps.Clock, routineLinesPerSecond), failureLog: events.NewLimiter(deps.Clock, failureLinesPerSecond),
+		answerMemory: newAnswerMemory(options.AnswerMemory),
+		startup:      newStartupHold(deps.Clock, deps.StoreSilentAtStart, deps.Config.Ready(), deps.Fleet.Ready(), deps.SuspectsKnown),
+		routineLog:   events.NewLimiter(deps.Clock, routineLinesPerSecond), failureLog: events.NewLimiter(deps.Clock, failureLinesPerSecond),
 	}
 }
 
@@ -195,8 +201,9 @@
 	sends            int    // number of attempts so far
 	callerLeftLogged bool   // the caller's disconnection was counted and logged
 
-	hasRun     atomic.Bool // an upstream has answered without saying that it did not run the request
-	keptAnswer *attempt    // answer of an upstream that is passed on if later attempts bring none, or nil
+	hasRun     atomic.Bool   // an upstream has answered without saying that it did not run the request
+	keptAnswer *attempt      // answer of an upstream that is passed on if later attempts bring none, or nil
+	bodies     []*answerBody // all that were read
 
 	content   suspect.Content          // identifies what is asked for
 	guard     *suspect.Guard           // tracks this request in the ledger of suspects
@@ -257,6 +264,7 @@
 	q.ctx, q.cancel = context.WithCancelCause(ctx)
 	unregister := q.relay.callers.add(q.http.Conn(), q.deadline, q.cancel)
 	q.finish = func() {
+		q.releaseBodies()
 		q.guard.End()
 		q.partGuard.End()
 		unregister()
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -29,13 +29,14 @@
 	complete        bool            // all events have arrived
 	resumes         int             // how often the stream was resumed on another path
 	failure         error
+	hold            memoryHold // of the event that is incomplete
 }
 
 // readSize is the size of the read buffer in bytes, enough for several events.
 const readSize = 4096
 
 func newEventBody(g *generation) *eventBody {
-	return &eventBody{g: g, framer: newFramer(g.head.LastEventID), readBuf: make([]byte, readSize), lastEventAt: g.relay.Clock.Now()}
+	return &eventBody{g: g, framer: newFramer(g.head.LastEventID), readBuf: make([]byte, readSize), lastEventAt: g.relay.Clock.Now(), hold: memoryHold{memory: g.relay.answerMemory}}
 }
 
 // Read returns events as they arrive.
@@ -67,6 +68,9 @@
 	if err == nil {
 		err = b.framer.checkProgress()
 	}
+	if err == nil {
+		err = b.holdMemory()
+	}
 	if err == nil {
 		return nil
 	}
@@ -83,6 +87,15 @@
 	return b.resume(err)
 }
 
+// holdMemory holds memory for the event that is incomplete.
+func (b *eventBody) holdMemory() error {
+	if len(b.framer.buf) <= freeAnswerBytes {
+		b.hold.release()
+		return nil
+	}
+	return b.hold.grow(b.g.ctx, len(b.framer.buf))
+}
+
 // recordEvents counts new events and records their timing for the engines of the path.
 func (b *eventBody) recordEvents(count int) {
 	if count == 0 {
@@ -209,6 +222,7 @@
 // Close ends the request, whether its stream is complete or not.
 func (b *eventBody) Close() error {
 	g := b.g
+	b.hold.release()
 	if g.service.Model != nil {
 		g.relay.roomRetries.recordEnd(g.relay.Clock.Now())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -240,7 +240,7 @@
 		Permit: g.limiter.Permit, Daemons: func() int { return int(g.liveDaemons.Load()) },
 		Clock: g.clock, Log: g.log, Meters: g.meters, Random: g.random, StoreSilentAtStart: g.storeSilentAtStart,
 		Proof: configProver{g}, Room: g.room.gate(), Paths: g.upstreamDialer,
-	}, relay.Options{Zone: g.settings.Zone, MaxChangeAge: g.maxChangeAge(), MaxKeyAge: g.maxKeyAge()})
+	}, relay.Options{Zone: g.settings.Zone, MaxChangeAge: g.maxChangeAge(), MaxKeyAge: g.maxKeyAge(), AnswerMemory: g.settings.MemoryMB * megabyte / answerMemoryDivisor})
 	g.callersWaitingSince = g.relay.CallersWaitingSince
 	g.registerGauges()
 	g.callers = callerhttp.New(g.relay.Serve, g.callerLimits)
@@ -248,6 +248,12 @@
 	return nil
 }
 
+const (
+	megabyte = 1 << 20
+	// answerMemoryDivisor is the ratio of the memory of the process to that of large answers in it.
+	answerMemoryDivisor = 4
+)
+
 // buildFollowers builds the followers of the store's collections.
 func (g *Gateway) buildFollowers(config, upstreams spanrill.Collection) {
 	jitter, maxRetryDelay := follow.WithJitter(g.random.Float64), follow.WithMaxRetryDelay(g.maxRetryPause)
--- a/transport/httpcall/answer.go
+++ b/transport/httpcall/answer.go
@@ -97,26 +97,38 @@
 	return n, err
 }
 
-// ErrTooLarge means that a body is larger than the limit given to ReadAll.
+// ErrTooLarge means that a body is larger than the limit given to ReadAll or ReadSegments.
 var ErrTooLarge = errors.New("body is larger than the limit")
 
 // ReadAll reads the whole body, of at most limit bytes, and closes the answer.
 func (a *Answer) ReadAll(limit int) ([]byte, error) {
-	defer a.Close()
-	body, err := io.ReadAll(io.LimitReader(a.Body(), int64(limit)+1))
-	if err == nil && len(body) > limit {
-		err = ErrTooLarge
+	body, err := a.ReadSegments(limit, func(int) error { return nil })
+	if err != nil {
+		return nil, err
 	}
+	return body.Bytes(), nil
+}
+
+// ReadSegments reads the whole body, of at most limit bytes, and closes the answer. Before the body takes
+// more memory, reserve is called with the size that it will have there. An error of reserve ends the call.
+func (a *Answer) ReadSegments(limit int, reserve func(size int) error) (*Segments, error) {
+	defer a.Close()
+	body, err := ReadSegments(a.Body(), a.resp.Header.ContentLength(), limit, reserve)
 	if err != nil {
-		err = a.client.handleSilence(a.ctx, a.addr, a.conn, err)
-		return nil, &spanrill.CallError{
-			Phase: spanrill.PhaseAnswer, Written: a.conn.written,
-			Cause: fmt.Errorf("read body of %s: %w", a.addr, err),
-		}
+		return nil, a.bodyError(err)
 	}
 	return body, nil
 }
 
+// bodyError returns the error of a call whose body could not be read.
+func (a *Answer) bodyError(err error) error {
+	err = a.client.handleSilence(a.ctx, a.addr, a.conn, err)
+	return &spanrill.CallError{
+		Phase: spanrill.PhaseAnswer, Written: a.conn.written,
+		Cause: fmt.Errorf("read body of %s: %w", a.addr, err),
+	}
+}
+
 // Close ends the call. The connection becomes idle for later calls only if the body was read to
 // its end. Otherwise it is closed, which tells the upstream to cancel.
 func (a *Answer) Close() {
