relay: count events that a caller has not got among the memory of answers

Cause: a stream held memory for an incomplete event only. A large event that was complete was no longer counted while its caller read it, and its buffers stayed as large until the end of the stream.

Change: events that wait for the caller count too, and buffers of more than 64 KiB are not kept.

Evidence: TestLargeEventLeavesNoMemory does not compile without the function that drops buffers; on the code before, both buffers keep the size of the event by reading.

--- a/coordination/relay/framing.go
+++ b/coordination/relay/framing.go
@@ -64,13 +64,21 @@
 		f.skipped += len(event)
 	}
 	if start > 0 {
-		f.buf = append(f.buf[:0], f.buf[start:]...)
+		f.buf = append(reuse(f.buf), f.buf[start:]...)
 		f.searched -= start
 		f.lineStart -= start
 	}
 	return out, events
 }
 
+// reuse returns an empty buffer with the memory of buf, unless that is large.
+func reuse(buf []byte) []byte {
+	if cap(buf) > freeAnswerBytes {
+		return nil
+	}
+	return buf[:0]
+}
+
 // checkProgress returns an error if the stream sends bytes without end that make no new event.
 func (f *framer) checkProgress() error {
 	switch {
--- a/coordination/relay/framing_test.go
+++ b/coordination/relay/framing_test.go
@@ -96,6 +96,18 @@
 	}
 }
 
+// Guards against a stream that keeps the memory of a large event after it has been passed on.
+func TestLargeEventLeavesNoMemory(t *testing.T) {
+	f := newFramer("")
+	out, n := f.feed(nil, fmt.Appendf(nil, "id: 1\ndata: %s\n\nid: 2\n", strings.Repeat("x", maxEventBytes)))
+	if n != 1 || cap(f.buf) > freeAnswerBytes || cap(reuse(out)) > freeAnswerBytes || !f.hasPartial() {
+		t.Fatalf("%d events, a buffer of %d bytes, partial event %t; want 1 event and a small buffer with the partial one", n, cap(f.buf), f.hasPartial())
+	}
+	if out, n := f.feed(reuse(out), []byte("data: y\n\n")); n != 1 || string(out) != "id: 2\ndata: y\n\n" {
+		t.Fatalf("%d events behind it: %q", n, out)
+	}
+}
+
 // BenchmarkEventWithoutEnd feeds an event of the maximum size in reads.
 func BenchmarkEventWithoutEnd(b *testing.B) {
 	read := bytes.Repeat([]byte("data: x\n"), readSize/8)
--- a/coordination/relay/stream.go
+++ b/coordination/relay/stream.go
@@ -29,7 +29,7 @@
 	complete        bool            // all events have arrived
 	resumes         int             // how often the stream was resumed on another path
 	failure         error
-	hold            memoryHold // of the event that is incomplete
+	hold            memoryHold // of the events that the caller has not got yet
 }
 
 // readSize is the size of the read buffer in bytes, enough for several events.
@@ -61,7 +61,7 @@
 	n, err := b.g.answer.Body().Read(b.readBuf)
 	if n > 0 {
 		var count int
-		b.outBuf, count = b.framer.feed(b.outBuf[:0], b.readBuf[:n])
+		b.outBuf, count = b.framer.feed(reuse(b.outBuf), b.readBuf[:n])
 		b.ready = b.outBuf
 		b.recordEvents(count)
 	}
@@ -87,13 +87,14 @@
 	return b.resume(err)
 }
 
-// holdMemory holds memory for the event that is incomplete.
+// holdMemory holds memory for the events that the caller has not got yet.
 func (b *eventBody) holdMemory() error {
-	if len(b.framer.buf) <= freeAnswerBytes {
+	size := len(b.framer.buf) + len(b.ready)
+	if size <= freeAnswerBytes {
 		b.hold.release()
 		return nil
 	}
-	return b.hold.grow(b.g.ctx, len(b.framer.buf))
+	return b.hold.grow(b.g.ctx, size)
 }
 
 // recordEvents counts new events and records their timing for the engines of the path.
