relay: do not take a lack of memory for a failure of the upstream

Cause: an answer that waits for memory until its attempt ends failed like one that its upstream did not send. The upstream was then avoided and counted as failing, although the lack is this daemon's own.

Change: such an attempt is not recorded for the upstream. Its outcome stays unknown.

Evidence: TestLackOfAnswerMemoryIsNoFailureOfUpstream fails without the change and passes with it.

--- a/coordination/relay/answermemory.go
+++ b/coordination/relay/answermemory.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/semaphore"
 
@@ -39,6 +40,10 @@
 	return &answerMemory{shared: semaphore.NewWeighted(int64(half)), exclusive: semaphore.NewWeighted(1), maxAnswer: min(maxAnswerBytes, half)}
 }
 
+// errNoAnswerMemory means that this daemon had no memory for an answer in time, which says nothing about the
+// upstream.
+var errNoAnswerMemory = errors.New("no memory for the answer")
+
 // memoryHold is what one answer holds of an answerMemory. It is not for concurrent use.
 type memoryHold struct {
 	memory      *answerMemory
@@ -58,7 +63,7 @@
 		return nil
 	}
 	if err := h.memory.exclusive.Acquire(ctx, 1); err != nil {
-		return fmt.Errorf("wait for memory: %w", err)
+		return fmt.Errorf("%w: %w", errNoAnswerMemory, err)
 	}
 	h.memory.shared.Release(h.shared)
 	h.shared, h.isExclusive = 0, true
--- a/coordination/relay/answermemory_test.go
+++ b/coordination/relay/answermemory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"spanrill"
 	"spanrill/transport/httpcall"
 )
 
@@ -72,6 +74,26 @@
 	}
 }
 
+// Guards against taking an upstream for failed because this daemon had no memory for its answer.
+func TestLackOfAnswerMemoryIsNoFailureOfUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		err        error
+		wantFailed bool
+	}{
+		{"no memory", fmt.Errorf("%w: %w", errNoAnswerMemory, context.DeadlineExceeded), false},
+		{"too large", httpcall.ErrTooLarge, true},
+	} {
+		q, manual := plainRequest()
+		u := q.pickPlain(nil)
+		a := attempt{upstream: u}
+		a.recordFailure(manual.Now(), &spanrill.CallError{Phase: spanrill.PhaseAnswer, Written: 1, Cause: c.err})
+		if failed := u.FailureRate(manual.Now()) > 0 || u.Avoided(manual.Now()); failed != c.wantFailed || a.outcome != spanrill.OutcomeUnknown {
+			t.Errorf("%s: the upstream counts as failed %t and the outcome is %v; want %t and unknown", c.name, failed, a.outcome, c.wantFailed)
+		}
+	}
+}
+
 // Guards against memory that is held after an answer has been written or dropped.
 func TestAnswerBodyReleasesMemory(t *testing.T) {
 	memory := newAnswerMemory(2 << 20)
--- a/coordination/relay/plainanswer.go
+++ b/coordination/relay/plainanswer.go
@@ -30,7 +30,7 @@
 		a.retryReason = meter.RetryWithheld
 		return
 	}
-	if isNoPath(err) {
+	if isNoPath(err) || errors.Is(err, errNoAnswerMemory) {
 		return
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
