Comments no longer tell how values were chosen

Cause: five comments gave the figures by which a value was once chosen.

Change: comments only; no line of code differs.

--- a/coordination/chainrouting/load_test.go
+++ b/coordination/chainrouting/load_test.go
@@ -257,11 +257,7 @@
 	return highest
 }
 
-// Choice by flow keeps daemons with stale load figures from all filling the same chain. Measured
-// over three seconds, after one second of warm-up, with 300 daemons and figures six rounds old:
-// when each daemon took the chain that looked best to it, at 0.4 and 0.7 of what the chains can
-// serve with full memory, 1.000 and 0.743 of the requests were served and engines refused 0.013
-// and 0.479 of the sends; with flows 1.000 and 1.000 were served and none refused.
+// Choice by flow keeps daemons with stale load figures from all filling the same chain.
 func TestFlowsServeSimulatedLoad(t *testing.T) {
 	for _, c := range []struct {
 		share, minServed, maxRefusedSends float64 // share is of the requests that the chains can serve
--- a/coordination/chainrouting/need.go
+++ b/coordination/chainrouting/need.go
@@ -21,6 +21,5 @@
 }
 
 // reservedAnswerShare is the fraction of its answer that a request holds on average over its run
-// time. With 0.75, 0.88 of the memory was accounted as used where engines reported 0.55 to
-// 0.67.
+// time.
 const reservedAnswerShare = 0.5
--- a/coordination/chainrouting/pipes.go
+++ b/coordination/chainrouting/pipes.go
@@ -40,8 +40,7 @@
 
 // maxPipeUse is the fraction of a pipe that requests may use. A fuller pipe delays tokens, which
 // queue behind prompts, but where all other paths are full, a delayed request is better than a
-// refused one: over 40 simulated runs, 0.8 scored 0.005 higher than 0.5, which is within noise,
-// and 0.406 instead of 0.373 in the worst run.
+// refused one.
 const maxPipeUse = 0.8
 
 // pipesHaveRoom reports whether the pipes of a path can carry one more request that takes that
--- a/coordination/relay/eventsize.go
+++ b/coordination/relay/eventsize.go
@@ -12,8 +12,7 @@
 // that an engine runs in one pass), or else the configured mean number of tokens of an answer
 // divided by the mean number of events of complete answers.
 //
-// A wrong number makes the reservations of memory wrong: with two tokens assumed for engines that
-// send five, a stream counted for 0.4 of its tokens.
+// A wrong number makes the reservations of memory wrong.
 type eventTokenEstimator struct {
 	mu         sync.Mutex
 	meanEvents map[string]float64 // mean number of events of a complete answer, by service
@@ -24,8 +23,7 @@
 	// defaultEventTokens is used while neither configuration nor samples give a number.
 	defaultEventTokens = 2
 	// minAnswerSamples is the number of complete answers from which on their mean is used, and over
-	// which it is smoothed. The standard deviation of lengths is about their mean, so the mean of
-	// 16 is accurate to about a quarter.
+	// which it is smoothed.
 	minAnswerSamples = 16
 	// maxEventTokens limits the estimate from samples.
 	maxEventTokens = 64
