stall: measure how late the process runs what is due

Nothing told apart a store that is silent from one whose answers were not read: neither how long a goroutine that is ready to run waits, nor since when a newer configuration is known that is not in force. Events 200 and 206 of gateways say for how long a newer revision had been known. No decision uses either yet.

--- a/coordination/exchange/fetch.go
+++ b/coordination/exchange/fetch.go
@@ -20,6 +20,7 @@
 	if e.state.Config.Handled(revision) {
 		return nil
 	}
+	e.state.Config.RecordKnown(revision)
 	if err := e.acquireFetch(ctx); err != nil {
 		return err
 	}
@@ -100,8 +101,9 @@
 		events.ConfigRejected.Log(e.log, logrus.Fields{"peer": member.Name, "revision": reply.Revision, "error": err})
 		return err
 	}
+	knownFor := e.state.Config.NewerKnownFor()
 	if e.state.Config.Update(routes.New(config), value, reply.Revision) {
-		events.ConfigFromPeer.Log(e.log, logrus.Fields{"peer": member.Name, "revision": reply.Revision, "config": config.Version})
+		events.ConfigFromPeer.Log(e.log, logrus.Fields{"peer": member.Name, "revision": reply.Revision, "config": config.Version, "known_ms": knownFor})
 	} else if known := e.state.Config.Revision(); reply.Revision > known {
 		events.ConfigIgnored.Log(e.log, logrus.Fields{"peer": member.Name, "revision": reply.Revision, "config": config.Version, "known": known})
 	}
--- a/events/events.go
+++ b/events/events.go
@@ -59,6 +59,7 @@
 	AcceptFailed        = define(107, logrus.WarnLevel, "cannot accept new connections from callers")
 	AcceptRecovered     = define(108, logrus.InfoLevel, "accepting new connections from callers")
 	RequestsHeld        = define(109, logrus.InfoLevel, "holding requests until configuration and upstreams are known")
+	ProcessStalled      = define(110, logrus.WarnLevel, "process ran late what was due")
 )
 
 // Configuration, 200 to 299.
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -50,20 +50,21 @@
 	if item.Revision <= g.config.Revision() {
 		return true
 	}
+	g.config.RecordKnown(item.Revision)
 	config, err := g.adapter.DecodeConfig(item.Value)
 	if err != nil {
 		g.config.RecordUnusable(item.Revision)
 		events.ConfigRejected.Log(g.log, logrus.Fields{"revision": item.Revision, "error": err})
 		return false
 	}
-	previous := g.config.Table()
+	previous, knownFor := g.config.Table(), g.config.NewerKnownFor()
 	if !g.config.Update(routes.New(config), item.Value, item.Revision) {
 		events.ConfigIgnored.Log(g.log, logrus.Fields{"config": config.Version, "revision": item.Revision, "known": g.config.Revision()})
 		return true
 	}
 	events.ConfigActivated.Log(g.log, logrus.Fields{
 		"config": config.Version, "revision": item.Revision, "routes": len(config.Routes),
-		"services": len(config.Services), "accounts": len(config.Accounts), "bytes": len(item.Value),
+		"services": len(config.Services), "accounts": len(config.Accounts), "bytes": len(item.Value), "known_ms": knownFor,
 	})
 	g.logWithdrawnKeys(previous)
 	return true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 //	peers.go     messages of other daemons
 //	reach.go     connections to upstreams, also for other daemons
 //	parts.go     parts of prompts that are withheld
+//	stalls.go    stalls of this process
 //	ready.go     callers' connections, readiness and metrics
 //	metrics.go   gauges
 //	room*.go     division of the room on the chains of a service
@@ -53,9 +54,11 @@
 	"spanrill/coordination/relay"
 	"spanrill/coordination/retry"
 	"spanrill/coordination/suspect"
+	"spanrill/events"
 	"spanrill/meter"
 	"spanrill/rng"
 	"spanrill/settings"
+	"spanrill/stall"
 	"spanrill/state/fleet"
 	"spanrill/state/follow"
 	"spanrill/state/routes"
@@ -120,6 +123,8 @@
 	readyListener   net.Listener
 	metricsListener net.Listener
 	tunnelListener  net.Listener
+	stalls          *stall.Meter
+	stallLog        *events.Limiter
 	startedAt       spanrill.Millis
 	askStoreAt      spanrill.Millis // when the store is listed, unless peers have supplied its contents before
 	maxCallerWait   spanrill.Millis // how long callers wait at most before the store is listed, even before askStoreAt
@@ -201,6 +206,8 @@
 		httpcall.WithOnHeaders(g.handleHeaders), httpcall.WithResetOnClose(g.isPathLost), httpcall.WithMaxIdle(g.maxIdle),
 		httpcall.WithMaxIdleTotal(conncap.IdleTotal(g.settings.Descriptors)))
 	g.config = routes.NewCurrent(g.clock)
+	g.stallLog = events.NewLimiter(g.clock, stallLinesPerSecond)
+	g.stalls = stall.New(g.clock, stall.WithOnStall(g.logStall))
 	g.adapter = connect(g.settings.Platform, g.http, g.recordStoreCall)
 	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain),
 		fleet.WithOnRestart(g.handleRestart))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -70,6 +70,7 @@
 		"paths":         g.upstreamDialer.Run,
 		"tunnels":       g.serveTunnels,
 		"upkeep":        g.upkeep,
+		"stalls":        g.stalls.Run,
 		"readiness":     g.serveReady,
 		"callers":       g.serveCallers,
 		"metrics":       g.serveMetrics,
--- a/state/routes/current.go
+++ b/state/routes/current.go
@@ -22,11 +22,18 @@
 	snapshot atomic.Pointer[Snapshot]
 	unusable atomic.Uint64 // highest revision that is known to exist but cannot replace the table
 	outdated atomic.Uint64 // highest of these whose version is lower than that of the table
+	newer    newerRevision
 	ready    chan struct{}
 	// confirmed is closed, and replaced, at each confirmation.
 	confirmed chan struct{}
 }
 
+// newerRevision is a revision that is known to exist while the table has a lower one.
+type newerRevision struct {
+	revision uint64          // 0 for none
+	knownAt  spanrill.Millis // when a higher revision than that of the table was first heard of
+}
+
 // Snapshot is a table and its latest confirmation, as they stood at one moment.
 type Snapshot struct {
 	table       *Table
@@ -88,12 +95,39 @@
 		return false
 	}
 	c.snapshot.Store(&Snapshot{table: t, raw: raw, revision: revision, confirmedAt: old.confirmedAt})
+	if c.newer.revision <= revision {
+		c.newer = newerRevision{}
+	}
 	if old.table == nil {
 		close(c.ready)
 	}
 	return true
 }
 
+// RecordKnown records that a revision was heard of, before it is read and put in force.
+func (c *Current) RecordKnown(revision uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision <= c.Revision() {
+		return
+	}
+	if c.newer.revision == 0 {
+		c.newer.knownAt = c.clock.Now()
+	}
+	c.newer.revision = max(c.newer.revision, revision)
+}
+
+// NewerKnownFor returns for how long a higher revision than that of the table has been known, or 0 if
+// none is.
+func (c *Current) NewerKnownFor() spanrill.Millis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.newer.revision == 0 {
+		return 0
+	}
+	return c.clock.Now() - c.newer.knownAt
+}
+
 // RecordUnusable records that the store has a revision that cannot be put in force. Until Update
 // accepts a later one, the table is not the newest version and cannot be confirmed.
 func (c *Current) RecordUnusable(revision uint64) {
--- a/state/routes/routes_test.go
+++ b/state/routes/routes_test.go
@@ -146,3 +146,26 @@
 		}
 	}
 }
+
+// A newer revision is known from when it was first heard of until it, or a later one, is in force.
+func TestNewerRevisionIsKnown(t *testing.T) {
+	manual := clock.NewManual()
+	c := NewCurrent(manual)
+	c.Update(newTable(1), nil, 10)
+	c.RecordKnown(10)
+	manual.Advance(50)
+	if got := c.NewerKnownFor(); got != 0 {
+		t.Errorf("a newer revision known for %d ms, want none", got)
+	}
+	c.RecordKnown(20)
+	manual.Advance(100)
+	c.RecordKnown(30)
+	c.Update(newTable(2), nil, 20)
+	if got := c.NewerKnownFor(); got != 100 {
+		t.Errorf("a newer revision known for %d ms, want 100", got)
+	}
+	c.Update(newTable(3), nil, 30)
+	if got := c.NewerKnownFor(); got != 0 {
+		t.Errorf("a newer revision known for %d ms once it is in force, want none", got)
+	}
+}
