gateway: do not take this daemon's silence for that of the store

A request may be routed by an old proof while the store answers no daemon, and that was concluded from hearing of no answer for 1,200 ms. A daemon short of processor time hears nothing either. Entries of upstreams were kept in use by the same conclusion (DRAIN), and layers ordered without the lease.

An outage now needs evidence: calls of this daemon failed or were unanswered for 300 ms in which the process ran (the stall meter), and no news of an answer came for as long as news takes in a fleet of this size. Without evidence the request waits for a proof, 300 ms at most, then gets 503. Stalls do not count as silence of the store.

--- a/configprover.go
+++ b/configprover.go
@@ -8,7 +8,7 @@
 	// the process's clock, and reports whether it is. It returns false at once if no proof can be
 	// expected, and before the context ends if none comes.
 	Prove(ctx context.Context, since Millis) bool
-	// StoreAnswers reports whether the platform's store has recently answered any daemon, so that changes
-	// of the configuration are in force at others.
-	StoreAnswers() bool
+	// StoreSilent reports whether the platform's store is known to answer no daemon, so that changes of
+	// the configuration are in force nowhere. Without evidence it is false.
+	StoreSilent() bool
 }
--- a/coordination/relay/proof.go
+++ b/coordination/relay/proof.go
@@ -28,10 +28,11 @@
 const maxProofWait spanrill.Millis = 300
 
 // mayRoute reports whether the request may be routed by its configuration. An old proof is enough while
-// the store answers no daemon, so that no other configuration is in force, or has an older version.
+// the store is known to answer no daemon, so that no other configuration is in force, or has an older
+// version.
 func (q *request) mayRoute() bool {
 	r := q.relay
-	return q.proofAge <= r.options.MaxChangeAge || !r.Proof.StoreAnswers() || r.Config.StoreHasOlder()
+	return q.proofAge <= r.options.MaxChangeAge || r.Proof.StoreSilent() || r.Config.StoreHasOlder()
 }
 
 // mayUseKeys reports whether a request with a key may be sent with a proof of that age.
@@ -62,7 +63,7 @@
 type noProver struct{}
 
 func (noProver) Prove(context.Context, spanrill.Millis) bool { return false }
-func (noProver) StoreAnswers() bool                          { return false }
+func (noProver) StoreSilent() bool                           { return true }
 
 // staleConfigRefusal returns the refusal of a request for which the proof of the configuration is too
 // old.
--- a/coordination/relay/proof_test.go
+++ b/coordination/relay/proof_test.go
@@ -13,16 +13,16 @@
 
 // scriptedProver confirms the configuration at once, or not at all.
 type scriptedProver struct {
-	prove   func(since spanrill.Millis) bool
-	answers bool
-	asked   int
+	prove  func(since spanrill.Millis) bool
+	silent bool
+	asked  int
 }
 
 func (p *scriptedProver) Prove(_ context.Context, since spanrill.Millis) bool {
 	p.asked++
 	return p.prove(since)
 }
-func (p *scriptedProver) StoreAnswers() bool { return p.answers }
+func (p *scriptedProver) StoreSilent() bool { return p.silent }
 
 // Guards against requests that are refused for good, or routed, by a configuration whose proof is older
 // than a change may take, and against requests with a key that are sent by one whose proof is older than
@@ -38,7 +38,7 @@
 		path, key string
 		proofAge  spanrill.Millis
 		proves    bool // a proof can be had
-		answers   bool // the store answers others
+		answers   bool // the store is not known to answer nobody
 		older     bool // the store was restored to a lower version
 		want      spanrill.Reason
 		wantAsked int
@@ -76,7 +76,7 @@
 			if c.older {
 				r.Config.Update(routes.New(&spanrill.RouteConfig{Version: 1}), nil, 9)
 			}
-			prover := &scriptedProver{answers: c.answers, prove: func(spanrill.Millis) bool {
+			prover := &scriptedProver{silent: !c.answers, prove: func(spanrill.Millis) bool {
 				if c.proves {
 					r.Config.ConfirmUnchanged(7, manual.Now())
 				}
--- a/gateway/configfleet_test.go
+++ b/gateway/configfleet_test.go
@@ -99,21 +99,27 @@
 	switch {
 	case inTouch && d.maySend():
 		s.maxSend, s.blockedAt = max(s.maxSend, replaced), 0
-	case !inTouch || s.blockedAt == 0:
+	case !inTouch || s.blockedAt == 0 || d.isStarved(now):
 		s.blockedAt = now
 	default:
 		s.maxBlocked = max(s.maxBlocked, now-s.blockedAt)
 	}
 }
 
+// isStarved reports whether the daemon has recently been starved, so that it cannot have a proof yet.
+func (d *drainDaemon) isStarved(now spanrill.Millis) bool {
+	stalled := d.stalledSteps
+	return len(stalled) > 0 && now-stalled[len(stalled)-1] <= simProofWait
+}
+
 func (d *drainDaemon) mayRefuseForGood() bool { return d.isProved() }
-func (d *drainDaemon) maySend() bool          { return d.isProved() || !configProver{d.Gateway}.StoreAnswers() }
+func (d *drainDaemon) maySend() bool          { return d.isProved() || configProver{d.Gateway}.StoreSilent() }
 func (d *drainDaemon) maySendWithKey() bool   { return d.maySend() && d.isKeyFresh() }
 
 // prove does what a waiting request makes the daemon do: a poll of the store, unless the last one has
 // failed, and one of the peers.
 func (d *drainDaemon) prove(now spanrill.Millis) {
-	if d.isProved() || (configProver{d.Gateway}).inVain() {
+	if d.isProved() || (configProver{d.Gateway}).StoreSilent() {
 		return
 	}
 	if d.configCalls.callErr == nil {
@@ -192,6 +198,17 @@
 		sc.answerDelay = func(int) spanrill.Millis { return simAnswerDelay }
 		c.disturbed = func(rank int, _ spanrill.Millis) bool { return rank%2 == 0 }
 	})
+	for _, starvation := range []struct {
+		name string
+		ran  spanrill.Millis // in each period
+	}{{"requests take the processor time for 3 s at a time", simStep}, {"requests take the processor time for most of 3 s", 600}} {
+		add(starvation.name, func(sc *scenario, _ *configScenario) {
+			const period = 3 * spanrill.Second
+			sc.starved = func(rank int, now spanrill.Millis) bool {
+				return rank%3 != 0 && now >= from && (now-from+spanrill.Millis(rank)*170)%period >= starvation.ran
+			}
+		})
+	}
 	add("restarts in series, the store silent, seeds gone", func(sc *scenario, c *configScenario) {
 		const gap = 200
 		failing(sc, c, func(rank int, now spanrill.Millis) bool { return rank%3 != 0 && now >= from }, simCallTimeout)
--- a/gateway/configpage.go
+++ b/gateway/configpage.go
@@ -30,7 +30,7 @@
 	config := g.config.Snapshot()
 	page := &ConfigPage{
 		Daemon: g.peers.name, Revision: config.Revision(), MaxChangeAge: g.maxChangeAge(), MaxKeyAge: g.maxKeyAge(),
-		StoreAnswers: configProver{g}.StoreAnswers(), StoreSilent: g.storeSilent(),
+		StoreAnswers: g.storeAnsweredLately(), StoreSilent: g.storeSilent(),
 	}
 	if table := config.Table(); table != nil {
 		page.Version = table.Version()
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -18,6 +18,7 @@
 		unanswered:  func(int, int, spanrill.Millis) bool { return false },
 		answerDelay: func(int) spanrill.Millis { return 1 },
 		paused:      func(int, spanrill.Millis) bool { return false },
+		starved:     func(int, spanrill.Millis) bool { return false },
 		dropsLarge:  func(int, spanrill.Millis) bool { return false },
 	}
 }
@@ -86,11 +87,16 @@
 		}
 		return simCallTime, nil
 	}
+	starved := withoutFaults("requests take the processor time of two thirds for 3 s at a time")
+	starved.starved = func(rank int, now spanrill.Millis) bool {
+		const period = 3 * spanrill.Second
+		return rank%3 != 0 && now >= simLeaveTime-2*spanrill.Second && (now+spanrill.Millis(rank)*170)%period >= simStep
+	}
 	silentShortBound, pausedShortBound := silent, paused
 	for _, sc := range []*scenario{&silentShortBound, &pausedShortBound} {
 		sc.name, sc.drain = sc.name+", with the shortest drain bound", 2*spanrill.Second
 	}
-	scenarios := []scenario{withoutFaults("no faults"), silent, refused, paused, lossy, isolated, noLargeAnswers, hangs, silentShortBound, pausedShortBound}
+	scenarios := []scenario{withoutFaults("no faults"), silent, refused, paused, lossy, isolated, noLargeAnswers, hangs, starved, silentShortBound, pausedShortBound}
 	// With lost requests the result depends on which peers a daemon asks, so several seeds are run.
 	// If a daemon without news for long asks no more peers than others do, requests are sent with
 	// entries that are too old, up to 3,212 ms, in 21 of 40 fleets with other seeds than these.
--- a/gateway/drainfleet_test.go
+++ b/gateway/drainfleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"sync/atomic"
 	"testing"
@@ -51,6 +52,7 @@
 	unanswered  func(asker, asked int, now spanrill.Millis) bool             // a request to a peer gets no answer
 	answerDelay func(rank int) spanrill.Millis                               // duration of answers of peers
 	paused      func(rank int, now spanrill.Millis) bool                     // the daemon does nothing
+	starved     func(rank int, now spanrill.Millis) bool                     // the daemon serves callers, but gets nothing else done
 	dropsLarge  func(rank int, now spanrill.Millis) bool                     // answers with entries do not reach the daemon
 	restoredAt  spanrill.Millis                                              // when the removed entry is written again, or 0
 	drain       spanrill.Millis
@@ -90,6 +92,7 @@
 	nextMaintenance spanrill.Millis
 	maxEntryAge     spanrill.Millis // maximum age of the entries
 	decisions       simDecisions
+	stalledSteps    []spanrill.Millis // the steps in which it was paused or starved
 }
 
 // simCalls are the store calls of one follower of a daemon.
@@ -107,6 +110,14 @@
 func (d *drainDaemon) Now() spanrill.Millis {
 	return spanrill.Millis(d.fleet.now.Load()-d.clockLag.Load()) + d.clockOffset
 }
+
+// Since returns the time since at, without the steps in which the daemon was paused or starved. It is
+// the daemon's spanrill.RunningTime.
+func (d *drainDaemon) Since(at spanrill.Millis) spanrill.Millis {
+	after, _ := slices.BinarySearch(d.stalledSteps, at-d.clockOffset)
+	return d.Now() - at - simStep*spanrill.Millis(len(d.stalledSteps)-after)
+}
+
 func (d *drainDaemon) Unix() spanrill.Millis                        { return d.Now() }
 func (d *drainDaemon) After(spanrill.Millis) <-chan spanrill.Millis { return nil }
 func (d *drainDaemon) Others() []peermsg.Member                     { return d.peers.list.Others() }
@@ -165,7 +176,7 @@
 	other, now := d.fleet.byName[addr], spanrill.Millis(d.fleet.now.Load())
 	d.fleet.requests.Add(1)
 	sc := d.fleet.scenario
-	if sc.unanswered(d.rank, other.rank, now) || sc.paused(other.rank, now) || kind == uint8(peermsg.KindEntries) && sc.dropsLarge(d.rank, now) {
+	if sc.unanswered(d.rank, other.rank, now) || other.isStalled(now) || kind == uint8(peermsg.KindEntries) && sc.dropsLarge(d.rank, now) {
 		return errNoAnswer
 	}
 	_, err := replyOf(other.exchange, kind, req, reply)
@@ -227,14 +238,14 @@
 // start builds the daemon's components, which know nothing yet.
 func (d *drainDaemon) start(seed uint64, log *logrus.Logger) {
 	m, sc := d.member, d.fleet.scenario
-	g := &Gateway{clock: d, log: logrus.NewEntry(log), random: rng.New(seed), settings: settings.Gateway{}}
+	g := &Gateway{clock: d, running: d, log: logrus.NewEntry(log), random: rng.New(seed), settings: settings.Gateway{}}
 	g.settings.Bounds.Drain, g.settings.Bounds.Revoke = sc.drain, simRevoke
 	if sc.config != nil {
 		g.settings.Bounds.Apply = sc.config.apply
 	}
 	g.peers = &peers{gateway: g, name: m.Name, list: membership.New(m, d, func(string, *peermsg.Gossip) error { return nil }, membership.WithLogger(log))}
 	g.config = routes.NewCurrent(d)
-	g.fleet = fleet.New(d, simDecode, fleet.WithLogger(log), fleet.WithDrain(sc.drain))
+	g.fleet = fleet.New(d, simDecode, fleet.WithLogger(log), fleet.WithDrain(sc.drain), fleet.WithStoreSilent(g.storeAnswersNobody))
 	g.adapter = Adapter{ConfigName: "main", DecodeConfig: startDecode}
 	g.startedAt = d.Now()
 	g.exchange = exchange.New(d, exchange.State{
@@ -244,7 +255,7 @@
 		Suspects: suspect.New(d),
 	}, d, log, rng.New(seed+1000))
 	options := []follow.Option{
-		follow.WithPollDelay(func() spanrill.Millis { return 0 }), follow.WithJitter(g.random.Float64), follow.WithMaxRetryDelay(g.maxRetryPause), follow.WithLogger(log, "simulated"),
+		follow.WithPollDelay(func() spanrill.Millis { return 0 }), follow.WithJitter(g.random.Float64), follow.WithMaxRetryDelay(g.maxRetryPause), follow.WithRunningTime(d), follow.WithLogger(log, "simulated"),
 	}
 	g.configFollower = follow.New(d, d, g.fleet)
 	g.upstreamFollower = follow.New(d, d, g.fleet, append(options, follow.WithKnownRevision(g.fleet.Revision))...)
@@ -291,12 +302,20 @@
 func (f *drainFleet) advance(now spanrill.Millis) {
 	f.now.Store(int64(now))
 	for _, d := range f.daemons {
-		if !f.scenario.paused(d.rank, now) {
-			d.advance(now)
+		if d.isStalled(now) {
+			d.stalledSteps = append(d.stalledSteps, now)
+			continue
 		}
+		d.advance(now)
 	}
 }
 
+// isStalled reports whether the daemon does nothing, or nothing but serve callers.
+func (d *drainDaemon) isStalled(now spanrill.Millis) bool {
+	sc := d.fleet.scenario
+	return sc.paused(d.rank, now) || sc.starved(d.rank, now)
+}
+
 // sends reports whether this daemon would send a request to the engine now, by the rules of
 // package relay.
 func (d *drainDaemon) sends(engine string) bool {
--- a/gateway/due.go
+++ b/gateway/due.go
@@ -25,18 +25,17 @@
 	if g.draining.Load() || g.exchange.PeerHoldsPlacement() {
 		return 0, false
 	}
-	_, _, age := g.fleet.Freshness()
-	age = min(age, now-g.startedAt) // before its start it could not hear of a holder
+	if !g.storeAnswersNobody() {
+		return 0, false
+	}
+	silent := g.running.Since(max(g.startedAt, g.fleet.StoreAnsweredAt())) // before its start it could not hear of a holder
 	wasLastHolder := now-spanrill.Millis(g.leaseHeldAt.Load()) < holderGrace
-	return 0, age > outageAge && wasLastHolder || age > takeoverAge && g.peers.rank("placement") == 0
+	return 0, wasLastHolder || silent > takeoverAge && g.peers.rank("placement") == 0
 }
 
 const (
-	// outageAge is the age of the newest entries in the fleet after which the store is
-	// considered unreachable for all daemons: several have asked by then.
-	outageAge spanrill.Millis = 1200
-	// takeoverAge is the age of the newest entries after which the first in rank places without
-	// having held the lease. It is longer than the lease is valid.
+	// takeoverAge is the time without an answer of the store to any daemon after which the first in
+	// rank places without having held the lease. It is longer than the lease is valid.
 	takeoverAge = leaseTime + 500
 	// holderGrace is how long a daemon that held the lease continues to place in an outage of
 	// the store. Outages last seconds.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,6 +124,7 @@
 	metricsListener net.Listener
 	tunnelListener  net.Listener
 	stalls          *stall.Meter
+	running         spanrill.RunningTime
 	stallLog        *events.Limiter
 	startedAt       spanrill.Millis
 	askStoreAt      spanrill.Millis // when the store is listed, unless peers have supplied its contents before
@@ -208,8 +209,9 @@
 	g.config = routes.NewCurrent(g.clock)
 	g.stallLog = events.NewLimiter(g.clock, stallLinesPerSecond)
 	g.stalls = stall.New(g.clock, stall.WithOnStall(g.logStall))
+	g.running = g.stalls
 	g.adapter = connect(g.settings.Platform, g.http, g.recordStoreCall)
-	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain),
+	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain), fleet.WithStoreSilent(g.storeAnswersNobody),
 		fleet.WithOnRestart(g.handleRestart))
 	engines := g.fleet.WrapEngines(g.adapter.Engines)
 	g.prober = probe.New(engines, g.clock, g.log, probe.WithLastHeard(g.fleet.LastHeard), probe.WithDial(g.dialAndClose))
@@ -267,10 +269,10 @@
 	g.startedAt = g.clock.Now()
 	g.askStoreAt = g.startedAt + firstAskDelay(g.isSeed(), g.random.Float64())
 	g.maxCallerWait = randomCallerWait(g.random.Float64())
-	listDelay := follow.WithListDelay(g.listDelay)
-	g.configFollower = follow.New(config, g.clock, configSink{g}, follow.WithPollDelay(g.configPollDelay), follow.WithKnownRevision(g.config.Revision), listDelay, jitter, maxRetryDelay,
+	listDelay, running := follow.WithListDelay(g.listDelay), follow.WithRunningTime(g.running)
+	g.configFollower = follow.New(config, g.clock, configSink{g}, follow.WithPollDelay(g.configPollDelay), follow.WithKnownRevision(g.config.Revision), listDelay, running, jitter, maxRetryDelay,
 		follow.WithFirstCallTimeout(g.configCallTimeout), follow.WithLogger(g.log, "configuration"))
-	g.upstreamFollower = follow.New(upstreams, g.clock, g.fleet, follow.WithPollDelay(g.upstreamsPollDelay), follow.WithKnownRevision(g.fleet.Revision), listDelay, jitter, maxRetryDelay,
+	g.upstreamFollower = follow.New(upstreams, g.clock, g.fleet, follow.WithPollDelay(g.upstreamsPollDelay), follow.WithKnownRevision(g.fleet.Revision), listDelay, running, jitter, maxRetryDelay,
 		follow.WithFirstCallTimeout(g.upstreamsCallTimeout), follow.WithPrimary(g.configFollower), follow.WithLogger(g.log, "upstreams"))
 }
 
--- a/gateway/proof.go
+++ b/gateway/proof.go
@@ -10,10 +10,6 @@
 // spanrill.ConfigProver.
 type configProver struct{ g *Gateway }
 
-// storeAnsweredTime is how long after its last answer to any daemon the store is taken to answer: several
-// daemons have asked again by then.
-const storeAnsweredTime = outageAge
-
 // Prove wakes the component that polls the store and the one that polls peers, and waits for the first
 // proof.
 func (p configProver) Prove(ctx context.Context, since spanrill.Millis) bool {
@@ -21,7 +17,7 @@
 	if g.config.ConfirmedAt() >= since {
 		return true
 	}
-	if p.inVain() {
+	if p.StoreSilent() {
 		return false
 	}
 	g.configFollower.Wake()
@@ -29,12 +25,23 @@
 	return g.config.AwaitConfirmation(ctx, since) == nil
 }
 
-// inVain reports whether the store answers neither this daemon nor others, so that no proof will come.
-func (p configProver) inVain() bool { return p.g.storeSilent() && !p.StoreAnswers() }
+// StoreSilent reports whether the store is known to answer no daemon.
+func (p configProver) StoreSilent() bool { return p.g.storeAnswersNobody() }
+
+// storeAnswersNobody reports whether the store has left calls of this daemon unanswered while this
+// daemon ran, and no news of an answer to another one has come for as long as such news may take. That
+// this daemon hears nothing is not enough: it may be the one that is slow.
+func (g *Gateway) storeAnswersNobody() bool { return g.storeSilent() && !g.storeAnsweredLately() }
+
+// storeAnsweredLately reports whether the store is known to have answered a daemon recently.
+func (g *Gateway) storeAnsweredLately() bool {
+	return g.running.Since(g.fleet.StoreAnsweredAt()) <= g.maxAnswerNewsAge()
+}
 
-// StoreAnswers reports whether the store has answered a daemon within storeAnsweredTime.
-func (p configProver) StoreAnswers() bool {
-	return p.g.clock.Now()-p.g.fleet.StoreAnsweredAt() <= storeAnsweredTime
+// maxAnswerNewsAge returns how old the newest answer of the store is that a daemon knows of, while the
+// store answers others: the first in rank asks, and news of its answer may be lost twice.
+func (g *Gateway) maxAnswerNewsAge() spanrill.Millis {
+	return g.entriesRefreshAge() + g.exchange.BroadcastTime() + rankDelay
 }
 
 // maxChangeAge returns how old the proof may be for decisions that a changed configuration must not be
--- a/gateway/startfleet_test.go
+++ b/gateway/startfleet_test.go
@@ -155,7 +155,7 @@
 	name := fmt.Sprintf("daemon-%03d", i)
 	d := &startDaemon{fleet: f, readyAfter: -1, nextAt: map[string]spanrill.Millis{}}
 	d.startAt = startBegin + spanrill.Millis(random.IntN(startJitter))
-	g := &Gateway{clock: d, log: logrus.NewEntry(log), random: rng.New(random.Uint64()), settings: settings.Gateway{PeerListen: name, Zone: fmt.Sprint("zone-", i%startZones)}}
+	g := &Gateway{clock: d, running: spanrill.NeverStalled{Clock: d}, log: logrus.NewEntry(log), random: rng.New(random.Uint64()), settings: settings.Gateway{PeerListen: name, Zone: fmt.Sprint("zone-", i%startZones)}}
 	for k := range min(startSeeds, daemons) {
 		g.settings.Peers = append(g.settings.Peers, fmt.Sprintf("daemon-%03d", k))
 	}
--- a/stall/stall.go
+++ b/stall/stall.go
@@ -12,8 +12,10 @@
 package stall
 
 import (
+	"cmp"
 	"context"
 	"runtime"
+	"slices"
 	"sync"
 
 	"spanrill"
@@ -33,7 +35,10 @@
 }
 
 // span is a stall that has ended.
-type span struct{ from, to spanrill.Millis }
+type span struct {
+	from, to spanrill.Millis
+	before   spanrill.Millis // length of all stalls before it
+}
 
 // Option changes a default of New.
 type Option func(*Meter)
@@ -114,6 +119,7 @@
 	for kept < len(m.stalls) && m.stalls[kept].to < s.to-memory {
 		kept++
 	}
+	s.before = m.total
 	m.stalls = append(m.stalls[kept:], s)
 	m.total += s.to - s.from
 }
@@ -127,8 +133,10 @@
 	if m.dueAt != spanrill.Never && now-m.dueAt > tolerance {
 		running -= now - max(at, m.dueAt)
 	}
-	for i := len(m.stalls) - 1; i >= 0 && m.stalls[i].to > at; i-- {
-		running -= m.stalls[i].to - max(at, m.stalls[i].from)
+	first, _ := slices.BinarySearchFunc(m.stalls, at, func(s span, at spanrill.Millis) int { return cmp.Compare(s.to, at+1) })
+	if first < len(m.stalls) {
+		s := m.stalls[first]
+		running -= m.total - s.before - max(0, at-s.from)
 	}
 	return running
 }
--- a/state/fleet/available.go
+++ b/state/fleet/available.go
@@ -60,15 +60,15 @@
 }
 
 // Stale returns the time since the entries were last confirmed, and whether they are too old for
-// sending requests: the store has recently answered other daemons, so an upstream may meanwhile have
-// announced in its entry that it is leaving. While the store answers no daemon, the entries stay in
-// use.
+// sending requests: an upstream may meanwhile have announced in its entry that it is leaving. While the
+// store is known to answer no daemon, the entries stay in use.
 func (t *Table) Stale() (age spanrill.Millis, stale bool) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	now := t.clock.Now()
 	age = now - t.confirmedAt
-	return age, age >= t.holdDuration && now-t.storeAvailable.to < t.holdDuration
+	answeredOthers := now-t.storeAvailable.to < t.holdDuration
+	t.mu.Unlock()
+	return age, age >= t.holdDuration && (answeredOthers || !t.storeSilent())
 }
 
 // heldEntry is a removed entry that may merely have expired because of an outage of the store. It
--- a/state/fleet/fleet.go
+++ b/state/fleet/fleet.go
@@ -88,6 +88,7 @@
 	restored restoreState
 
 	storeAvailable  availableSpan
+	storeSilent     func() bool     // reports whether the store is known to answer no daemon
 	unavailableTime spanrill.Millis // time without store answers after which entries may expire
 }
 
@@ -105,6 +106,12 @@
 	return func(t *Table) { t.onRestart = f }
 }
 
+// WithStoreSilent sets the function that reports whether the platform's store is known to answer no
+// daemon. Without it, a store of which nothing is heard counts as silent.
+func WithStoreSilent(silent func() bool) Option {
+	return func(t *Table) { t.storeSilent = silent }
+}
+
 // WithDrain sets how long after the removal of its entry an upstream may receive requests.
 func WithDrain(d spanrill.Millis) Option {
 	return func(t *Table) {
@@ -117,7 +124,7 @@
 	t := &Table{
 		clock: clock, decode: decode, log: logrus.StandardLogger(),
 		byName: map[string]*Upstream{}, byAddr: map[string]*Upstream{}, held: map[string]heldEntry{}, unreadableNames: map[string]bool{}, removals: newRemovals(), recentlyRemoved: map[string]removedUpstream{}, ready: make(chan struct{}),
-		pastStarts: map[string]*pastStarts{}, conflicts: map[string]*conflictingEntry{}, noticesByName: map[string]*notices{}, limitedNames: map[string]bool{}, restored: newRestoreState(), onRestart: func(string) {},
+		pastStarts: map[string]*pastStarts{}, conflicts: map[string]*conflictingEntry{}, noticesByName: map[string]*notices{}, limitedNames: map[string]bool{}, restored: newRestoreState(), onRestart: func(string) {}, storeSilent: func() bool { return true },
 		active:       &activeSet{set: map[*Upstream]struct{}{}},
 		holdDuration: defaultDrainTime - drainHoldMargin, unavailableTime: defaultDrainTime - unavailableMargin,
 	}
--- a/state/follow/follow.go
+++ b/state/follow/follow.go
@@ -37,6 +37,7 @@
 	sink             Sink
 	log              logrus.FieldLogger
 	name             string
+	running          spanrill.RunningTime
 	watchTimeout     spanrill.Millis
 	batchDelay       spanrill.Millis
 	pollDelay        func() spanrill.Millis
@@ -62,14 +63,14 @@
 // answered is the value of unansweredSince if the store has answered the last call.
 const answered = -1
 
-// StoreSilentFor returns the time since the first call that the store has not answered, or 0 if it
-// has answered the last one. It is safe for concurrent use.
+// StoreSilentFor returns the time since the first call that the store has not answered, without stalls of
+// this process, or 0 if it has answered the last one. It is safe for concurrent use.
 func (f *Follower) StoreSilentFor() spanrill.Millis {
 	since := f.unansweredSince.Load()
 	if since == answered {
 		return 0
 	}
-	return f.clock.Now() - spanrill.Millis(since)
+	return f.running.Since(spanrill.Millis(since))
 }
 
 // Option changes a default of New.
@@ -130,6 +131,12 @@
 	return func(f *Follower) { f.firstCallTimeout = timeout }
 }
 
+// WithRunningTime sets what tells for how long this process has run, so that an answer that it has not
+// read yet does not count as missing.
+func WithRunningTime(r spanrill.RunningTime) Option {
+	return func(f *Follower) { f.running = r }
+}
+
 // WithLogger sets the logger for events, and the name of the collection in them.
 func WithLogger(log logrus.FieldLogger, name string) Option {
 	return func(f *Follower) { f.log, f.name = log, name }
@@ -164,7 +171,7 @@
 		watchTimeout: defaultWatchTimeout, jitter: func() float64 { return 0 }, knownRevision: func() uint64 { return 0 },
 		maxRetryDelay: func() spanrill.Millis { return MaxRetryDelay },
 		listDelay:     func() spanrill.Millis { return 0 },
-		wake:          make(chan struct{}, 1), watchedAt: spanrill.Never,
+		wake:          make(chan struct{}, 1), watchedAt: spanrill.Never, running: spanrill.NeverStalled{Clock: clock},
 	}
 	f.unansweredSince.Store(answered)
 	for _, o := range opts {
