--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -39,6 +39,7 @@
 // List is the list of live daemons, as this daemon knows them.
 type List struct {
 	clock    spanrill.Clock
+	running  spanrill.RunningTime
 	send     Sender
 	log      logrus.FieldLogger
 	random   *rng.Source
@@ -89,6 +90,12 @@
 	return func(l *List) { l.revision, l.onNewer = revision, onNewer }
 }
 
+// WithRunningTime sets what tells for how long this process has run, so that other daemons whose
+// messages it has not read yet do not count as silent.
+func WithRunningTime(r spanrill.RunningTime) Option {
+	return func(l *List) { l.running = r }
+}
+
 // WithRound sets the interval between rounds.
 func WithRound(d spanrill.Millis) Option {
 	return func(l *List) { l.round = d }
@@ -117,7 +124,7 @@
 // New returns a list that contains only this daemon.
 func New(self peermsg.Member, clock spanrill.Clock, send Sender, opts ...Option) *List {
 	l := &List{
-		clock: clock, send: send, log: logrus.StandardLogger(), random: rng.New(1),
+		clock: clock, running: spanrill.NeverStalled{Clock: clock}, send: send, log: logrus.StandardLogger(), random: rng.New(1),
 		onNewer: func(peermsg.Member) {}, revision: func() uint64 { return 0 },
 		round: defaultRound, fanout: defaultFanout, self: self,
 		entries: map[string]*entry{}, boxAddrs: map[string]string{}, roundNow: make(chan struct{}, 1), rankings: map[string]ranking{},
--- a/coordination/membership/state.go
+++ b/coordination/membership/state.go
@@ -120,16 +120,15 @@
 // updateStates asks, suspects, declares dead or removes members without a new heartbeat.
 func (l *List) updateStates() {
 	l.mu.Lock()
-	now := l.clock.Now()
 	round := l.scaledRound()
-	l.sorted = slices.DeleteFunc(l.sorted, func(e *entry) bool { return l.forgetIfExpired(e, now, round) })
+	l.sorted = slices.DeleteFunc(l.sorted, func(e *entry) bool { return l.forgetIfExpired(e, round) })
 	for _, e := range l.sorted {
-		sinceHeartbeat := now - e.heartbeatAt
+		sinceHeartbeat := l.running.Since(e.heartbeatAt)
 		switch {
 		case e.state == left:
 		case sinceHeartbeat > round*deadRounds:
 			l.setState(e, dead)
-		case e.state == overdue && e.askedAt != notAsked && now-e.askedAt > l.round*answerRounds:
+		case e.state == overdue && e.askedAt != notAsked && l.running.Since(e.askedAt) > l.round*answerRounds:
 			l.setState(e, suspected)
 		case e.state == alive && sinceHeartbeat > round*overdueRounds:
 			e.askedAt = notAsked
@@ -142,8 +141,8 @@
 
 // forgetIfExpired removes a member without a new heartbeat for forgetRounds, and reports whether
 // it did. The caller holds the lock.
-func (l *List) forgetIfExpired(e *entry, now, round spanrill.Millis) bool {
-	if now-e.heartbeatAt <= round*forgetRounds {
+func (l *List) forgetIfExpired(e *entry, round spanrill.Millis) bool {
+	if l.running.Since(e.heartbeatAt) <= round*forgetRounds {
 		return false
 	}
 	delete(l.entries, e.member.Name)
--- a/coordination/membership/suspicion_test.go
+++ b/coordination/membership/suspicion_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"testing"
 
+	"spanrill"
 	"spanrill/protocol/peermsg"
 )
 
@@ -122,3 +123,36 @@
 		t.Errorf("a daemon sent %d bytes in a round, want at most %d", most, bytesPerSecond/roundsPerSecond)
 	}
 }
+
+// stalledSpan is the RunningTime of a process with one stall.
+type stalledSpan struct {
+	clock    spanrill.Clock
+	from, to spanrill.Millis
+}
+
+func (s stalledSpan) Since(at spanrill.Millis) spanrill.Millis {
+	return s.clock.Now() - at - max(0, s.to-max(at, s.from))
+}
+
+// Guards against a daemon that was stalled, has not read the messages of the others, and considers them
+// dead.
+func TestStalledDaemonDoesNotSuspectOthers(t *testing.T) {
+	for _, daemons := range []int{6, 30, 83} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			f := newSeededFleet(daemons, 1)
+			f.runRounds(30)
+			d0, from := f.lists["d0"], f.clock.Now()
+			f.blocked = func(_, to string) bool { return to == "d0" }
+			f.runRounds(2*deadRounds, "d0")
+			d0.running = stalledSpan{clock: f.clock, from: from, to: f.clock.Now()}
+			d0.updateStates()
+			if live := len(d0.Live()); live != daemons {
+				t.Errorf("%d daemons live after a stall, want %d", live, daemons)
+			}
+			f.runRounds(4 * deadRounds)
+			if live := len(d0.Live()); live != 1 {
+				t.Errorf("%d daemons live after silence without a stall, want only this one", live)
+			}
+		})
+	}
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -40,7 +40,7 @@
 	}
 	self := peermsg.Member{Name: p.name, Zone: g.settings.Zone, PeerAddr: g.settings.PeerListen, MilliCores: g.settings.MilliCores(), TunnelAddr: g.settings.TunnelListen}
 	p.list = membership.New(self, g.clock, p.gossip, membership.WithLogger(g.log),
-		membership.WithRandom(g.random), membership.WithRound(memberRound))
+		membership.WithRandom(g.random), membership.WithRound(memberRound), membership.WithRunningTime(g.running))
 	seeds := make([]spanrill.Box, 0, len(g.settings.Peers))
 	for _, addr := range g.settings.Peers {
 		if addr != g.settings.PeerListen {
