turn: work that keeps a daemon up to date waits for one batch of requests

Requests now pass in batches of 32 before they are read, refused or sent; after each batch all other goroutines that are ready run first. With processor time for all nobody waits.

TestOtherWorkWaitsForOneBatch: a step waits for 63 requests of 5,000, 5,002 without turns.

--- a/coordination/relay/maysend.go
+++ b/coordination/relay/maysend.go
@@ -11,6 +11,7 @@
 
 // checkBeforeSend returns a refusal if the request must not be sent now, or nil.
 func (q *request) checkBeforeSend() *spanrill.Refusal {
+	q.relay.Turn()
 	if refusal := q.checkCallerAndKey(); refusal != nil {
 		return refusal
 	}
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -105,6 +105,9 @@
 	StoreSilentAtStart func() bool
 	// Proof obtains newer proof that the configuration is the newest. It may be nil.
 	Proof spanrill.ConfigProver
+	// Turn is called by the goroutine of a request before work that takes processor time. It may wait, so
+	// that work that keeps this daemon up to date is not late, and may be nil.
+	Turn func()
 	// SuspectsKnown is closed when this daemon knows the requests and parts that are withheld since
 	// before its start.
 	SuspectsKnown <-chan struct{}
@@ -162,6 +165,9 @@
 	if deps.Proof == nil {
 		deps.Proof = noProver{}
 	}
+	if deps.Turn == nil {
+		deps.Turn = func() {}
+	}
 	if deps.Parts == nil {
 		deps.Parts, deps.OnParts = quarantine.New(deps.Clock), func([]quarantine.Part) {}
 	}
@@ -222,6 +228,7 @@
 		ctx.SetConnectionClose()
 	}
 	r.startup.await(r.Log)
+	r.Turn()
 	refusal := q.admit()
 	if refusal != nil {
 		q.refuse(refusal)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 	"spanrill/transport/callerhttp"
 	"spanrill/transport/httpcall"
 	"spanrill/transport/tunnel"
+	"spanrill/turn"
 )
 
 // Adapter connects a gateway to the platform.
@@ -125,6 +126,7 @@
 	tunnelListener  net.Listener
 	stalls          *stall.Meter
 	running         spanrill.RunningTime
+	turns           *turn.Gate
 	stallLog        *events.Limiter
 	startedAt       spanrill.Millis
 	askStoreAt      spanrill.Millis // when the store is listed, unless peers have supplied its contents before
@@ -209,7 +211,7 @@
 	g.config = routes.NewCurrent(g.clock)
 	g.stallLog = events.NewLimiter(g.clock, stallLinesPerSecond)
 	g.stalls = stall.New(g.clock, stall.WithOnStall(g.logStall))
-	g.running = g.stalls
+	g.running, g.turns = g.stalls, turn.New()
 	g.adapter = connect(g.settings.Platform, g.http, g.recordStoreCall)
 	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain), fleet.WithStoreSilent(g.storeAnswersNobody),
 		fleet.WithOnRestart(g.handleRestart))
@@ -248,7 +250,7 @@
 		Parts: g.parts, OnParts: g.peers.broadcastParts, SuspectsKnown: g.suspectKeeper.Known(),
 		Permit: g.limiter.Permit, Daemons: func() int { return int(g.liveDaemons.Load()) },
 		Clock: g.clock, Log: g.log, Meters: g.meters, Random: g.random, StoreSilentAtStart: g.storeSilentAtStart,
-		Proof: configProver{g}, Room: g.room.gate(), Paths: g.upstreamDialer,
+		Proof: configProver{g}, Turn: g.turns.Pass, Room: g.room.gate(), Paths: g.upstreamDialer,
 	}, relay.Options{Zone: g.settings.Zone, MaxChangeAge: g.maxChangeAge(), MaxKeyAge: g.maxKeyAge(), AnswerMemory: g.settings.MemoryMB * megabyte / answerMemoryDivisor})
 	g.callersWaitingSince = g.relay.CallersWaitingSince
 	g.registerGauges()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,6 +29,7 @@
 		return float64(g.config.Age()) / float64(spanrill.Second)
 	})
 	g.meters.Gauge("spanrill_stalled_seconds", func() float64 { return float64(g.stalls.Total()) / float64(spanrill.Second) })
+	g.meters.Gauge("spanrill_requests_awaiting_turn", func() float64 { return float64(g.turns.Waiting()) })
 	g.meters.Gauge("spanrill_paths_lost", func() float64 { return float64(len(g.lostPaths())) })
 	g.meters.Gauge("spanrill_tunnels_open", func() float64 { return float64(g.openTunnels()) })
 	g.meters.Gauge("spanrill_parts_suspected", func() float64 { suspected, _ := g.parts.Counts(); return float64(suspected) })
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -71,6 +71,7 @@
 		"tunnels":       g.serveTunnels,
 		"upkeep":        g.upkeep,
 		"stalls":        g.stalls.Run,
+		"turns":         g.turns.Run,
 		"readiness":     g.serveReady,
 		"callers":       g.serveCallers,
 		"metrics":       g.serveMetrics,
