reach: a stall of this process is no lost path

After a stall the direct attempt is waited for, up to its timeout. TestStallIsNoLostPath failed before.

--- a/coordination/reach/compare.go
+++ b/coordination/reach/compare.go
@@ -49,11 +49,14 @@
 }
 
 // compare records what the results of two attempts say about this daemon's path. A direct attempt
-// that is still under way when the helper has connected counts as failed; should it succeed later,
-// startDirect records that.
+// that is still under way when the helper has connected counts as failed, unless this process has stalled
+// meanwhile; should it succeed later, startDirect records that.
 func (d *Dialer) compare(service, addr string, direct, help *attempt) {
 	<-help.done
 	if help.err == nil {
+		if d.hasStalledSince(direct.begunAt) {
+			<-direct.done
+		}
 		select {
 		case <-direct.done:
 			if direct.err == nil || spanrill.IsLocalResourceError(direct.err) {
@@ -72,6 +75,12 @@
 	}
 }
 
+// hasStalledSince reports whether this process has stalled since a time.
+func (d *Dialer) hasStalledSince(at spanrill.Millis) bool {
+	now := d.clock.Now()
+	return d.running.Since(at) < now-at
+}
+
 // confirmLost compares the paths to other upstreams of a service after one was lost, so that the loss
 // of all is noticed before requests need them.
 func (d *Dialer) confirmLost(service, addr string) {
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -55,6 +55,7 @@
 type Dialer struct {
 	directory spanrill.UpstreamDirectory
 	clock     spanrill.Clock
+	running   spanrill.RunningTime
 	log       logrus.FieldLogger
 	meters    *meter.Meters
 	random    *rng.Source
@@ -98,6 +99,12 @@
 	return func(d *Dialer) { d.zone, d.known.zone = zone, zone }
 }
 
+// WithRunningTime sets what tells for how long this process has run, so that a direct connection that it
+// has not noticed yet does not count as failed.
+func WithRunningTime(r spanrill.RunningTime) Option {
+	return func(d *Dialer) { d.running = r }
+}
+
 // WithMeters sets the counters.
 func WithMeters(m *meter.Meters) Option {
 	return func(d *Dialer) { d.meters = m }
@@ -115,7 +122,7 @@
 // New returns a Dialer. Without WithHelp it connects directly only.
 func New(directory spanrill.UpstreamDirectory, clock spanrill.Clock, log logrus.FieldLogger, random *rng.Source, opts ...Option) *Dialer {
 	d := &Dialer{
-		directory: directory, clock: clock, log: log, meters: meter.New(), random: random,
+		directory: directory, clock: clock, running: spanrill.NeverStalled{Clock: clock}, log: log, meters: meter.New(), random: random,
 		direct: (&net.Dialer{}).DialContext, timeout: spanrill.Second,
 		helpers: func(string) []spanrill.Helper { return nil },
 		paths:   newPaths(directory, clock, log), known: newKnownHelpers(clock, random), asks: newBudget(clock, maxAskTokens, askTokensPerSecond),
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -138,11 +139,11 @@
 const testTimeout spanrill.Millis = 200
 
 // start returns a running dialer in the world.
-func (w *world) start(t *testing.T) *Dialer {
+func (w *world) start(t *testing.T, opts ...Option) *Dialer {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d := New(w, w.clock, log, rng.New(1), WithDirect(w.dialDirect, testTimeout), WithHelp(w.listHelpers, w))
+	d := New(w, w.clock, log, rng.New(1), append([]Option{WithDirect(w.dialDirect, testTimeout), WithHelp(w.listHelpers, w)}, opts...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	task.Start(ctx, "paths", d.Run)
 	t.Cleanup(func() {
@@ -211,6 +212,47 @@
 	}
 }
 
+// stalledProcess is the RunningTime of a process that has stalled all the time.
+type stalledProcess struct{}
+
+func (stalledProcess) Since(spanrill.Millis) spanrill.Millis { return -1 }
+
+// Guards against a path that counts as lost because this process stalled and noticed the helpers'
+// connections before its own.
+func TestStallIsNoLostPath(t *testing.T) {
+	for name, stalled := range map[string]bool{"stalled": true, "running": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(4, "helper")
+			release := make(chan struct{})
+			lateDial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+				<-release
+				return w.dialDirect(ctx, network, addr)
+			}
+			var cuts atomic.Int64
+			opts := []Option{WithDirect(lateDial, 10*spanrill.Second), WithOnLost(func(string, spanrill.Millis) { cuts.Add(1) })}
+			if stalled {
+				opts = append(opts, WithRunningTime(stalledProcess{}))
+			}
+			d := w.start(t, opts...)
+			for _, addr := range w.upstreams {
+				wantWay(t, d, addr, "helper")
+			}
+			if !stalled {
+				await(t, "lost path", isCut(d))
+			}
+			close(release)
+			await(t, "direct connections", func() bool {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				return len(w.direct) == len(w.upstreams)
+			})
+			if lost := cuts.Load() > 0; lost == stalled {
+				t.Errorf("path found lost: %v, want %v", lost, !stalled)
+			}
+		})
+	}
+}
+
 // Guards against a path that counts as lost because of upstreams that fail by themselves.
 func TestFailedUpstreamsAreNoLostPath(t *testing.T) {
 	for name, fail := range map[string]func(*world){
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -23,7 +23,7 @@
 		toUpstreams = g.dialUpstream
 	}
 	g.upstreamDialer = reach.New(upstreamDirectory{g}, g.clock, g.log, g.random, reach.WithDirect(toUpstreams, dialTimeout),
-		reach.WithHelp(g.helpers, reach.NewTunnels(func() string { return g.peers.name }, g.settings.FleetSecret, dialTimeout, g.upstreamAt)), reach.WithZone(g.settings.Zone), reach.WithMeters(g.meters), reach.WithOnLost(g.handlePathLost))
+		reach.WithHelp(g.helpers, reach.NewTunnels(func() string { return g.peers.name }, g.settings.FleetSecret, dialTimeout, g.upstreamAt)), reach.WithZone(g.settings.Zone), reach.WithMeters(g.meters), reach.WithRunningTime(g.running), reach.WithOnLost(g.handlePathLost))
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if (upstreamDirectory{g}).ServiceAt(addr) == "" {
 			return direct(ctx, network, addr)
