gateway: create the stall meter before what uses it

The dialer of upstreams is built first and got none, so that a daemon that compared two paths ended with a nil pointer since (TestLostPathIsNoCrashOfUpstreams).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -205,13 +205,13 @@
 }
 
 func (g *Gateway) build(connect Connect) error {
+	g.stallLog = events.NewLimiter(g.clock, stallLinesPerSecond)
+	g.stalls = stall.New(g.clock, stall.WithOnStall(g.logStall))
+	g.running, g.turns = g.stalls, turn.New()
 	g.http = httpcall.New(httpcall.WithDialTimeout(dialTimeout), httpcall.WithDial(g.wrapDial), httpcall.WithLogger(g.log), httpcall.WithMeters(g.meters),
 		httpcall.WithOnHeaders(g.handleHeaders), httpcall.WithResetOnClose(g.isPathLost), httpcall.WithMaxIdle(g.maxIdle),
 		httpcall.WithMaxIdleTotal(conncap.IdleTotal(g.settings.Descriptors)))
 	g.config = routes.NewCurrent(g.clock)
-	g.stallLog = events.NewLimiter(g.clock, stallLinesPerSecond)
-	g.stalls = stall.New(g.clock, stall.WithOnStall(g.logStall))
-	g.running, g.turns = g.stalls, turn.New()
 	g.adapter = connect(g.settings.Platform, g.http, g.recordStoreCall)
 	g.fleet = fleet.New(g.clock, g.adapter.DecodeEntry, fleet.WithLogger(g.log), fleet.WithDrain(g.settings.Bounds.Drain), fleet.WithStoreSilent(g.storeAnswersNobody),
 		fleet.WithOnRestart(g.handleRestart))
