--- a/turn/turn.go
+++ b/turn/turn.go
@@ -39,8 +39,7 @@
 	return func(g *Gate) { g.yield = yield }
 }
 
-// batchSize is how many goroutines pass before all others that are ready have run. With up to a
-// millisecond for each, a step of other work waits for a few tens of milliseconds at most.
+// batchSize is how many goroutines pass before all others that are ready have run.
 const batchSize = 32
 
 // New returns a Gate at which nobody waits until Run is called.
