--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -212,6 +212,41 @@
 	}
 }
 
+// Guards against a connection refused on a lost path that tells of the end of its upstream, because no
+// helper has said anything yet.
+func TestRefusalWithoutComparisonIsInconclusive(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		lost       []string
+		compares   bool // a comparison does not end
+		conclusive bool
+	}{
+		{"comparison not ended", []string{"u0", "u1", "u2", "u3"}, true, false},
+		{"one upstream, comparison not ended", []string{"u0"}, true, false},
+		{"all upstreams", []string{"u0", "u1", "u2", "u3"}, false, false},
+		{"one upstream", []string{"u0"}, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(4, "helper")
+			w.helpers["helper"] = errHang
+			w.lose(syscall.ECONNREFUSED, c.lost...)
+			d := w.start(t)
+			for d.compareBudget.take() {
+				continue
+			}
+			if c.compares {
+				defer d.comparisons.begin("service")()
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), (testTimeout / 2).Duration())
+			defer cancel()
+			_, err := d.DialContext(ctx, "tcp", "u0")
+			if err == nil || spanrill.IsConnectionRefused(err) != c.conclusive {
+				t.Errorf("error %v, conclusive %v, want %v", err, err != nil && spanrill.IsConnectionRefused(err), c.conclusive)
+			}
+		})
+	}
+}
+
 // stalledProcess is the RunningTime of a process that has stalled all the time.
 type stalledProcess struct{}
 
