--- a/coordination/relay/maysend.go
+++ b/coordination/relay/maysend.go
@@ -11,7 +11,7 @@
 
 // checkBeforeSend returns a refusal if the request must not be sent now, or nil.
 func (q *request) checkBeforeSend() *spanrill.Refusal {
-	q.relay.Turn()
+	q.relay.awaitTurn()
 	if refusal := q.checkCallerAndKey(); refusal != nil {
 		return refusal
 	}
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -22,7 +22,7 @@
 // is unknown never has one of these.
 func (q *request) refuse(refusal *spanrill.Refusal) {
 	r := q.relay
-	r.Turn()
+	r.awaitTurn()
 	r.Meters.CountRefusal(refusal.Reason())
 	r.Meters.CountOutcome(refusal.Outcome())
 	if isFinalByConfig(refusal) {
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -165,9 +165,6 @@
 	if deps.Proof == nil {
 		deps.Proof = noProver{}
 	}
-	if deps.Turn == nil {
-		deps.Turn = func() {}
-	}
 	if deps.Parts == nil {
 		deps.Parts, deps.OnParts = quarantine.New(deps.Clock), func([]quarantine.Part) {}
 	}
@@ -228,7 +225,7 @@
 		ctx.SetConnectionClose()
 	}
 	r.startup.await(r.Log)
-	r.Turn()
+	r.awaitTurn()
 	refusal := q.admit()
 	if refusal != nil {
 		q.refuse(refusal)
@@ -252,6 +249,13 @@
 	q.servePlain()
 }
 
+// awaitTurn returns when the goroutine of a request may go on.
+func (r *Relay) awaitTurn() {
+	if r.Turn != nil {
+		r.Turn()
+	}
+}
+
 // begin sets the deadline of an admitted request, starts to watch its caller, and makes finish undo
 // that.
 func (q *request) begin() {
