reach: judge a refused connection without further connections

What is known decides now: a refusal tells nothing of the upstream if others of its service were lost or failed since this daemon last connected to one.

--- a/coordination/reach/compare.go
+++ b/coordination/reach/compare.go
@@ -10,8 +10,8 @@
 
 // awaitComparison returns the result of a direct attempt. If it fails, it waits for the comparisons that
 // are running for the service, and connects through a helper if they have found the path lost. If they have
-// not ended in time, or this daemon reaches no other upstream either, the error says nothing about the
-// upstream.
+// not ended in time, or others failed since the last connection to the service, the error says nothing about
+// the upstream.
 func (d *Dialer) awaitComparison(ctx context.Context, service, addr string, direct *attempt) (net.Conn, error) {
 	conn, err := d.await(ctx, addr, direct)
 	if err == nil || ctx.Err() != nil || spanrill.IsLocalResourceError(err) {
@@ -24,7 +24,7 @@
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("compare paths to %s: %w: %v", addr, ctx.Err(), err)
 	}
-	if !d.reachesOther(ctx, service, addr) {
+	if d.paths.othersFailed(service, addr) {
 		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, err)
 	}
 	return nil, err
--- a/coordination/reach/paths.go
+++ b/coordination/reach/paths.go
@@ -150,6 +150,23 @@
 	s.helped = map[string]int{}
 }
 
+// othersFailed reports whether other upstreams of a service than the one at addr have failed or were lost
+// since this daemon last connected to one of them.
+func (p *paths) othersFailed(service, addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.services[service]
+	if s == nil {
+		return false
+	}
+	for _, row := range []map[string]bool{s.lostInRow, s.failedInRow} {
+		if len(row) > 1 || len(row) == 1 && !row[addr] {
+			return true
+		}
+	}
+	return false
+}
+
 // recordNotConnected records that a direct connection failed, whatever the cause.
 func (p *paths) recordNotConnected(service string) {
 	p.mu.Lock()
