reach: an inconclusive refusal is no lack of a path

It is an error of the attempt again, so that the request goes elsewhere, but does not say that the upstream refused.

--- a/coordination/reach/compare.go
+++ b/coordination/reach/compare.go
@@ -25,7 +25,7 @@
 		return nil, fmt.Errorf("compare paths to %s: %w: %v", addr, ctx.Err(), err)
 	}
 	if d.paths.othersFailed(service, addr) {
-		return nil, fmt.Errorf("connect to %s: %w: %v", addr, spanrill.ErrNoPath, err)
+		return nil, fmt.Errorf("connect to %s, others failed too: %v", addr, err) // not %w: it is no refusal by the upstream
 	}
 	return nil, err
 }
