httpcall: an answer without a valid status is malformed

Callers got answers of engines whose status line was broken: status 000 as a 200 with the engine's signature, 099 as a status line that clients cannot parse, 101, 600 and 999 as they came, and control bytes or a bare CR in the reason. A write to the store whose answer had the status 000 counted as done.

Cause: fasthttp takes any three digits for a status, reads 000 as "not set", which it gives as 200, and does not look at the reason. Every comparison behind it saw a success.

All answers pass this place: engines, plain services, the store, peers' pages and the tools. An answer that fails here is one that broke off: its connection is closed, its outcome is unknown, its upstream has failed, and a request that may be repeated goes elsewhere.

The error of a silence handler no longer passes through fasthttp, so that the copy of it is not needed.

--- a/transport/httpcall/answer.go
+++ b/transport/httpcall/answer.go
@@ -27,6 +27,9 @@
 
 // readHeader reads the status line and the headers, and leaves the body to be streamed.
 func (a *Answer) readHeader() error {
+	if err := awaitHead(a.conn.r); err != nil {
+		return fmt.Errorf("read headers: %w", err)
+	}
 	a.resp.StreamBody = true
 	a.resp.Header.SetNoDefaultContentType(true)
 	if err := a.resp.ReadLimitBody(a.conn.r, 0); err != nil {
--- a/transport/httpcall/client.go
+++ b/transport/httpcall/client.go
@@ -238,9 +238,6 @@
 	}
 	if err := a.readHeader(); err != nil {
 		a.abort()
-		if cn.silenceErr != nil {
-			err = fmt.Errorf("%w: %w", cn.silenceErr, err)
-		}
 		err = c.handleSilence(ctx, addr, cn, err)
 		return nil, &spanrill.CallError{Phase: spanrill.PhaseAnswer, Written: cn.written, Cause: fmt.Errorf("answer of %s: %w", addr, err)}
 	}
@@ -283,7 +280,6 @@
 	lastReceived      time.Time // when bytes last arrived, or when the call began
 	interrupted       atomic.Bool
 	silence           *silenceHandler // called while nothing arrives, or nil
-	silenceErr        error           // error of the silence handler, which fasthttp hides before the first byte
 	wakeMu            sync.Mutex
 	wakeable          *silenceHandler // guarded by wakeMu: the handler of the call that wake may interrupt
 }
@@ -330,7 +326,6 @@
 			return n, err
 		}
 		if err := cn.silence.handle(spanrill.MillisOf(time.Since(start))); err != nil {
-			cn.silenceErr = err
 			return 0, err
 		}
 	}
