httpcall: an answer with a malformed field is refused

Callers got answers in whose head the name of a field held a blank: "X A: b" came through as it was, "Content Length: 12" left the answer without a length, so that its body was read until the connection ended, and "Content-Length : 3" and "Transfer-Encoding : chunked" framed the body by a field that other readers do not count. Streams behind such a field ended without an answer.

Cause: fasthttp allows blanks in names and before the colon, and keeps the name as it came.

Each field of a head is now checked with golang.org/x/net/http/httpguts: a name is a token (RFC 9110, section 5.1) that the colon follows at once, a value has no control bytes but tabs. RFC 9112 lets a proxy remove a blank before the colon and forward the rest; it is refused here, since upstream and caller may disagree on whether the field counts. Folded values are passed on in one line as before, and the fields of informational heads are checked too.

Control bytes in names and values, empty names, lines without a colon and lengths that differ were refused before.

--- a/transport/httpcall/head.go
+++ b/transport/httpcall/head.go
@@ -91,10 +91,27 @@
 	return strings.TrimSuffix(strings.TrimSuffix(line, "\n"), "\r")
 }
 
-// checkHead checks the status line of a head and returns its status.
+// checkHead checks a whole head as RFC 9110 and RFC 9112 define it, but for what the values of its fields
+// mean, and returns its status.
 func checkHead(head string) (status int, err error) {
-	line, _, _ := strings.Cut(head, "\n")
-	return parseStatusLine(trimLineEnd(line))
+	isFirst := true
+	for line := range strings.Lines(head) {
+		line = trimLineEnd(line)
+		switch {
+		case status == 0:
+			status, err = parseStatusLine(line)
+		case line == "":
+		case !isFirst && (line[0] == ' ' || line[0] == '\t'):
+			err = checkFieldValue(line) // continues the value of the line before
+		default:
+			err = checkField(line)
+			isFirst = false
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+	return status, nil
 }
 
 const (
@@ -132,6 +149,24 @@
 	return strings.Trim(text, "0123456789") == ""
 }
 
+// checkField checks a header line. A blank before the colon is not allowed, although RFC 9112 lets a
+// proxy remove it: upstreams and callers may disagree on whether such a field counts.
+func checkField(line string) error {
+	name, value, found := strings.Cut(line, ":")
+	if !found || !httpguts.ValidHeaderFieldName(name) {
+		return malformedLine("header line", line)
+	}
+	return checkFieldValue(value)
+}
+
+// checkFieldValue checks the value of a header line.
+func checkFieldValue(value string) error {
+	if !httpguts.ValidHeaderFieldValue(value) {
+		return malformedLine("header value", value)
+	}
+	return nil
+}
+
 // malformedLine returns the error for a malformed part of a head.
 func malformedLine(part, text string) error {
 	return fmt.Errorf("%w: %s %.64q", ErrMalformed, part, text)
