httpcall: an answer with a malformed trailer is refused

A trailer whose name held a blank reached callers as a header line of the answer of a plain service; streams with one counted as whole.

Cause: as for heads, fasthttp allows blanks in the names of trailers. They are checked at the end of the body now. A blank between name and colon is removed by fasthttp, as RFC 9112 asks of a proxy.

--- a/transport/httpcall/answer.go
+++ b/transport/httpcall/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 
 	"spanrill"
 )
@@ -86,7 +87,8 @@
 // bodyReader reads the body and records when its end is reached.
 type bodyReader Answer
 
-// Read reads from the body. At its end it marks the answer as complete.
+// Read reads from the body. At its end it checks the trailers, which fasthttp does only in part, and marks
+// the answer as complete.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	stream := b.resp.BodyStream()
 	if stream == nil {
@@ -94,9 +96,15 @@
 		return 0, io.EOF
 	}
 	n, err := stream.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.complete = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	for name := range b.resp.Header.Trailers() {
+		if !httpguts.ValidHeaderFieldName(string(name)) {
+			return n, malformedLine("trailer", string(name))
+		}
 	}
+	b.complete = true
 	return n, err
 }
 
--- a/transport/httpcall/head_test.go
+++ b/transport/httpcall/head_test.go
@@ -42,6 +42,7 @@
 	strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100) + sizedHead + "\r\nbody",
 	"HTTP/1.1 200 " + strings.Repeat("x", 8<<10) + "\r\nContent-Length: 4\r\n\r\nbody",
 	sizedHead + strings.Repeat("X-A: b\r\n", 1<<10) + "\r\nbody",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX A: b\r\n\r\n",
 }
 
 // Guards against answers whose status or fields are not valid, and against keeping their connections. The
