gateway: a planned stop answers the requests that still run at its end

With a grace under 3.3 s requests were taken until the end, since new ones are refused 2.6 s after the signal only.

Cause: when the time of draining was over, the daemon logged event 104 and the process ended, with the requests in it.

The requests are now ended by the relay before that: one that was not sent gets 503 as not run, one that was sent gets 502 with an unknown outcome, a stream that has begun breaks off visibly, and the upstreams learn that their work is in vain.

--- a/coordination/relay/admit.go
+++ b/coordination/relay/admit.go
@@ -15,7 +15,7 @@
 		return spanrill.NewRefusal(spanrill.ReasonNotReady, "no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	}
 	if r.refusing.Load() {
-		return spanrill.NewRefusal(spanrill.ReasonDraining, "this daemon is stopping").WithRetryAfter(minRetryAfter)
+		return stoppingRefusal()
 	}
 	var err error
 	if q.head, err = r.Codec.ReadRequest(&q.http.Request.Header); err != nil {
--- a/coordination/relay/callers.go
+++ b/coordination/relay/callers.go
@@ -18,6 +18,7 @@
 	mu     sync.Mutex
 	conns  map[uint64]*callerConn
 	nextID uint64
+	ended  bool // endAll was called
 }
 
 // callerConn is the connection of one caller.
@@ -41,6 +42,9 @@
 	caller.check(c.clock.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ended {
+		cancel(errStopping)
+	}
 	c.nextID++
 	id := c.nextID
 	c.conns[id] = caller
@@ -54,6 +58,16 @@
 	}
 }
 
+// endAll cancels all requests, and those that are added later, with errStopping.
+func (c *callerConns) endAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	for _, caller := range c.conns {
+		caller.cancel(errStopping)
+	}
+}
+
 // check cancels the requests of callers that have closed their connections.
 func (c *callerConns) check() {
 	c.mu.Lock()
--- a/coordination/relay/refuse.go
+++ b/coordination/relay/refuse.go
@@ -16,6 +16,15 @@
 // errCallerLeft is the cancellation cause of a request whose caller has closed its connection.
 var errCallerLeft = errors.New("caller disconnected")
 
+// errStopping is the cancellation cause of a request that still runs when this daemon has to end.
+var errStopping = errors.New("this daemon is stopping")
+
+// stoppingRefusal returns the refusal of a request that this daemon cannot serve because it stops. Callers
+// may return to another daemon.
+func stoppingRefusal() *spanrill.Refusal {
+	return spanrill.NewRefusal(spanrill.ReasonDraining, "%v", errStopping).WithRetryAfter(minRetryAfter)
+}
+
 // refuse answers the request with the error that the refusal describes.
 //
 // The statuses 408, 421, 429 and 503 promise that the request has not run. A refusal whose outcome
@@ -83,13 +92,19 @@
 // minRetryAfter is the shortest retry time that callers are given.
 const minRetryAfter spanrill.Millis = 100
 
-// endedRefusal returns the refusal of a request that has exceeded its deadline or whose caller has
-// disconnected. Sent tells whether an attempt may have reached an upstream.
+// endedRefusal returns the refusal of a request that has exceeded its deadline, whose caller has
+// disconnected, or that the end of this daemon ends. Sent tells whether an attempt may have reached an upstream.
 func (q *request) endedRefusal(sent bool) *spanrill.Refusal {
 	q.recordCallerLeft(sent)
 	if errors.Is(context.Cause(q.ctx), errPartWithheld) {
 		return q.partWithheldRefusal(sent)
 	}
+	if errors.Is(context.Cause(q.ctx), errStopping) {
+		if sent {
+			return stoppingRefusal().WithOutcome(spanrill.OutcomeUnknown)
+		}
+		return stoppingRefusal()
+	}
 	refusal := spanrill.NewRefusal(spanrill.ReasonUpstreamTimeout, "no answer within %d ms", q.relay.Clock.Now()-q.start)
 	if sent {
 		return refusal.WithOutcome(spanrill.OutcomeUnknown)
--- a/coordination/relay/refuse_test.go
+++ b/coordination/relay/refuse_test.go
@@ -7,6 +7,8 @@
 	"github.com/valyala/fasthttp"
 
 	"spanrill"
+	"spanrill/clock"
+	"spanrill/meter"
 )
 
 // Guards against a status that promises that a request has not run when it may have, and against
@@ -52,6 +54,30 @@
 	}
 }
 
+// Guards against ending requests at the end of a planned stop without an answer that says what is known:
+// those that run, and those that are added afterwards.
+func TestRequestsEndedByStopAreRefused(t *testing.T) {
+	for _, addedLater := range []bool{false, true} {
+		server, _ := tcpPair(t)
+		conns := newCallerConns(clock.NewManual(), meter.New())
+		ctx, cancel := context.WithCancelCause(context.Background())
+		if addedLater {
+			conns.endAll()
+			defer conns.add(server, spanrill.Minute, cancel)()
+		} else {
+			defer conns.add(server, spanrill.Minute, cancel)()
+			conns.endAll()
+		}
+		q := testRequest(ctx)
+		if r := q.endedRefusal(false); statusOf(r) != fasthttp.StatusServiceUnavailable || r.Outcome() != spanrill.OutcomeNotRun || r.RetryAfter() <= 0 {
+			t.Errorf("not sent: %v, want 503 with outcome not-run and a retry time", r)
+		}
+		if r := q.endedRefusal(true); statusOf(r) != fasthttp.StatusBadGateway || r.Outcome() != spanrill.OutcomeUnknown {
+			t.Errorf("sent: %v, want 502 with an unknown outcome", r)
+		}
+	}
+}
+
 // noHeadersCodec is a HeaderCodec that adds no headers to a refusal.
 type noHeadersCodec struct{ spanrill.HeaderCodec }
 
--- a/coordination/relay/relay.go
+++ b/coordination/relay/relay.go
@@ -185,6 +185,10 @@
 // RefuseNewRequests makes the relay refuse new requests, for the end of a graceful shutdown.
 func (r *Relay) RefuseNewRequests() { r.refusing.Store(true) }
 
+// EndRequests ends the running requests, for the end of a graceful shutdown. Those that may have run are
+// answered with that, the others are refused; streams that have begun break off.
+func (r *Relay) EndRequests() { r.callers.endAll() }
+
 // request is the state of one caller's request.
 type request struct {
 	relay            *Relay
