httpcall: named bounds of a status, and a test of malformed chunks

Chunk sizes and line ends that are not valid were refused before (14 forms); the test holds that. The bounds of a status have names; nothing else changes.

--- a/transport/httpcall/head.go
+++ b/transport/httpcall/head.go
@@ -117,10 +117,11 @@
 const (
 	// versionPrefix is the beginning of the status lines of all versions of HTTP/1.
 	versionPrefix = "HTTP/1."
-	// statusFinal is the lowest status of a final answer, and statusLimit is above all of them.
-	statusFinal, statusLimit = 200, 600
-	statusDigits             = 3
-	// statusSwitching switches to another protocol, which requests never ask for.
+	// lowestStatus, statusFinal and highestStatus are the lowest status, the lowest one of a final answer
+	// and the highest one (RFC 9110, section 15).
+	lowestStatus, statusFinal, highestStatus = 100, 200, 599
+	statusDigits                             = 3
+	// statusSwitching announces another protocol, which requests never ask for.
 	statusSwitching = 101
 )
 
@@ -138,7 +139,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("parse status: %w", err)
 	}
-	if status < 100 || status >= statusLimit || status == statusSwitching {
+	if status < lowestStatus || status > highestStatus || status == statusSwitching {
 		return 0, fmt.Errorf("%w: status %s", ErrMalformed, code)
 	}
 	return status, nil
--- a/transport/httpcall/head_test.go
+++ b/transport/httpcall/head_test.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// Guards against taking a body for complete whose chunks are malformed.
+func TestMalformedChunksAreErrors(t *testing.T) {
+	for _, body := range []string{
+		"+4\r\nbody\r\n0\r\n\r\n", "-4\r\nbody\r\n0\r\n\r\n", "0x4\r\nbody\r\n0\r\n\r\n", " 4\r\nbody\r\n0\r\n\r\n", "\r\nbody\r\n0\r\n\r\n",
+		"4g\r\nbody\r\n0\r\n\r\n", "4\nbody\r\n0\r\n\r\n", "4\x00\r\nbody\r\n0\r\n\r\n", "10000000000000004\r\nbody\r\n0\r\n\r\n",
+		"4\r\nbody0\r\n\r\n", "4\r\nbodyX\r\n0\r\n\r\n", "4\r\nbody\n0\r\n\r\n", "4\r\nbody\r\n-0\r\n\r\n", "4\r\nbody\r\n0\n\n",
+	} {
+		addr := serve(t, answerEach("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+body))
+		client := New()
+		if _, err := do(client, addr, nil); err == nil {
+			t.Errorf("%q was read without an error", body)
+		}
+		client.Close()
+	}
+}
+
 // FuzzHead checks that fasthttp takes a head that was found valid as ending at the same place and with the
 // same status.
 func FuzzHead(f *testing.F) {
