task: a group's tasks may be started while it is waited for

Cause: task.Group counted with a sync.WaitGroup, whose Add may not run beside Wait when nothing is counted. Others than the owner of a group start tasks in it (connection attempts, handlers of peers' requests), so that this could happen at each planned stop; a WaitGroup may also panic then.

The group counts under its mutex now and closes a channel at the end of the last task. Wait means the same as before.

--- a/task/task.go
+++ b/task/task.go
@@ -53,41 +53,54 @@
 }
 
 // Group waits for any number of tasks and keeps their first error. Its zero value is ready to use.
-// It keeps no reference to a task that has ended, so that a long-lived owner can start any number.
+// It keeps no reference to a task that has ended, so that a long-lived owner can start any number. Tasks
+// may be started while Wait runs, which a sync.WaitGroup does not allow when none is running.
 type Group struct {
-	running  sync.WaitGroup
 	mu       sync.Mutex
+	running  int
+	idle     chan struct{} // closed when no task runs any more; nil while nobody waits
 	firstErr error
 }
 
 // Start runs f in a goroutine that belongs to the group.
 func (g *Group) Start(ctx context.Context, name string, f func(context.Context) error) *Task {
-	g.running.Add(1)
+	g.mu.Lock()
+	g.running++
+	g.mu.Unlock()
 	t := &Task{name: name, done: make(chan struct{})}
 	go func() {
-		defer g.running.Done()
 		t.run(ctx, f)
-		g.recordError(t.err)
+		g.recordEnd(t.err)
 	}()
 	return t
 }
 
-// recordError keeps the first error.
-func (g *Group) recordError(err error) {
-	if err == nil {
-		return
-	}
+// recordEnd records the end of a task and keeps the first error.
+func (g *Group) recordEnd(err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.firstErr == nil {
 		g.firstErr = err
 	}
+	g.running--
+	if g.running == 0 && g.idle != nil {
+		close(g.idle)
+		g.idle = nil
+	}
 }
 
 // Wait blocks until all tasks have ended and returns the first error.
 func (g *Group) Wait() error {
-	g.running.Wait()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.running > 0 {
+		if g.idle == nil {
+			g.idle = make(chan struct{})
+		}
+		idle := g.idle
+		g.mu.Unlock()
+		<-idle
+		g.mu.Lock()
+	}
 	return g.firstErr
 }
